--- /dev/null
+++ b/Makefile
@@ -0,0 +1,128 @@
+# Targets: all demo check lint bench install clean soak plots
+# Variables: SAN=asan|tsan builds with sanitizers, QUICK=1 shortens bench
+
+VERSION := 0.1.0
+SAN ?= plain
+BUILD := build/$(SAN)
+PREFIX ?= /usr/local
+DESTDIR ?=
+
+CC := gcc
+CXX := g++
+PKGS := libmicrohttpd libcurl json-c libxxhash libsodium libtirpc ck
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+
+SAN_plain :=
+SAN_asan := -fsanitize=address,undefined -fno-sanitize-recover=all
+SAN_tsan := -fsanitize=thread
+SANFLAGS := $(SAN_$(SAN))
+
+CPPFLAGS += -I. -D_GNU_SOURCE -DMEDLAR_VERSION='"$(VERSION)"'
+BASEFLAGS := -O2 -g -fno-omit-frame-pointer $(SANFLAGS) $(PKG_CFLAGS) -pthread
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wvla -Wformat=2
+CFLAGS += -std=gnu11 $(BASEFLAGS) $(WARN)
+CXXFLAGS += -std=c++17 $(BASEFLAGS) -Wall -Wextra -Werror
+LDLIBS += $(PKG_LIBS) -lm -pthread
+
+LIB_SRC := $(wildcard libmedlar/*.c)
+DAEMON_SRC := $(filter-out medlard/main.c,$(wildcard medlard/*.c))
+PROTO_SRC := $(wildcard proto/*.c)
+CTL_SRC := $(wildcard cli/ctl_*.c)
+LOAD_SRC := $(wildcard cli/load_*.c)
+FAKE_SRC := $(wildcard tests/fakes/common_*.c)
+
+obj = $(patsubst %,$(BUILD)/%.o,$(1))
+LIB := $(BUILD)/libmedlar.a
+DAEMON_LIB := $(BUILD)/libmedlard.a
+
+PROGRAMS := $(patsubst %.c,$(BUILD)/%,$(notdir $(wildcard cli/medlarctl.c \
+	cli/medlarload.c))) $(if $(wildcard medlard/main.c),$(BUILD)/medlard)
+FAKES := $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard \
+	tests/fakes/fake-*.c))
+TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c)) \
+	$(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
+
+.PHONY: all demo check lint bench install clean soak plots build-tests
+.SECONDARY:
+all: $(PROGRAMS) $(FAKES)
+build-tests: all $(TESTS) $(BENCHES)
+
+$(LIB): $(call obj,$(LIB_SRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(DAEMON_LIB): $(call obj,$(DAEMON_SRC) $(PROTO_SRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/medlard: $(call obj,medlard/main.c) $(DAEMON_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/medlarctl: $(call obj,cli/medlarctl.c $(CTL_SRC)) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/medlarload: $(call obj,cli/medlarload.c $(LOAD_SRC)) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/fake-%: $(BUILD)/tests/fakes/fake-%.c.o $(call obj,$(FAKE_SRC)) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.c.o $(DAEMON_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
+$(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.cc.o $(DAEMON_LIB) $(LIB)
+	$(CXX) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lrapidcheck
+
+$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.c.o $(DAEMON_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
+# Generated code is compiled without the warnings of our own.
+$(BUILD)/proto/%.c.o: proto/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) -std=gnu11 $(BASEFLAGS) -w -MMD -c -o $@ $<
+
+$(BUILD)/%.c.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/%.cc.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+demo:
+	scripts/setup
+	$(MAKE) all
+	scripts/demo $(BUILD) $(or $(DEPLOYMENT),kraisorn)
+
+check: build-tests
+	tests/run $(BUILD)
+
+lint:
+	scripts/lint
+
+bench: build-tests
+	bench/run $(BUILD) $(if $(QUICK),--quick)
+
+soak: build-tests
+	tests/soak $(BUILD)
+
+plots:
+	scripts/plots build/bench.json docs/plots
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/sbin
+	install -d $(DESTDIR)$(PREFIX)/share/man/man1
+	install -d $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 755 $(BUILD)/medlard $(DESTDIR)$(PREFIX)/sbin
+	install -m 755 $(BUILD)/medlarctl $(BUILD)/medlarload \
+		$(DESTDIR)$(PREFIX)/bin
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/libmedlar/medlar.h
@@ -0,0 +1,986 @@
+/**
+ * DOC: libmedlar, the core of the query tier
+ *
+ * Routing, limits, retries, write claims, configuration and membership. The
+ * library performs no input or output and reads no clock: events, the current
+ * time and random seeds are passed in, and actions leave through callbacks.
+ * Sections follow the source files that implement them.
+ *
+ * No function is thread safe. Every object belongs to the client it is used
+ * with, and a client belongs to one thread.
+ */
+#ifndef MEDLAR_H
+#define MEDLAR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct medlar_client_ medlar_client_t;
+typedef struct medlar_service_ medlar_service_t;
+typedef struct medlar_shard_ medlar_shard_t;
+typedef struct medlar_replica_ medlar_replica_t;
+typedef struct medlar_query_ medlar_query_t;
+typedef struct medlar_part_ medlar_part_t;
+typedef struct medlar_attempt_ medlar_attempt_t;
+
+/*
+ * error.c
+ */
+
+/**
+ * enum medlar_error - every way a call of this library can fail
+ *
+ * Functions that can fail return %MEDLAR_OK or one of the negative values.
+ */
+typedef enum medlar_error {
+	MEDLAR_OK = 0,
+	MEDLAR_ERR_NOMEM = -1,
+	MEDLAR_ERR_SYNTAX = -2,
+	MEDLAR_ERR_FIELD = -3,
+	MEDLAR_ERR_TYPE = -4,
+	MEDLAR_ERR_RANGE = -5,
+	MEDLAR_ERR_MISSING = -6,
+	MEDLAR_ERR_NOT_FOUND = -7,
+	MEDLAR_ERR_CONFLICT = -8,
+	MEDLAR_ERR_FULL = -9,
+	MEDLAR_ERR_DEADLINE = -10,
+	MEDLAR_ERR_OVERLOAD = -11,
+	MEDLAR_ERR_NO_REPLICA = -12,
+	MEDLAR_ERR_NO_VERSION = -13,
+	MEDLAR_ERR_CONVICTED = -14,
+	MEDLAR_ERR_LEAVING = -15,
+	MEDLAR_ERR_STORE_DOWN = -16,
+	MEDLAR_ERR_STORE_UNKNOWN = -17,
+	MEDLAR_ERR_AUTH = -18,
+	MEDLAR_ERR_EXPIRED = -19,
+	MEDLAR_ERR_IO = -20,
+	MEDLAR_ERR_PROTOCOL = -21,
+	MEDLAR_ERR_CANCELLED = -22,
+	MEDLAR_ERR_TOO_LARGE = -23,
+	MEDLAR_ERR_CLASH = -24,
+	MEDLAR_ERR_STALE = -25,
+	MEDLAR_ERR_UNAVAILABLE = -26,
+} medlar_error_t;
+
+const char *medlar_error_name(int error);
+const char *medlar_error_text(int error);
+
+/*
+ * str.c
+ */
+
+/**
+ * struct medlar_str - a length-counted string that is borrowed, not owned
+ * @ptr: first byte; not necessarily terminated
+ * @len: length in bytes
+ */
+typedef struct medlar_str {
+	const char *ptr;
+	size_t len;
+} medlar_str_t;
+
+#define MEDLAR_STR(literal) ((medlar_str_t){ (literal), sizeof(literal) - 1 })
+
+medlar_str_t medlar_str_from(const char *text);
+bool medlar_str_equal(medlar_str_t a, medlar_str_t b);
+uint64_t medlar_str_hash(medlar_str_t str, uint64_t seed);
+
+/*
+ * buf.c
+ */
+
+/**
+ * struct medlar_buf - a growing byte buffer
+ * @ptr: bytes, terminated by a zero byte that @len does not count
+ * @len: bytes in use
+ * @cap: bytes allocated
+ * @error: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM once an append has failed
+ */
+typedef struct medlar_buf {
+	char *ptr;
+	size_t len;
+	size_t cap;
+	int error;
+} medlar_buf_t;
+
+void medlar_buf_init(medlar_buf_t *buf);
+void medlar_buf_finish(medlar_buf_t *buf);
+void medlar_buf_reset(medlar_buf_t *buf);
+void medlar_buf_add(medlar_buf_t *buf, medlar_str_t str);
+void medlar_buf_printf(medlar_buf_t *buf, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+void medlar_buf_json_string(medlar_buf_t *buf, medlar_str_t str);
+medlar_str_t medlar_buf_str(const medlar_buf_t *buf);
+
+/*
+ * clock.c
+ */
+
+/** typedef medlar_time_t - a point in time or a duration in milliseconds */
+typedef int64_t medlar_time_t;
+
+#define MEDLAR_TIME_NEVER INT64_MAX
+#define MEDLAR_SECOND ((medlar_time_t)1000)
+#define MEDLAR_MINUTE (60 * MEDLAR_SECOND)
+#define MEDLAR_HOUR (60 * MEDLAR_MINUTE)
+
+/*
+ * rand.c
+ */
+
+/**
+ * struct medlar_rand - state of a pseudo-random generator
+ * @state: any value; equal values give equal sequences
+ */
+typedef struct medlar_rand {
+	uint64_t state;
+} medlar_rand_t;
+
+uint64_t medlar_rand_next(medlar_rand_t *rand);
+uint64_t medlar_rand_below(medlar_rand_t *rand, uint64_t bound);
+double medlar_rand_unit(medlar_rand_t *rand);
+
+/*
+ * timer.c
+ */
+
+typedef struct medlar_timer_ medlar_timer_t;
+typedef void (*medlar_timer_fn_t)(medlar_client_t *client,
+				  medlar_timer_t *timer, medlar_time_t now,
+				  void *data);
+
+/**
+ * struct medlar_timer - a one-shot timer in memory that the caller owns
+ * @due: when it fires, in milliseconds
+ * @slot: position in the heap plus one; 0 while the timer is not set
+ * @fn: called once when the timer fires; may set the timer again
+ * @data: passed to @fn
+ */
+struct medlar_timer_ {
+	medlar_time_t due;
+	size_t slot;
+	medlar_timer_fn_t fn;
+	void *data;
+};
+
+/** struct medlar_timers - a binary heap of set timers */
+typedef struct medlar_timers {
+	medlar_timer_t **heap;
+	size_t len;
+	size_t cap;
+} medlar_timers_t;
+
+void medlar_timer_init(medlar_timer_t *timer, medlar_timer_fn_t fn, void *data);
+int medlar_timer_set(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t due);
+void medlar_timer_clear(medlar_client_t *client, medlar_timer_t *timer);
+
+/*
+ * client.c
+ */
+
+/** enum medlar_event - what a trace line reports */
+typedef enum medlar_event {
+	MEDLAR_EVENT_PICK,
+	MEDLAR_EVENT_HEDGE,
+	MEDLAR_EVENT_RETRY,
+	MEDLAR_EVENT_REPLY,
+	MEDLAR_EVENT_DROP,
+	MEDLAR_EVENT_ADMIT,
+	MEDLAR_EVENT_REFUSE,
+	MEDLAR_EVENT_VERSION,
+	MEDLAR_EVENT_ANSWER,
+	MEDLAR_EVENT_EJECT,
+	MEDLAR_EVENT_LIMIT,
+	MEDLAR_EVENT_LEAVE,
+	MEDLAR_EVENT_SUSPECT,
+	MEDLAR_EVENT_CLAIM,
+	MEDLAR_EVENT_WRITE,
+	MEDLAR_EVENT_CONFIG,
+	MEDLAR_EVENT_MEMBER,
+	MEDLAR_EVENT_MAP,
+	MEDLAR_EVENT_ADDRESS,
+	MEDLAR_EVENT_STORE,
+	MEDLAR_EVENT_COUNT
+} medlar_event_t;
+
+/** enum medlar_field_kind - how the value of a trace field is written */
+typedef enum medlar_field_kind {
+	MEDLAR_FIELD_NUM,
+	MEDLAR_FIELD_HEX,
+	MEDLAR_FIELD_TEXT,
+} medlar_field_kind_t;
+
+/**
+ * struct medlar_field - one key=value pair of a trace line
+ * @key: name, a lower-case identifier
+ * @kind: which of the values is set
+ * @num: value of %MEDLAR_FIELD_NUM and %MEDLAR_FIELD_HEX
+ * @text: value of %MEDLAR_FIELD_TEXT
+ */
+typedef struct medlar_field {
+	const char *key;
+	medlar_field_kind_t kind;
+	int64_t num;
+	medlar_str_t text;
+} medlar_field_t;
+
+#define MEDLAR_NUM(key, value) \
+	((medlar_field_t){ (key), MEDLAR_FIELD_NUM, (int64_t)(value), { 0 } })
+#define MEDLAR_HEX(key, value) \
+	((medlar_field_t){ (key), MEDLAR_FIELD_HEX, (int64_t)(value), { 0 } })
+#define MEDLAR_TEXT(key, value) \
+	((medlar_field_t){ (key), MEDLAR_FIELD_TEXT, 0, (value) })
+#define MEDLAR_TRACE(client, event, ...)                                      \
+	medlar_client_trace((client), (event),                                \
+			    (const medlar_field_t[]){ __VA_ARGS__ },          \
+			    sizeof((const medlar_field_t[]){ __VA_ARGS__ }) / \
+				    sizeof(medlar_field_t))
+
+typedef void (*medlar_trace_fn_t)(medlar_event_t event,
+				  const medlar_field_t *fields, size_t count,
+				  void *data);
+
+/**
+ * struct medlar_fault_report - an error with the place that caused it
+ * @error: negative &enum medlar_error
+ * @file: name of the document at fault, or an empty string
+ * @line: line in @file counted from 1; 0 when unknown
+ * @field: path of the field at fault such as ``services[2].slots``
+ * @advice: what to do about it
+ */
+typedef struct medlar_fault_report {
+	int error;
+	medlar_str_t file;
+	unsigned line;
+	medlar_str_t field;
+	medlar_str_t advice;
+} medlar_fault_report_t;
+
+typedef void (*medlar_error_fn_t)(const medlar_fault_report_t *report,
+				  void *data);
+
+/**
+ * struct medlar_client - state shared by all objects of one thread
+ * @instance: hash of the instance's name; never 0
+ * @zone: number of the availability zone of this instance
+ * @rand: generator behind every random choice
+ * @timers: timers of all objects of this client
+ * @trace: receives every decision; may be NULL
+ * @trace_data: passed to @trace
+ * @error: receives every reported error; may be NULL
+ * @error_data: passed to @error
+ */
+struct medlar_client_ {
+	uint64_t instance;
+	uint16_t zone;
+	medlar_rand_t rand;
+	medlar_timers_t timers;
+	medlar_trace_fn_t trace;
+	void *trace_data;
+	medlar_error_fn_t error;
+	void *error_data;
+};
+
+void medlar_client_init(medlar_client_t *client, medlar_str_t instance,
+			uint16_t zone, uint64_t seed);
+void medlar_client_finish(medlar_client_t *client);
+void medlar_client_on_trace(medlar_client_t *client, medlar_trace_fn_t fn,
+			    void *data);
+void medlar_client_on_error(medlar_client_t *client, medlar_error_fn_t fn,
+			    void *data);
+medlar_time_t medlar_client_due(const medlar_client_t *client);
+void medlar_client_run(medlar_client_t *client, medlar_time_t now);
+void medlar_client_trace(medlar_client_t *client, medlar_event_t event,
+			 const medlar_field_t *fields, size_t count);
+void medlar_client_report(medlar_client_t *client,
+			  const medlar_fault_report_t *report);
+const char *medlar_event_name(medlar_event_t event);
+
+/*
+ * range.c
+ */
+
+/** The key space is 0 (included) to MEDLAR_KEY_END (excluded). */
+#define MEDLAR_KEY_END ((uint64_t)1 << 32)
+
+/**
+ * struct medlar_range - a half-open range of catalogue keys
+ * @lo: first key
+ * @hi: one past the last key, at most %MEDLAR_KEY_END
+ */
+typedef struct medlar_range {
+	uint64_t lo;
+	uint64_t hi;
+} medlar_range_t;
+
+/**
+ * struct medlar_ranges - a sorted set of disjoint ranges that do not touch
+ * @items: the ranges
+ * @len: ranges in use
+ * @cap: ranges allocated
+ */
+typedef struct medlar_ranges {
+	medlar_range_t *items;
+	size_t len;
+	size_t cap;
+} medlar_ranges_t;
+
+void medlar_ranges_init(medlar_ranges_t *set);
+void medlar_ranges_finish(medlar_ranges_t *set);
+int medlar_ranges_add(medlar_ranges_t *set, medlar_range_t range);
+bool medlar_ranges_overlap(const medlar_ranges_t *set, medlar_range_t range);
+int medlar_ranges_subtract(medlar_ranges_t *out, const medlar_ranges_t *from,
+			   const medlar_ranges_t *what);
+uint64_t medlar_ranges_width(const medlar_ranges_t *set);
+uint64_t medlar_key_hash(medlar_str_t key);
+
+/*
+ * map.c
+ */
+
+/**
+ * struct medlar_map_entry - a range of keys and the shard that holds it
+ * @range: keys
+ * @shard: shard number, an index into the shards of the service
+ */
+typedef struct medlar_map_entry {
+	medlar_range_t range;
+	uint32_t shard;
+} medlar_map_entry_t;
+
+/**
+ * struct medlar_map - the partition map of a service at one epoch
+ * @epoch: grows with every repartition
+ * @shards: number of shards that @entries refer to
+ * @entries: sorted, disjoint, covering the whole key space
+ * @len: number of entries
+ */
+typedef struct medlar_map {
+	uint64_t epoch;
+	uint32_t shards;
+	medlar_map_entry_t *entries;
+	size_t len;
+} medlar_map_t;
+
+int medlar_map_init_even(medlar_map_t *map, uint64_t epoch, uint32_t shards);
+int medlar_map_parse(medlar_map_t *map, medlar_str_t json);
+int medlar_map_copy(medlar_map_t *to, const medlar_map_t *from);
+void medlar_map_finish(medlar_map_t *map);
+const medlar_map_entry_t *medlar_map_find(const medlar_map_t *map,
+					  uint64_t key);
+
+/*
+ * latency.c
+ */
+
+#define MEDLAR_LATENCY_BUCKETS 64
+
+/**
+ * struct medlar_latency - a decaying histogram of durations
+ * @counts: weight of each logarithmic bucket
+ * @total: sum of @counts
+ * @decayed: when the weights were last halved
+ */
+typedef struct medlar_latency {
+	float counts[MEDLAR_LATENCY_BUCKETS];
+	float total;
+	medlar_time_t decayed;
+} medlar_latency_t;
+
+void medlar_latency_init(medlar_latency_t *latency, medlar_time_t now);
+void medlar_latency_add(medlar_latency_t *latency, medlar_time_t took,
+			medlar_time_t now);
+medlar_time_t medlar_latency_quantile(const medlar_latency_t *latency,
+				      double quantile, medlar_time_t otherwise);
+
+/*
+ * budget.c
+ */
+
+/**
+ * struct medlar_budget - extra sends earned as a share of first sends
+ * @tokens: sends that may be made now
+ * @share: tokens earned by each first send, 0 to 1
+ * @cap: most tokens kept
+ */
+typedef struct medlar_budget {
+	double tokens;
+	double share;
+	double cap;
+} medlar_budget_t;
+
+void medlar_budget_init(medlar_budget_t *budget, double share, double cap);
+void medlar_budget_earn(medlar_budget_t *budget);
+bool medlar_budget_take(medlar_budget_t *budget);
+
+/*
+ * share.c
+ */
+
+/**
+ * struct medlar_share - what this instance may use of one replica
+ * @slots: requests in flight
+ * @connections: open connections
+ */
+typedef struct medlar_share {
+	uint16_t slots;
+	uint16_t connections;
+} medlar_share_t;
+
+/**
+ * struct medlar_peers - the instances that share the upstreams
+ * @ids: hashes of their names, this instance included, sorted
+ * @len: how many
+ */
+typedef struct medlar_peers {
+	const uint64_t *ids;
+	size_t len;
+} medlar_peers_t;
+
+medlar_share_t medlar_share_of(const medlar_peers_t *peers, uint64_t self,
+			       uint64_t replica, uint32_t slots,
+			       uint32_t connections);
+
+/*
+ * replica.c
+ */
+
+#define MEDLAR_NAME_MAX 63
+#define MEDLAR_HOST_MAX 45
+#define MEDLAR_VERSIONS_MAX 4
+
+/**
+ * struct medlar_replica_info - what the instance list says of an upstream
+ * @name: unique name, terminated
+ * @host: IP address in text form, terminated
+ * @port: TCP port
+ * @shard: shard that it serves
+ * @zone: number of its availability zone
+ * @slots: requests it runs at once
+ * @connections: connections it accepts in total
+ * @incarnation: start time in milliseconds; a restart has a higher one
+ * @leaving: it is draining
+ * @versions: index versions that it can serve; unused entries are 0
+ */
+typedef struct medlar_replica_info {
+	char name[MEDLAR_NAME_MAX + 1];
+	char host[MEDLAR_HOST_MAX + 1];
+	uint16_t port;
+	uint32_t shard;
+	uint16_t zone;
+	uint16_t slots;
+	uint16_t connections;
+	medlar_time_t incarnation;
+	bool leaving;
+	uint32_t versions[MEDLAR_VERSIONS_MAX];
+} medlar_replica_info_t;
+
+/**
+ * struct medlar_load - a load report that came with a reply
+ * @utilization: 0 idle, 1 all slots busy, above 1 queueing; negative: none
+ * @queue: requests waiting; negative: not reported
+ */
+typedef struct medlar_load {
+	float utilization;
+	float queue;
+} medlar_load_t;
+
+/** enum medlar_result - how an attempt ended, as the replica is judged */
+typedef enum medlar_result {
+	MEDLAR_RESULT_OK,
+	MEDLAR_RESULT_SHED,
+	MEDLAR_RESULT_ERROR,
+	MEDLAR_RESULT_REFUSED,
+	MEDLAR_RESULT_RESET,
+	MEDLAR_RESULT_SILENT,
+	MEDLAR_RESULT_CANCELLED,
+	MEDLAR_RESULT_COUNT
+} medlar_result_t;
+
+/**
+ * struct medlar_pick - what a replica must fulfil
+ * @version: index version it must serve; 0 for any
+ * @tried: replicas already used by this part
+ * @tried_len: how many
+ * @spare: a hedge: prefer a replica that is idle, never one in slow start
+ */
+typedef struct medlar_pick {
+	uint32_t version;
+	medlar_replica_t *const *tried;
+	size_t tried_len;
+	bool spare;
+} medlar_pick_t;
+
+/*
+ * The members of &struct medlar_replica are private to replica.c and
+ * service.c; others use the functions.
+ */
+int medlar_replica_pick(medlar_client_t *client, medlar_shard_t *shard,
+			const medlar_pick_t *pick, medlar_time_t now,
+			medlar_replica_t **out);
+void medlar_replica_sent(medlar_client_t *client, medlar_replica_t *replica,
+			 medlar_time_t now);
+void medlar_replica_done(medlar_client_t *client, medlar_replica_t *replica,
+			 medlar_result_t result, medlar_time_t took,
+			 medlar_time_t now);
+void medlar_replica_report(medlar_client_t *client, medlar_replica_t *replica,
+			   const medlar_load_t *load, medlar_time_t now);
+void medlar_replica_announce(medlar_client_t *client, medlar_replica_t *replica,
+			     const uint32_t *versions, size_t len);
+void medlar_replica_leave(medlar_client_t *client, medlar_replica_t *replica,
+			  medlar_time_t incarnation, medlar_time_t now);
+const medlar_replica_info_t *
+medlar_replica_info(const medlar_replica_t *replica);
+uint64_t medlar_replica_id(const medlar_replica_t *replica);
+uint32_t medlar_replica_in_flight(const medlar_replica_t *replica);
+medlar_share_t medlar_replica_share(const medlar_replica_t *replica);
+bool medlar_replica_serves(const medlar_replica_t *replica, uint32_t version);
+bool medlar_replica_usable(const medlar_replica_t *replica, medlar_time_t now);
+void *medlar_replica_data(const medlar_replica_t *replica);
+void medlar_replica_set_data(medlar_replica_t *replica, void *data);
+
+/*
+ * policy.c
+ */
+
+/** enum medlar_priority - what is given up first when time runs out */
+typedef enum medlar_priority {
+	MEDLAR_COVERAGE_FIRST,
+	MEDLAR_LATENCY_FIRST,
+} medlar_priority_t;
+
+/**
+ * struct medlar_policy - the configuration of one service
+ * @name: name of the service, terminated
+ * @writes: true when its requests are not idempotent
+ * @shards: number of shards at the first epoch
+ * @priority: coverage or latency first
+ * @deadline: longest deadline a caller may ask for, ms
+ * @target: when a latency-first query answers with what it has, ms
+ * @target_quantile: share of queries that should meet @target, 0 to 1
+ * @coverage_min: least coverage worth answering, 0 to 1
+ * @extra_load: budget for hedges and retries, share of first sends
+ * @hedge_quantile: latency quantile after which a hedge is sent, 0 to 1
+ * @slots: slots of each replica unless the instance list says otherwise
+ * @connections: connection limit of each replica likewise
+ * @connect_cost: time to open a connection, ms
+ * @queue_max: queries that may wait for admission
+ * @eject_max: largest share of a shard's replicas that may be ejected
+ * @slow_start: length of the ramp of a new replica, ms
+ * @idle_max: longest time a connection may stay idle, ms
+ * @silence: time without bytes after which a connection is suspected, ms
+ * @window: how long a write key is remembered, ms
+ * @partitions: journals over which write keys are spread
+ */
+typedef struct medlar_policy {
+	char name[MEDLAR_NAME_MAX + 1];
+	bool writes;
+	uint32_t shards;
+	medlar_priority_t priority;
+	medlar_time_t deadline;
+	medlar_time_t target;
+	double target_quantile;
+	double coverage_min;
+	double extra_load;
+	double hedge_quantile;
+	uint32_t slots;
+	uint32_t connections;
+	medlar_time_t connect_cost;
+	uint32_t queue_max;
+	double eject_max;
+	medlar_time_t slow_start;
+	medlar_time_t idle_max;
+	medlar_time_t silence;
+	medlar_time_t window;
+	uint32_t partitions;
+} medlar_policy_t;
+
+void medlar_policy_default(medlar_policy_t *policy, const char *name);
+
+/*
+ * document.c
+ */
+
+/** enum medlar_doc_type - type of a field of a JSON document */
+typedef enum medlar_doc_type {
+	MEDLAR_DOC_INT, /* int64_t */
+	MEDLAR_DOC_REAL, /* double */
+	MEDLAR_DOC_BOOL, /* bool */
+	MEDLAR_DOC_TEXT, /* char array of @size bytes, terminated */
+	MEDLAR_DOC_CHOICE, /* int: index into @choices */
+	MEDLAR_DOC_OBJECT, /* struct described by @fields */
+	MEDLAR_DOC_ARRAY, /* medlar_doc_array_t of such structs */
+} medlar_doc_type_t;
+
+/**
+ * struct medlar_doc_array - an array of structs read from a document
+ * @items: the structs, allocated; medlar_doc_free() releases them
+ * @len: how many
+ */
+typedef struct medlar_doc_array {
+	void *items;
+	size_t len;
+} medlar_doc_array_t;
+
+/**
+ * struct medlar_doc_field - what a document may hold at one place
+ * @name: name of the field; an entry with NULL ends a table
+ * @type: type of the value
+ * @offset: where the value goes in the struct
+ * @size: room of a text with its terminator, or size of an array's struct
+ * @min: least number, or least length of an array
+ * @max: largest number, or largest length of an array
+ * @choices: allowed texts, ended by NULL; the index is stored
+ * @fields: fields of the object, or of each object of the array
+ * @required: absence is an error; else the struct keeps what it held
+ */
+typedef struct medlar_doc_field {
+	const char *name;
+	medlar_doc_type_t type;
+	size_t offset;
+	size_t size;
+	double min;
+	double max;
+	const char *const *choices;
+	const struct medlar_doc_field *fields;
+	bool required;
+} medlar_doc_field_t;
+
+int medlar_doc_read(medlar_client_t *client, medlar_str_t file,
+		    medlar_str_t text, const medlar_doc_field_t *fields,
+		    void *out);
+void medlar_doc_free(const medlar_doc_field_t *fields, void *out);
+
+/*
+ * config.c
+ */
+
+/**
+ * struct medlar_config - the configuration generated from a questionnaire
+ * @revision: grows with each accepted change
+ * @instances: entry instances that the upstreams' limits are shared by
+ * @address_ttl: how long callers keep an address answer, ms
+ * @services: policies
+ * @len: number of services
+ */
+typedef struct medlar_config {
+	uint64_t revision;
+	uint32_t instances;
+	medlar_time_t address_ttl;
+	medlar_policy_t *services;
+	size_t len;
+} medlar_config_t;
+
+int medlar_config_parse(medlar_client_t *client, medlar_config_t *config,
+			medlar_str_t file, medlar_str_t json);
+void medlar_config_write(const medlar_config_t *config, medlar_buf_t *out);
+void medlar_config_finish(medlar_config_t *config);
+const medlar_policy_t *medlar_config_find(const medlar_config_t *config,
+					  medlar_str_t name);
+
+/*
+ * service.c
+ */
+
+/**
+ * struct medlar_service_ops - actions that a service asks for
+ * @send: send @attempt to its replica; the outcome is reported later by
+ *	medlar_attempt_reply() or medlar_attempt_fail(), also after @cancel
+ * @cancel: the reply to @attempt is no longer needed; its slot stays in use
+ *	until medlar_attempt_reply() or medlar_attempt_fail() is called
+ * @answer: @query has ended; the query may be finished in this call
+ */
+typedef struct medlar_service_ops {
+	void (*send)(medlar_attempt_t *attempt, void *data);
+	void (*cancel)(medlar_attempt_t *attempt, void *data);
+	void (*answer)(medlar_query_t *query, void *data);
+} medlar_service_ops_t;
+
+int medlar_service_init(medlar_client_t *client, medlar_service_t *service,
+			const medlar_policy_t *policy,
+			const medlar_service_ops_t *ops, void *data,
+			medlar_time_t now);
+void medlar_service_finish(medlar_client_t *client, medlar_service_t *service);
+int medlar_service_set_policy(medlar_client_t *client,
+			      medlar_service_t *service,
+			      const medlar_policy_t *policy);
+int medlar_service_set_map(medlar_client_t *client, medlar_service_t *service,
+			   const medlar_map_t *map);
+int medlar_service_put_replica(medlar_client_t *client,
+			       medlar_service_t *service,
+			       const medlar_replica_info_t *info,
+			       medlar_time_t now);
+int medlar_service_remove_replica(medlar_client_t *client,
+				  medlar_service_t *service, uint64_t id,
+				  medlar_time_t now);
+medlar_replica_t *medlar_service_find_replica(medlar_service_t *service,
+					      uint64_t id);
+void medlar_service_set_peers(medlar_client_t *client,
+			      medlar_service_t *service,
+			      const medlar_peers_t *peers, medlar_time_t now);
+size_t medlar_service_shards(const medlar_service_t *service);
+medlar_shard_t *medlar_service_shard(medlar_service_t *service, uint32_t index);
+size_t medlar_shard_replicas(const medlar_shard_t *shard);
+medlar_replica_t *medlar_shard_replica(const medlar_shard_t *shard,
+				       size_t index);
+
+/*
+ * version.c
+ */
+
+uint32_t medlar_version_choose(const medlar_service_t *service,
+			       const medlar_map_t *map,
+			       const medlar_range_t *ranges, size_t len,
+			       uint32_t at_least, uint32_t avoid,
+			       medlar_time_t now, double *coverage);
+
+/*
+ * suspect.c
+ */
+
+/** enum medlar_verdict - what is known of a request fingerprint */
+typedef enum medlar_verdict {
+	MEDLAR_VERDICT_CLEAR,
+	MEDLAR_VERDICT_SUSPECT,
+	MEDLAR_VERDICT_CONVICTED,
+} medlar_verdict_t;
+
+/** struct medlar_suspects - fingerprints of requests that may crash upstreams */
+typedef struct medlar_suspects {
+	struct medlar_suspect_ *items;
+	size_t len;
+	size_t cap;
+	medlar_time_t expiry;
+} medlar_suspects_t;
+
+int medlar_suspects_init(medlar_suspects_t *suspects, size_t cap,
+			 medlar_time_t expiry);
+void medlar_suspects_finish(medlar_suspects_t *suspects);
+medlar_verdict_t medlar_suspects_look(const medlar_suspects_t *suspects,
+				      uint64_t fingerprint, medlar_time_t now);
+medlar_verdict_t medlar_suspects_death(medlar_suspects_t *suspects,
+				       uint64_t fingerprint, uint64_t replica,
+				       medlar_time_t now);
+void medlar_suspects_success(medlar_suspects_t *suspects, uint64_t fingerprint);
+int medlar_suspects_convict(medlar_suspects_t *suspects, uint64_t fingerprint,
+			    medlar_time_t until);
+int medlar_suspects_pardon(medlar_suspects_t *suspects, uint64_t fingerprint);
+uint64_t medlar_fingerprint(medlar_str_t service, medlar_str_t method,
+			    medlar_str_t body);
+
+/*
+ * query.c
+ */
+
+/** enum medlar_kind - what a caller asked for */
+typedef enum medlar_kind {
+	MEDLAR_KIND_SEARCH,
+	MEDLAR_KIND_LOOKUP,
+	MEDLAR_KIND_WRITE,
+} medlar_kind_t;
+
+/** enum medlar_outcome - what became of a query or write */
+typedef enum medlar_outcome {
+	MEDLAR_OUTCOME_PENDING,
+	MEDLAR_OUTCOME_COMPLETE,
+	MEDLAR_OUTCOME_PARTIAL,
+	MEDLAR_OUTCOME_NOT_RUN,
+	MEDLAR_OUTCOME_FAILED,
+	MEDLAR_OUTCOME_UNKNOWN,
+	MEDLAR_OUTCOME_CANCELLED,
+} medlar_outcome_t;
+
+/**
+ * struct medlar_query_params - a search or lookup as the caller sent it
+ * @kind: search or lookup
+ * @body: request body; must stay valid until the query is finished
+ * @caller: hash of the caller's name, for fairness
+ * @fingerprint: from medlar_fingerprint()
+ * @deadline: absolute time by which the caller needs the answer
+ * @target: absolute time to answer with what is there; latency-first only
+ * @at_least: oldest index version that the caller accepts; 0 for any
+ * @keys: hashed keys of a lookup; NULL to ask every range
+ * @keys_len: how many
+ */
+typedef struct medlar_query_params {
+	medlar_kind_t kind;
+	medlar_str_t body;
+	uint64_t caller;
+	uint64_t fingerprint;
+	medlar_time_t deadline;
+	medlar_time_t target;
+	uint32_t at_least;
+	const uint64_t *keys;
+	size_t keys_len;
+} medlar_query_params_t;
+
+#define MEDLAR_REQUEST_ID_LEN 16
+
+/** enum medlar_attempt_kind - why an attempt was made */
+typedef enum medlar_attempt_kind {
+	MEDLAR_ATTEMPT_FIRST,
+	MEDLAR_ATTEMPT_HEDGE,
+	MEDLAR_ATTEMPT_RETRY,
+	MEDLAR_ATTEMPT_REDIRECT,
+} medlar_attempt_kind_t;
+
+/** enum medlar_reply_status - what the upstream says it did */
+typedef enum medlar_reply_status {
+	MEDLAR_REPLY_OK,
+	MEDLAR_REPLY_NOT_EXECUTED,
+	MEDLAR_REPLY_WRONG_VERSION,
+	MEDLAR_REPLY_MOVED,
+	MEDLAR_REPLY_CANCELLED,
+	MEDLAR_REPLY_ERROR,
+} medlar_reply_status_t;
+
+/**
+ * struct medlar_reply - a reply as the upstream sent it
+ * @id: request id that it echoes
+ * @version: index version that it answers from
+ * @range: key range that it covers
+ * @status: what was done
+ * @moved_to: shard that has the range now; %MEDLAR_REPLY_MOVED only
+ * @load: load report; negative members when there is none
+ * @leaving: the replica announces that it drains
+ * @incarnation: start time of the replica, ms; 0 when not told
+ * @versions: index versions it can serve; unused entries are 0
+ * @body: the payload; valid during the call only
+ */
+typedef struct medlar_reply {
+	uint8_t id[MEDLAR_REQUEST_ID_LEN];
+	uint32_t version;
+	medlar_range_t range;
+	medlar_reply_status_t status;
+	uint32_t moved_to;
+	medlar_load_t load;
+	bool leaving;
+	medlar_time_t incarnation;
+	uint32_t versions[MEDLAR_VERSIONS_MAX];
+	medlar_str_t body;
+} medlar_reply_t;
+
+/** enum medlar_fault - an attempt that ended without a reply */
+typedef enum medlar_fault {
+	MEDLAR_FAULT_REFUSED, /* the connection was refused: nothing was sent */
+	MEDLAR_FAULT_UNSENT, /* gave up before the first byte was sent */
+	MEDLAR_FAULT_RESET, /* closed or reset after bytes were sent */
+	MEDLAR_FAULT_SILENT, /* no byte within the silence bound */
+	MEDLAR_FAULT_MALFORMED, /* a reply that does not parse */
+	MEDLAR_FAULT_CANCELLED, /* ended by the cancel action */
+} medlar_fault_t;
+
+/**
+ * struct medlar_answer - the result of a query, valid while the query is
+ * @outcome: what became of it
+ * @error: %MEDLAR_OK or why the outcome is not complete
+ * @version: index version of every part
+ * @epoch: epoch of the partition map that coverage refers to
+ * @covered: key ranges answered
+ * @missing: key ranges asked for and not answered
+ * @coverage: width of covered divided by width asked, 0 to 1
+ * @sends: attempts made
+ * @started: when the query arrived
+ */
+typedef struct medlar_answer {
+	medlar_outcome_t outcome;
+	int error;
+	uint32_t version;
+	uint64_t epoch;
+	const medlar_ranges_t *covered;
+	const medlar_ranges_t *missing;
+	double coverage;
+	uint32_t sends;
+	medlar_time_t started;
+} medlar_answer_t;
+
+/*
+ * Queries are allocated by the library: medlar_query_start() gives an object
+ * that medlar_query_finish() returns to the service's pool. @data of a query
+ * or attempt is the program's own.
+ */
+int medlar_query_start(medlar_client_t *client, medlar_service_t *service,
+		       const medlar_query_params_t *params, void *data,
+		       medlar_time_t now, medlar_query_t **out);
+void medlar_query_cancel(medlar_client_t *client, medlar_query_t *query,
+			 medlar_time_t now);
+void medlar_query_finish(medlar_client_t *client, medlar_query_t *query);
+const medlar_answer_t *medlar_query_answer(const medlar_query_t *query);
+const medlar_query_params_t *medlar_query_params(const medlar_query_t *query);
+medlar_service_t *medlar_query_service(const medlar_query_t *query);
+void *medlar_query_data(const medlar_query_t *query);
+size_t medlar_query_parts(const medlar_query_t *query);
+medlar_range_t medlar_query_part_range(const medlar_query_t *query,
+				       size_t index);
+medlar_str_t medlar_query_part_body(const medlar_query_t *query, size_t index);
+
+void medlar_attempt_reply(medlar_client_t *client, medlar_attempt_t *attempt,
+			  const medlar_reply_t *reply, medlar_time_t now);
+void medlar_attempt_fail(medlar_client_t *client, medlar_attempt_t *attempt,
+			 medlar_fault_t fault, medlar_time_t now);
+medlar_query_t *medlar_attempt_query(const medlar_attempt_t *attempt);
+medlar_replica_t *medlar_attempt_replica(const medlar_attempt_t *attempt);
+medlar_range_t medlar_attempt_range(const medlar_attempt_t *attempt);
+medlar_attempt_kind_t medlar_attempt_kind(const medlar_attempt_t *attempt);
+const uint8_t *medlar_attempt_id(const medlar_attempt_t *attempt);
+uint32_t medlar_attempt_version(const medlar_attempt_t *attempt);
+medlar_time_t medlar_attempt_deadline(const medlar_attempt_t *attempt);
+void *medlar_attempt_data(const medlar_attempt_t *attempt);
+void medlar_attempt_set_data(medlar_attempt_t *attempt, void *data);
+
+/*
+ * store.c
+ */
+
+/** enum medlar_store_status - how a call of the key-value service ended */
+typedef enum medlar_store_status {
+	MEDLAR_STORE_OK,
+	MEDLAR_STORE_CONFLICT, /* compare-and-swap refused: not applied */
+	MEDLAR_STORE_MISSING, /* no such key */
+	MEDLAR_STORE_DOWN, /* not reached: known not applied */
+	MEDLAR_STORE_UNKNOWN, /* no reply: may have been applied */
+} medlar_store_status_t;
+
+/**
+ * struct medlar_store_reply - the end of a store call
+ * @status: how it ended
+ * @value: value read; valid during the callback only
+ * @index: modification index of the value, for compare-and-swap
+ */
+typedef struct medlar_store_reply {
+	medlar_store_status_t status;
+	medlar_str_t value;
+	uint64_t index;
+} medlar_store_reply_t;
+
+typedef void (*medlar_store_fn_t)(const medlar_store_reply_t *reply,
+				  void *data);
+
+/**
+ * struct medlar_store - the key-value service as the core sees it
+ * @get: read @key
+ * @cas: write @value if the index of @key is still @index (0: no such key)
+ * @data: passed to both
+ *
+ * Both calls are asynchronous: @done is called exactly once, never from
+ * within the call itself. A call that returns an error never calls @done.
+ */
+typedef struct medlar_store {
+	int (*get)(void *data, medlar_str_t key, medlar_store_fn_t done,
+		   void *done_data);
+	int (*cas)(void *data, medlar_str_t key, medlar_str_t value,
+		   uint64_t index, medlar_store_fn_t done, void *done_data);
+	void *data;
+} medlar_store_t;
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif /* MEDLAR_H */
--- /dev/null
+++ b/libmedlar/str.c
@@ -0,0 +1,46 @@
+/**
+ * DOC: length-counted strings
+ */
+#include <string.h>
+#include <xxhash.h>
+
+#include "medlar.h"
+
+/**
+ * medlar_str_from() - borrow a terminated string
+ * @text: terminated string, or NULL for an empty one
+ *
+ * Return: a string that is valid as long as @text is.
+ */
+medlar_str_t medlar_str_from(const char *text)
+{
+	if (!text)
+		return (medlar_str_t){ "", 0 };
+	return (medlar_str_t){ text, strlen(text) };
+}
+
+/**
+ * medlar_str_equal() - compare two strings byte by byte
+ * @a: one string
+ * @b: another
+ *
+ * Return: true when both have the same bytes.
+ */
+bool medlar_str_equal(medlar_str_t a, medlar_str_t b)
+{
+	if (a.len != b.len)
+		return false;
+	return a.len == 0 || memcmp(a.ptr, b.ptr, a.len) == 0;
+}
+
+/**
+ * medlar_str_hash() - 64-bit hash of a string
+ * @str: string
+ * @seed: gives independent hashes of the same string
+ *
+ * Return: the XXH3 hash; equal on every machine.
+ */
+uint64_t medlar_str_hash(medlar_str_t str, uint64_t seed)
+{
+	return XXH3_64bits_withSeed(str.ptr, str.len, seed);
+}
