--- /dev/null
+++ b/medlard/metrics.c
@@ -0,0 +1,230 @@
+/**
+ * DOC: counters and latency buckets, shown as Prometheus text
+ */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include <ck_pr.h>
+
+#include "medlard/metrics.h"
+
+typedef struct metric_row {
+	const char *name;
+	const char *help;
+} metric_row_t;
+
+static const metric_row_t rows[METRIC_COUNT] = {
+	[METRIC_CALLER_CONNECTIONS] = { "caller_connections_opened_total",
+					"Connections accepted from callers." },
+	[METRIC_CALLER_CLOSED] = { "caller_connections_closed_total",
+				   "Connections of callers that ended." },
+	[METRIC_REQUESTS] = { "requests_total", "Requests of callers." },
+	[METRIC_BAD_REQUESTS] = { "bad_requests_total",
+				  "Requests refused as malformed." },
+	[METRIC_CALLER_CANCELS] = { "caller_cancels_total",
+				    "Requests whose caller closed." },
+	[METRIC_HANDOVERS] = { "handovers_total",
+			       "Requests run by another worker." },
+	[METRIC_UPSTREAM_SENDS] = { "upstream_sends_total",
+				    "Requests sent to upstreams." },
+	[METRIC_UPSTREAM_REPLIES] = { "upstream_replies_total",
+				      "Replies that parsed." },
+	[METRIC_UPSTREAM_FAULTS] = { "upstream_faults_total",
+				     "Requests that ended without a reply." },
+	[METRIC_UPSTREAM_SILENT] = { "upstream_silent_total",
+				     "Connections closed as silent." },
+	[METRIC_UPSTREAM_CANCELS] = { "upstream_cancels_total",
+				      "Cancel requests sent." },
+	[METRIC_UPSTREAM_OPENED] = { "upstream_connections_opened_total",
+				     "Connections opened to upstreams." },
+	[METRIC_UPSTREAM_CLOSED] = { "upstream_connections_closed_total",
+				     "Connections to upstreams closed." },
+	[METRIC_UPSTREAM_WAITS] = { "upstream_waits_total",
+				    "Requests that waited for a connection." },
+	[METRIC_STORE_CALLS] = { "store_calls_total",
+				 "Calls of the platform." },
+	[METRIC_STORE_FAILURES] = { "store_failures_total",
+				    "Calls known to have had no effect." },
+	[METRIC_STORE_UNKNOWN] = { "store_unknown_total",
+				   "Calls whose reply was lost." },
+	[METRIC_LOG_DROPPED] = { "log_dropped_total", "Log lines lost." },
+};
+
+static const metric_row_t service_rows[SERVICE_METRIC_COUNT] = {
+	[SERVICE_METRIC_COMPLETE] = { "answers_complete_total",
+				      "Complete answers." },
+	[SERVICE_METRIC_PARTIAL] = { "answers_partial_total",
+				     "Partial answers." },
+	[SERVICE_METRIC_NOT_RUN] = { "answers_not_run_total",
+				     "Requests told not to have run." },
+	[SERVICE_METRIC_FAILED] = { "answers_failed_total",
+				    "Requests that failed." },
+	[SERVICE_METRIC_UNKNOWN] = { "answers_unknown_total",
+				     "Writes whose outcome is not known." },
+	[SERVICE_METRIC_CANCELLED] = { "answers_cancelled_total",
+				       "Requests cancelled by the caller." },
+	[SERVICE_METRIC_SENDS] = { "service_sends_total",
+				   "Sub-requests sent to upstreams." },
+	[SERVICE_METRIC_NEEDED] = { "service_parts_total",
+				    "Sub-requests needed." },
+};
+
+/* Upper bounds of the latency buckets in milliseconds. */
+static const uint32_t bounds[METRICS_BUCKETS] = {
+	1,   2,	  4,   6,   10,	  16,	25,   40,
+	63, 100, 160, 250, 400, 1000, 2500, 10000
+};
+
+static void add(uint64_t *counter, uint64_t more)
+{
+	ck_pr_store_64(counter, *counter + more);
+}
+
+/**
+ * metrics_add() - count
+ * @metrics: set of the calling thread
+ * @metric: counter
+ * @more: added to it
+ */
+void metrics_add(metrics_t *metrics, metric_t metric, uint64_t more)
+{
+	add(&metrics->counts[metric], more);
+}
+
+/**
+ * metrics_service() - counters of a service, new if need be
+ * @metrics: set of the calling thread
+ * @name: name of the service
+ *
+ * Return: the counters, or NULL when there is no room.
+ */
+service_metrics_t *metrics_service(metrics_t *metrics, const char *name)
+{
+	service_metrics_t *service;
+
+	if (metrics->services_len == METRICS_SERVICES_MAX)
+		return NULL;
+	service = &metrics->services[metrics->services_len];
+	(void)snprintf(service->name, sizeof(service->name), "%s", name);
+	ck_pr_fence_store();
+	ck_pr_store_32(&metrics->services_len, metrics->services_len + 1);
+	return service;
+}
+
+/**
+ * metrics_service_add() - count for a service
+ * @service: counters of the calling thread, or NULL
+ * @metric: counter
+ * @more: added to it
+ */
+void metrics_service_add(service_metrics_t *service, service_metric_t metric,
+			 uint64_t more)
+{
+	if (service)
+		add(&service->counts[metric], more);
+}
+
+/**
+ * metrics_service_took() - count an answer by its latency
+ * @service: counters of the calling thread, or NULL
+ * @took: time from request to answer, ms
+ */
+void metrics_service_took(service_metrics_t *service, medlar_time_t took)
+{
+	size_t bucket = 0;
+
+	if (!service)
+		return;
+	while (bucket < METRICS_BUCKETS && took > bounds[bucket])
+		bucket++;
+	add(&service->buckets[bucket], 1);
+	add(&service->total_ms, took < 0 ? 0 : (uint64_t)took);
+}
+
+static void write_head(medlar_buf_t *out, const metric_row_t *row,
+		       const char *type)
+{
+	medlar_buf_printf(out, "# HELP medlard_%s %s\n# TYPE medlard_%s %s\n",
+			  row->name, row->help, row->name, type);
+}
+
+static void write_counter(const metrics_t *const *sets, size_t len,
+			  metric_t metric, medlar_buf_t *out)
+{
+	uint64_t total = 0;
+
+	for (size_t i = 0; i < len; i++)
+		total += ck_pr_load_64(&sets[i]->counts[metric]);
+	write_head(out, &rows[metric], "counter");
+	medlar_buf_printf(out, "medlard_%s %" PRIu64 "\n", rows[metric].name,
+			  total);
+}
+
+static void write_service(const service_metrics_t *service, size_t metric,
+			  medlar_buf_t *out)
+{
+	medlar_buf_printf(out, "medlard_%s{service=\"%s\"} %" PRIu64 "\n",
+			  service_rows[metric].name, service->name,
+			  ck_pr_load_64(&service->counts[metric]));
+}
+
+static void write_histogram(const service_metrics_t *service, size_t metric,
+			    medlar_buf_t *out)
+{
+	const char *name = service->name;
+	uint64_t sum = 0;
+
+	(void)metric;
+	for (size_t i = 0; i < METRICS_BUCKETS; i++) {
+		sum += ck_pr_load_64(&service->buckets[i]);
+		medlar_buf_printf(out,
+				  "medlard_answer_ms_bucket{service=\"%s\","
+				  "le=\"%u\"} %" PRIu64 "\n",
+				  name, bounds[i], sum);
+	}
+	sum += ck_pr_load_64(&service->buckets[METRICS_BUCKETS]);
+	medlar_buf_printf(out,
+			  "medlard_answer_ms_bucket{service=\"%s\","
+			  "le=\"+Inf\"} %" PRIu64 "\n"
+			  "medlard_answer_ms_sum{service=\"%s\"} %" PRIu64 "\n"
+			  "medlard_answer_ms_count{service=\"%s\"} %" PRIu64
+			  "\n",
+			  name, sum, name, ck_pr_load_64(&service->total_ms),
+			  name, sum);
+}
+
+static void each_service(const metrics_t *const *sets, size_t len,
+			 size_t metric, medlar_buf_t *out,
+			 void (*write)(const service_metrics_t *, size_t,
+				       medlar_buf_t *))
+{
+	for (size_t i = 0; i < len; i++) {
+		uint32_t count = ck_pr_load_32(&sets[i]->services_len);
+
+		ck_pr_fence_load();
+		for (uint32_t j = 0; j < count; j++)
+			write(&sets[i]->services[j], metric, out);
+	}
+}
+
+/**
+ * metrics_write() - show the sum of several sets as Prometheus text
+ * @sets: one set a thread
+ * @len: how many
+ * @out: the text is appended to it
+ */
+void metrics_write(const metrics_t *const *sets, size_t len, medlar_buf_t *out)
+{
+	static const metric_row_t latency = {
+		"answer_ms", "Time from request to answer, milliseconds."
+	};
+
+	for (size_t i = 0; i < METRIC_COUNT; i++)
+		write_counter(sets, len, (metric_t)i, out);
+	for (size_t i = 0; i < SERVICE_METRIC_COUNT; i++) {
+		write_head(out, &service_rows[i], "counter");
+		each_service(sets, len, i, out, write_service);
+	}
+	write_head(out, &latency, "histogram");
+	each_service(sets, len, 0, out, write_histogram);
+}
--- /dev/null
+++ b/medlard/metrics.h
@@ -0,0 +1,83 @@
+/**
+ * DOC: counters and latency buckets, shown as Prometheus text
+ *
+ * A set of metrics is written by one thread and read by all.
+ */
+#ifndef MEDLARD_METRICS_H
+#define MEDLARD_METRICS_H
+
+#include "libmedlar/medlar.h"
+
+#define METRICS_SERVICES_MAX 64
+#define METRICS_BUCKETS 16
+
+/** enum metric - counters of a thread */
+typedef enum metric {
+	METRIC_CALLER_CONNECTIONS,
+	METRIC_CALLER_CLOSED,
+	METRIC_REQUESTS,
+	METRIC_BAD_REQUESTS,
+	METRIC_CALLER_CANCELS,
+	METRIC_HANDOVERS,
+	METRIC_UPSTREAM_SENDS,
+	METRIC_UPSTREAM_REPLIES,
+	METRIC_UPSTREAM_FAULTS,
+	METRIC_UPSTREAM_SILENT,
+	METRIC_UPSTREAM_CANCELS,
+	METRIC_UPSTREAM_OPENED,
+	METRIC_UPSTREAM_CLOSED,
+	METRIC_UPSTREAM_WAITS,
+	METRIC_STORE_CALLS,
+	METRIC_STORE_FAILURES,
+	METRIC_STORE_UNKNOWN,
+	METRIC_LOG_DROPPED,
+	METRIC_COUNT
+} metric_t;
+
+/** enum service_metric - counters of a service */
+typedef enum service_metric {
+	SERVICE_METRIC_COMPLETE,
+	SERVICE_METRIC_PARTIAL,
+	SERVICE_METRIC_NOT_RUN,
+	SERVICE_METRIC_FAILED,
+	SERVICE_METRIC_UNKNOWN,
+	SERVICE_METRIC_CANCELLED,
+	SERVICE_METRIC_SENDS,
+	SERVICE_METRIC_NEEDED,
+	SERVICE_METRIC_COUNT
+} service_metric_t;
+
+/**
+ * struct service_metrics - what is counted for one service
+ * @name: name of the service, terminated; empty when unused
+ * @counts: indexed by &enum service_metric
+ * @buckets: answers by time taken; the last one has no bound
+ * @total_ms: sum of the times taken
+ */
+typedef struct service_metrics {
+	char name[MEDLAR_NAME_MAX + 1];
+	uint64_t counts[SERVICE_METRIC_COUNT];
+	uint64_t buckets[METRICS_BUCKETS + 1];
+	uint64_t total_ms;
+} service_metrics_t;
+
+/**
+ * struct metrics - what one thread counts
+ * @counts: indexed by &enum metric
+ * @services: one entry a service that the thread owns
+ * @services_len: entries in use; grows only
+ */
+typedef struct metrics {
+	uint64_t counts[METRIC_COUNT];
+	service_metrics_t services[METRICS_SERVICES_MAX];
+	uint32_t services_len;
+} metrics_t;
+
+void metrics_add(metrics_t *metrics, metric_t metric, uint64_t more);
+service_metrics_t *metrics_service(metrics_t *metrics, const char *name);
+void metrics_service_add(service_metrics_t *service, service_metric_t metric,
+			 uint64_t more);
+void metrics_service_took(service_metrics_t *service, medlar_time_t took);
+void metrics_write(const metrics_t *const *sets, size_t len, medlar_buf_t *out);
+
+#endif /* MEDLARD_METRICS_H */
