Fill document arrays in place

Cause: cppcheck took the copied array for a leak. Change: arrays are filled where the struct holds them; two copies less.

--- a/libmedlar/document.c
+++ b/libmedlar/document.c
@@ -208,27 +208,28 @@
 static void read_array(reader_t *reader, struct json_object *value,
 		       const medlar_doc_field_t *field, char *out)
 {
-	medlar_doc_array_t array = { 0 };
+	medlar_doc_array_t *array = (void *)(out + field->offset);
+	size_t len;
 	size_t i;
 
 	if (!json_object_is_type(value, json_type_array)) {
 		report_here(reader, MEDLAR_ERR_TYPE, "give an array");
 		return;
 	}
-	array.len = json_object_array_length(value);
-	if ((double)array.len < field->min || (double)array.len > field->max) {
+	len = json_object_array_length(value);
+	if ((double)len < field->min || (double)len > field->max) {
 		report_range(reader, field, "a number of elements");
 		return;
 	}
-	array.items = calloc(array.len + 1, field->size);
-	if (!array.items) {
+	array->items = calloc(len + 1, field->size);
+	if (!array->items) {
 		report_here(reader, MEDLAR_ERR_NOMEM, "free some memory");
 		return;
 	}
-	for (i = 0; i < array.len; i++)
+	array->len = len;
+	for (i = 0; i < len; i++)
 		read_item(reader, json_object_array_get_idx(value, i), field, i,
-			  (char *)array.items + i * field->size);
-	memcpy(out + field->offset, &array, sizeof(array));
+			  (char *)array->items + i * field->size);
 }
 
 static void read_any(reader_t *reader, struct json_object *value,
@@ -362,16 +363,14 @@
 
 static void free_array(const medlar_doc_field_t *field, char *out)
 {
-	medlar_doc_array_t array;
+	medlar_doc_array_t *array = (void *)(out + field->offset);
 	size_t i;
 
-	memcpy(&array, out + field->offset, sizeof(array));
-	for (i = 0; i < array.len; i++)
+	for (i = 0; i < array->len; i++)
 		medlar_doc_free(field->fields,
-				(char *)array.items + i * field->size);
-	free(array.items);
-	array = (medlar_doc_array_t){ 0 };
-	memcpy(out + field->offset, &array, sizeof(array));
+				(char *)array->items + i * field->size);
+	free(array->items);
+	*array = (medlar_doc_array_t){ 0 };
 }
 
 /**
