Add the HTTP client and the upstream side of the daemon

Calls run on libcurl's multi interface inside the loop. Each replica has a bound on its connections, a call is sent at most once (libcurl's own repetition on a reused connection is stopped before sending), and the end of a call tells whether anything can have been run.

--- /dev/null
+++ b/medlard/http.c
@@ -0,0 +1,543 @@
+/**
+ * DOC: HTTP calls to upstreams and the platform, on libcurl
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/http_internal.h"
+
+#define URL_MAX 512
+#define CONNECT_MAX (2 * MEDLAR_SECOND)
+#define RECEIVE_BUFFER_BYTES 4096L
+
+static void finish_call(http_call_t *call, http_end_t end);
+
+static size_t on_body(char *bytes, size_t size, size_t count, void *data)
+{
+	http_call_t *call = data;
+	size_t len = size * count;
+
+	call->byte_at = call->peer->http->loop->now;
+	if (call->reply.len + len > call->reply_max) {
+		call->too_long = true;
+		return 0;
+	}
+	medlar_buf_add(&call->reply, (medlar_str_t){ bytes, len });
+	return call->reply.error ? 0 : len;
+}
+
+static medlar_str_t trim(medlar_str_t text)
+{
+	while (text.len > 0 && strchr(" \t\r\n", text.ptr[text.len - 1]))
+		text.len--;
+	while (text.len > 0 && strchr(" \t", text.ptr[0])) {
+		text.ptr++;
+		text.len--;
+	}
+	return text;
+}
+
+static size_t on_header(char *bytes, size_t size, size_t count, void *data)
+{
+	http_call_t *call = data;
+	size_t len = size * count;
+	const char *colon = memchr(bytes, ':', len);
+	medlar_str_t name;
+	medlar_str_t value;
+
+	call->byte_at = call->peer->http->loop->now;
+	if (!colon || !call->on_header)
+		return len;
+	name = (medlar_str_t){ bytes, (size_t)(colon - bytes) };
+	value = (medlar_str_t){ colon + 1, len - name.len - 1 };
+	call->on_header(name, trim(value), call->data);
+	return len;
+}
+
+static medlar_time_t due_of(const http_call_t *call)
+{
+	medlar_time_t due = call->byte_at + call->silence;
+
+	return due < call->until ? due : call->until;
+}
+
+/* Called before each sending; a second one would be a repetition. */
+static int before_send(void *data, char *remote, char *local, int remote_port,
+		       int local_port)
+{
+	http_call_t *call = data;
+	const http_t *http = call->peer->http;
+
+	(void)remote;
+	(void)local;
+	(void)remote_port;
+	(void)local_port;
+	if (call->sent)
+		return CURL_PREREQFUNC_ABORT;
+	call->sent = true;
+	call->sent_at = http->loop->now;
+	call->byte_at = http->loop->now;
+	if (medlar_timer_set(http->loop->client, &call->timer, due_of(call)))
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void on_timeout(medlar_client_t *client, medlar_timer_t *timer,
+		       medlar_time_t now, void *data)
+{
+	http_call_t *call = data;
+
+	if (!call->sent)
+		finish_call(call, HTTP_UNSENT);
+	else if (now >= call->byte_at + call->silence)
+		finish_call(call, HTTP_SILENT);
+	else if (now >= call->until ||
+		 medlar_timer_set(client, timer, due_of(call)))
+		finish_call(call, HTTP_RESET);
+}
+
+static void set_up(http_call_t *call)
+{
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER_BYTES);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+}
+
+static http_call_t *new_call(http_peer_t *peer)
+{
+	http_t *http = peer->http;
+	http_call_t *call = http->spare;
+
+	if (call) {
+		http->spare = call->next;
+		call->peer = peer;
+		return call;
+	}
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return NULL;
+	call->peer = peer;
+	call->easy = curl_easy_init();
+	if (!call->easy) {
+		free(call);
+		return NULL;
+	}
+	set_up(call);
+	http_conns_setup(call);
+	call->older = http->newest;
+	http->newest = call;
+	return call;
+}
+
+static void free_call(http_call_t *call)
+{
+	curl_slist_free_all(call->headers);
+	curl_easy_cleanup(call->easy);
+	medlar_buf_finish(&call->body);
+	medlar_buf_finish(&call->reply);
+	free(call);
+}
+
+static void keep_spare(http_call_t *call)
+{
+	http_t *http = call->peer->http;
+
+	curl_slist_free_all(call->headers);
+	call->headers = NULL;
+	call->peer = NULL;
+	call->next = http->spare;
+	http->spare = call;
+}
+
+static int add_header(http_call_t *call, const char *name, medlar_str_t value)
+{
+	struct curl_slist *list;
+	char line[URL_MAX];
+
+	snprintf(line, sizeof(line), "%s:%s%.*s", name, value.len ? " " : "",
+		 (int)value.len, value.ptr);
+	list = curl_slist_append(call->headers, line);
+	if (!list)
+		return MEDLAR_ERR_NOMEM;
+	call->headers = list;
+	return MEDLAR_OK;
+}
+
+static int add_headers(http_call_t *call, const http_request_t *request)
+{
+	int error;
+
+	error = add_header(call, "Expect", MEDLAR_STR(""));
+	if (!error)
+		error = add_header(call, "Content-Type",
+				   MEDLAR_STR("application/json"));
+	for (size_t i = 0; !error && i < request->headers_len; i++)
+		error = add_header(call, request->headers[i].name,
+				   request->headers[i].value);
+	return error;
+}
+
+static int prepare(http_call_t *call, const http_request_t *request)
+{
+	const http_peer_t *peer = call->peer;
+	bool is_get = strcmp(request->method, "GET") == 0;
+	const char *format = strchr(peer->host, ':') ? "http://[%s]:%u%s" :
+						       "http://%s:%u%s";
+	char url[URL_MAX];
+	int len;
+
+	len = snprintf(url, sizeof(url), format, peer->host, peer->port,
+		       request->path);
+	if (len < 0 || (size_t)len >= sizeof(url))
+		return MEDLAR_ERR_TOO_LARGE;
+	medlar_buf_reset(&call->body);
+	medlar_buf_reset(&call->reply);
+	medlar_buf_add(&call->body, request->body);
+	if (call->body.error || add_headers(call, request))
+		return MEDLAR_ERR_NOMEM;
+	curl_easy_setopt(call->easy, CURLOPT_URL, url);
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	if (is_get) {
+		curl_easy_setopt(call->easy, CURLOPT_HTTPGET, 1L);
+	} else {
+		curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)call->body.len);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS,
+				 call->body.ptr ? call->body.ptr : "");
+	}
+	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST,
+			 is_get ? NULL : request->method);
+	return MEDLAR_OK;
+}
+
+static void begin(http_call_t *call)
+{
+	http_peer_t *peer = call->peer;
+
+	peer->busy++;
+	call->started = true;
+	if (curl_multi_add_handle(peer->http->multi, call->easy) == CURLM_OK)
+		return;
+	/* The timer reports it: a call never ends within http_start(). */
+	(void)medlar_timer_set(peer->http->loop->client, &call->timer,
+			       peer->http->loop->now);
+}
+
+static void wait_in_line(http_call_t *call)
+{
+	http_peer_t *peer = call->peer;
+
+	call->next = NULL;
+	if (peer->last)
+		peer->last->next = call;
+	else
+		peer->first = call;
+	peer->last = call;
+	metrics_add(peer->http->metrics, METRIC_UPSTREAM_WAITS, 1);
+}
+
+static void leave_line(http_call_t *call)
+{
+	http_peer_t *peer = call->peer;
+	http_call_t *before = NULL;
+	http_call_t *at = peer->first;
+
+	while (at && at != call) {
+		before = at;
+		at = at->next;
+	}
+	if (!at)
+		return;
+	if (before)
+		before->next = call->next;
+	else
+		peer->first = call->next;
+	if (peer->last == call)
+		peer->last = before;
+}
+
+/**
+ * http_start() - start a call
+ * @peer: where it goes
+ * @request: what to send; copied
+ * @out: the call, valid until its callback returns; may be NULL
+ *
+ * A call that finds all connections in use waits for one.
+ *
+ * Return: %MEDLAR_OK, or an error after which the callback is not called.
+ */
+int http_start(http_peer_t *peer, const http_request_t *request,
+	       http_call_t **out)
+{
+	medlar_client_t *client = peer->http->loop->client;
+	medlar_time_t give_up = peer->http->loop->now + CONNECT_MAX;
+	http_call_t *call = new_call(peer);
+	int error;
+
+	if (!call)
+		return MEDLAR_ERR_NOMEM;
+	call->until = request->until;
+	call->silence = request->silence;
+	call->reply_max = request->reply_max;
+	call->on_header = request->on_header;
+	call->done = request->done;
+	call->data = request->data;
+	call->fd = -1;
+	call->started = call->sent = call->too_long = call->abandoned = false;
+	medlar_timer_init(&call->timer, on_timeout, call);
+	error = prepare(call, request);
+	if (!error)
+		error = medlar_timer_set(client, &call->timer,
+					 give_up < call->until ? give_up :
+								 call->until);
+	if (error) {
+		keep_spare(call);
+		return error;
+	}
+	if (out)
+		*out = call;
+	if (peer->busy < peer->limit)
+		begin(call);
+	else
+		wait_in_line(call);
+	return MEDLAR_OK;
+}
+
+static void start_waiting(http_peer_t *peer)
+{
+	while (peer->first && peer->busy < peer->limit) {
+		http_call_t *call = peer->first;
+
+		peer->first = call->next;
+		if (!peer->first)
+			peer->last = NULL;
+		begin(call);
+	}
+}
+
+static void finish_call(http_call_t *call, http_end_t end)
+{
+	http_peer_t *peer = call->peer;
+	http_t *http = peer->http;
+	http_reply_t reply = { .end = end };
+	long status = 0;
+
+	medlar_timer_clear(http->loop->client, &call->timer);
+	if (call->started) {
+		curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+		curl_multi_remove_handle(http->multi, call->easy);
+		peer->busy--;
+	} else {
+		leave_line(call);
+	}
+	if (end == HTTP_REPLY) {
+		reply.status = (int)status;
+		reply.body = medlar_buf_str(&call->reply);
+	}
+	if (call->sent)
+		reply.took = http->loop->now - call->sent_at;
+	call->done(call, &reply, call->data);
+	keep_spare(call);
+	start_waiting(peer);
+	http_conns_trim(peer);
+	http_peer_check(peer);
+}
+
+static http_end_t classify(const http_call_t *call, CURLcode code)
+{
+	if (code == CURLE_OK)
+		return HTTP_REPLY;
+	if (!call->sent)
+		return code == CURLE_COULDNT_CONNECT ? HTTP_REFUSED :
+						       HTTP_UNSENT;
+	if (call->too_long || code == CURLE_WEIRD_SERVER_REPLY ||
+	    code == CURLE_UNSUPPORTED_PROTOCOL ||
+	    code == CURLE_BAD_CONTENT_ENCODING || code == CURLE_WRITE_ERROR)
+		return HTTP_MALFORMED;
+	return HTTP_RESET;
+}
+
+/**
+ * http_reap() - report the calls that libcurl has finished
+ * @http: client
+ */
+void http_reap(http_t *http)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(http->multi, &left))) {
+		http_call_t *call = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				  (char **)&call);
+		finish_call(call, classify(call, message->data.result));
+	}
+}
+
+/**
+ * http_give_up() - let a call that has not been sent end soon as unsent
+ * @call: a call under way; one that is sent goes on
+ */
+void http_give_up(http_call_t *call)
+{
+	loop_t *loop = call->peer->http->loop;
+
+	if (!call->sent)
+		(void)medlar_timer_set(loop->client, &call->timer, loop->now);
+}
+
+/**
+ * http_is_sent() - whether sending has begun
+ * @call: a call under way, or in its callback
+ *
+ * Return: false only if no byte has left.
+ */
+bool http_is_sent(const http_call_t *call)
+{
+	return call->sent;
+}
+
+/**
+ * http_close_connection() - stop using the connection that a call used
+ * @call: a call in its callback
+ */
+void http_close_connection(const http_call_t *call)
+{
+	http_conn_t *conn = http_conn_at(call->peer->http, call->fd);
+
+	if (conn && conn->peer == call->peer)
+		http_conn_kill(conn);
+}
+
+/**
+ * http_peer_new() - add a peer
+ * @http: client
+ * @host: IP address in text form
+ * @port: TCP port
+ * @limit: most connections open at once
+ * @idle_max: longest time a connection may stay idle, ms
+ *
+ * Return: the peer, or NULL without memory.
+ */
+http_peer_t *http_peer_new(http_t *http, const char *host, uint16_t port,
+			   uint32_t limit, medlar_time_t idle_max)
+{
+	http_peer_t *peer = calloc(1, sizeof(*peer));
+
+	if (!peer)
+		return NULL;
+	peer->http = http;
+	peer->port = port;
+	peer->limit = limit;
+	peer->idle_max = idle_max;
+	snprintf(peer->host, sizeof(peer->host), "%s", host);
+	peer->next = http->peers;
+	http->peers = peer;
+	return peer;
+}
+
+/**
+ * http_peer_set_limit() - change the bounds of a peer
+ * @peer: peer
+ * @limit: most connections open at once; surplus idle ones are closed
+ * @idle_max: longest time a connection may stay idle, ms
+ */
+void http_peer_set_limit(http_peer_t *peer, uint32_t limit,
+			 medlar_time_t idle_max)
+{
+	peer->limit = limit;
+	peer->idle_max = idle_max;
+	http_conns_trim(peer);
+	start_waiting(peer);
+}
+
+/**
+ * http_peer_check() - free a released peer that is not in use
+ * @peer: peer
+ */
+void http_peer_check(http_peer_t *peer)
+{
+	http_peer_t **at = &peer->http->peers;
+
+	if (!peer->released || peer->busy > 0 || peer->first)
+		return;
+	for (size_t i = 0; i < peer->http->conns_len; i++)
+		if (peer->http->conns[i] && peer->http->conns[i]->peer == peer)
+			return;
+	while (*at != peer)
+		at = &(*at)->next;
+	*at = peer->next;
+	free(peer);
+}
+
+/**
+ * http_peer_release() - free a peer once its calls have ended
+ * @peer: peer; must not be used for new calls
+ */
+void http_peer_release(http_peer_t *peer)
+{
+	peer->released = true;
+	for (size_t i = 0; i < peer->http->conns_len; i++) {
+		http_conn_t *conn = peer->http->conns[i];
+
+		if (conn && conn->peer == peer && !conn->used)
+			http_conn_kill(conn);
+	}
+	http_peer_check(peer);
+}
+
+/**
+ * http_init() - start an HTTP client
+ * @http: memory of the caller
+ * @loop: loop of the calling thread
+ * @metrics: counts connections
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int http_init(http_t *http, loop_t *loop, metrics_t *metrics)
+{
+	*http = (http_t){ .loop = loop, .metrics = metrics };
+	http->multi = curl_multi_init();
+	if (!http->multi)
+		return MEDLAR_ERR_NOMEM;
+	return http_conns_init(http);
+}
+
+/**
+ * http_finish() - close a client; calls under way end without a callback
+ * @http: client
+ */
+void http_finish(http_t *http)
+{
+	http_peer_t *peer;
+	http_call_t *call;
+
+	while ((call = http->newest)) {
+		http->newest = call->older;
+		curl_multi_remove_handle(http->multi, call->easy);
+		free_call(call);
+	}
+	curl_multi_cleanup(http->multi);
+	http_conns_finish(http);
+	while ((peer = http->peers)) {
+		http->peers = peer->next;
+		free(peer);
+	}
+}
--- /dev/null
+++ b/medlard/http_conn.c
@@ -0,0 +1,316 @@
+/**
+ * DOC: connections of the HTTP client
+ *
+ * libcurl keeps idle connections and tells only when it opens or closes a
+ * socket. This file counts the open connections of each peer, watches idle
+ * ones for a close by the other end, and shuts down those that exceed a limit
+ * or were idle for too long; libcurl finds them dead when it looks for one to
+ * use again.
+ */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "medlard/http_internal.h"
+
+#define SWEEP_PERIOD (1 * MEDLAR_SECOND)
+#define CONNS_MIN 64
+
+#define KEEPALIVE_IDLE_S 5
+#define KEEPALIVE_PERIOD_S 2
+#define KEEPALIVE_COUNT 3
+#define USER_TIMEOUT_MS 5000
+
+/* Connections kept by libcurl itself; each peer has a limit of its own. */
+#define CACHE_MAX 65536L
+
+static http_conn_t *reserve(http_t *http, int fd)
+{
+	size_t len = http->conns_len ? http->conns_len : CONNS_MIN;
+	http_conn_t **conns = http->conns;
+
+	while (len <= (size_t)fd)
+		len *= 2;
+	if (len != http->conns_len) {
+		conns = realloc(conns, len * sizeof(*conns));
+		if (!conns)
+			return NULL;
+		for (size_t i = http->conns_len; i < len; i++)
+			conns[i] = NULL;
+		http->conns = conns;
+		http->conns_len = len;
+	}
+	if (!conns[fd])
+		conns[fd] = calloc(1, sizeof(*conns[fd]));
+	return conns[fd];
+}
+
+/**
+ * http_conn_at() - find the connection of a descriptor
+ * @http: client
+ * @fd: descriptor, or a negative number
+ *
+ * Return: an open connection, or NULL.
+ */
+http_conn_t *http_conn_at(http_t *http, int fd)
+{
+	http_conn_t *conn;
+
+	if (fd < 0 || (size_t)fd >= http->conns_len)
+		return NULL;
+	conn = http->conns[fd];
+	return conn && conn->peer ? conn : NULL;
+}
+
+static void set_options(int fd)
+{
+	const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {
+		{ SOL_SOCKET, SO_KEEPALIVE, 1 },
+		{ IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
+		{ IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PERIOD_S },
+		{ IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT },
+		{ IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS },
+	};
+
+	for (size_t i = 0; i < sizeof(options) / sizeof(options[0]); i++)
+		(void)setsockopt(fd, options[i].level, options[i].name,
+				 &options[i].value, sizeof(options[i].value));
+}
+
+/**
+ * http_conn_kill() - shut a connection down, whatever it is doing
+ * @conn: an open connection
+ */
+void http_conn_kill(http_conn_t *conn)
+{
+	if (conn->dead)
+		return;
+	conn->dead = true;
+	conn->peer->open--;
+	metrics_add(conn->http->metrics, METRIC_UPSTREAM_CLOSED, 1);
+	if (!conn->used)
+		loop_unwatch(conn->http->loop, conn->fd);
+	(void)shutdown(conn->fd, SHUT_RDWR);
+}
+
+static bool is_idle(const http_conn_t *conn, const http_peer_t *peer)
+{
+	return conn && conn->peer == peer && !conn->used && !conn->dead;
+}
+
+static void close_idle(http_peer_t *peer, uint32_t most)
+{
+	http_t *http = peer->http;
+
+	for (size_t i = 0; i < http->conns_len && peer->open > most; i++)
+		if (is_idle(http->conns[i], peer))
+			http_conn_kill(http->conns[i]);
+}
+
+/**
+ * http_conns_trim() - close idle connections beyond the limit of a peer
+ * @peer: peer
+ */
+void http_conns_trim(http_peer_t *peer)
+{
+	if (peer->open > peer->limit)
+		close_idle(peer, peer->limit);
+}
+
+static curl_socket_t open_socket(void *data, curlsocktype purpose,
+				 struct curl_sockaddr *address)
+{
+	http_call_t *call = data;
+	http_peer_t *peer = call->peer;
+	http_conn_t *conn;
+	int fd;
+
+	(void)purpose;
+	if (peer->open >= peer->limit && peer->limit > 0)
+		close_idle(peer, peer->limit - 1);
+	if (peer->open >= peer->limit)
+		return CURL_SOCKET_BAD;
+	fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+		    address->protocol);
+	if (fd < 0)
+		return CURL_SOCKET_BAD;
+	conn = reserve(peer->http, fd);
+	if (!conn) {
+		close(fd);
+		return CURL_SOCKET_BAD;
+	}
+	set_options(fd);
+	*conn = (http_conn_t){ .http = peer->http, .peer = peer, .fd = fd };
+	peer->open++;
+	metrics_add(peer->http->metrics, METRIC_UPSTREAM_OPENED, 1);
+	return fd;
+}
+
+static int close_socket(void *data, curl_socket_t fd)
+{
+	http_t *http = data;
+	http_conn_t *conn = http_conn_at(http, fd);
+
+	loop_unwatch(http->loop, fd);
+	close(fd);
+	if (!conn)
+		return 0;
+	if (!conn->dead) {
+		conn->peer->open--;
+		metrics_add(http->metrics, METRIC_UPSTREAM_CLOSED, 1);
+	}
+	conn->peer = NULL;
+	return 0;
+}
+
+static void on_ready(uint32_t events, void *data)
+{
+	http_conn_t *conn = data;
+	http_t *http = conn->http;
+	int running;
+	int mask = 0;
+
+	if (!conn->used) {
+		http_conn_kill(conn);
+		return;
+	}
+	if (events & (EPOLLIN | EPOLLHUP | EPOLLRDHUP))
+		mask |= CURL_CSELECT_IN;
+	if (events & EPOLLOUT)
+		mask |= CURL_CSELECT_OUT;
+	if (events & EPOLLERR)
+		mask |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(http->multi, conn->fd, mask, &running);
+	http_reap(http);
+}
+
+static int watch_socket(CURL *easy, curl_socket_t fd, int what, void *data,
+			void *socket_data)
+{
+	http_t *http = data;
+	http_conn_t *conn = http_conn_at(http, fd);
+	http_call_t *call = NULL;
+	uint32_t events = 0;
+
+	(void)socket_data;
+	if (!conn)
+		return 0;
+	if (what == CURL_POLL_REMOVE) {
+		conn->used = false;
+		conn->idle_since = http->loop->now;
+		if (conn->dead)
+			loop_unwatch(http->loop, fd);
+		else
+			(void)loop_watch(http->loop, fd, EPOLLIN, on_ready,
+					 conn);
+		return 0;
+	}
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
+	if (call)
+		call->fd = fd;
+	conn->used = true;
+	if (what & CURL_POLL_IN)
+		events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		events |= EPOLLOUT;
+	return loop_watch(http->loop, fd, events, on_ready, conn) ? -1 : 0;
+}
+
+static int set_timer(CURLM *multi, long wait_ms, void *data)
+{
+	http_t *http = data;
+
+	(void)multi;
+	if (wait_ms < 0)
+		medlar_timer_clear(http->loop->client, &http->timer);
+	else if (medlar_timer_set(http->loop->client, &http->timer,
+				  http->loop->now + wait_ms))
+		return -1;
+	return 0;
+}
+
+static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	http_t *http = data;
+	int running;
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	curl_multi_socket_action(http->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	http_reap(http);
+}
+
+static void sweep(medlar_client_t *client, medlar_timer_t *timer,
+		  medlar_time_t now, void *data)
+{
+	http_t *http = data;
+
+	for (size_t i = 0; i < http->conns_len; i++) {
+		http_conn_t *conn = http->conns[i];
+
+		if (conn && is_idle(conn, conn->peer) && conn->peer &&
+		    now - conn->idle_since > conn->peer->idle_max)
+			http_conn_kill(conn);
+	}
+	for (http_peer_t *next, *peer = http->peers; peer; peer = next) {
+		next = peer->next;
+		http_peer_check(peer);
+	}
+	(void)medlar_timer_set(client, timer, now + SWEEP_PERIOD);
+}
+
+/**
+ * http_conns_init() - connect libcurl with the loop
+ * @http: client whose loop and multi handle are set
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int http_conns_init(http_t *http)
+{
+	CURLM *multi = http->multi;
+
+	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, http);
+	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, set_timer);
+	curl_multi_setopt(multi, CURLMOPT_TIMERDATA, http);
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, CACHE_MAX);
+	curl_multi_setopt(multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	medlar_timer_init(&http->timer, on_timer, http);
+	medlar_timer_init(&http->sweep, sweep, http);
+	return medlar_timer_set(http->loop->client, &http->sweep,
+				http->loop->now + SWEEP_PERIOD);
+}
+
+/**
+ * http_conns_finish() - release the table of connections
+ * @http: client whose multi handle is closed
+ */
+void http_conns_finish(http_t *http)
+{
+	medlar_timer_clear(http->loop->client, &http->timer);
+	medlar_timer_clear(http->loop->client, &http->sweep);
+	for (size_t i = 0; i < http->conns_len; i++)
+		free(http->conns[i]);
+	free(http->conns);
+}
+
+/**
+ * http_conns_setup() - let the connections of a call be counted
+ * @call: call with a new easy handle
+ */
+void http_conns_setup(http_call_t *call)
+{
+	curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(call->easy, CURLOPT_OPENSOCKETDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(call->easy, CURLOPT_CLOSESOCKETDATA, call->peer->http);
+}
--- /dev/null
+++ b/medlard/http_internal.h
@@ -0,0 +1,84 @@
+/**
+ * DOC: structures shared by the files of the HTTP client
+ */
+#ifndef MEDLARD_HTTP_INTERNAL_H
+#define MEDLARD_HTTP_INTERNAL_H
+
+#include "medlard/http.h"
+
+/**
+ * struct http_conn - a connection of the HTTP client
+ * @http: owner
+ * @peer: address that it leads to; NULL while not open
+ * @fd: descriptor
+ * @used: libcurl waits for it
+ * @dead: shut down, and not yet closed by libcurl
+ * @idle_since: when its last call ended, ms
+ */
+struct http_conn {
+	http_t *http;
+	http_peer_t *peer;
+	int fd;
+	bool used;
+	bool dead;
+	medlar_time_t idle_since;
+};
+
+/**
+ * struct http_call - a call
+ * @peer: where it goes
+ * @next: next waiting or spare call
+ * @older: call that was allocated before this one
+ * @easy: libcurl's handle
+ * @headers: header lines of the request
+ * @body: body of the request
+ * @reply: body of the reply
+ * @timer: fires at the end of the silence bound
+ * @until: when it is given up, ms
+ * @silence: longest time without a byte, ms
+ * @sent_at: when sending began, ms
+ * @byte_at: when the last byte came, ms
+ * @reply_max: longest body accepted, bytes
+ * @on_header: see &struct http_request
+ * @done: likewise
+ * @data: likewise
+ * @fd: descriptor of its connection, or -1
+ * @started: handed to libcurl
+ * @sent: sending began
+ * @too_long: the reply was longer than @reply_max
+ * @abandoned: given up by its owner
+ */
+struct http_call {
+	http_peer_t *peer;
+	http_call_t *next;
+	http_call_t *older;
+	CURL *easy;
+	struct curl_slist *headers;
+	medlar_buf_t body;
+	medlar_buf_t reply;
+	medlar_timer_t timer;
+	medlar_time_t until;
+	medlar_time_t silence;
+	medlar_time_t sent_at;
+	medlar_time_t byte_at;
+	size_t reply_max;
+	http_header_fn_t on_header;
+	http_done_fn_t done;
+	void *data;
+	int fd;
+	bool started;
+	bool sent;
+	bool too_long;
+	bool abandoned;
+};
+
+int http_conns_init(http_t *http);
+void http_conns_finish(http_t *http);
+void http_conns_setup(http_call_t *call);
+http_conn_t *http_conn_at(http_t *http, int fd);
+void http_conn_kill(http_conn_t *conn);
+void http_conns_trim(http_peer_t *peer);
+void http_reap(http_t *http);
+void http_peer_check(http_peer_t *peer);
+
+#endif /* MEDLARD_HTTP_INTERNAL_H */
--- /dev/null
+++ b/medlard/upstream.c
@@ -0,0 +1,369 @@
+/**
+ * DOC: requests to upstreams
+ */
+#include <inttypes.h>
+#include <json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/upstream.h"
+
+#define NUMBER_MAX 24
+#define RANGE_TEXT_MAX 48
+
+/* How long a reply may come after the deadline of its request. */
+#define DRAIN_MAX (5 * MEDLAR_SECOND)
+#define CANCEL_MAX (1 * MEDLAR_SECOND)
+#define PROBE_MAX (2 * MEDLAR_SECOND)
+
+/**
+ * struct pending - an attempt under way
+ * @link: service that it belongs to
+ * @attempt: the attempt; valid until its end is reported
+ * @call: its HTTP call
+ * @wire: headers of the reply
+ * @cancelled: the core does not need the reply
+ */
+typedef struct pending {
+	upstream_link_t *link;
+	medlar_attempt_t *attempt;
+	http_call_t *call;
+	wire_t wire;
+	bool cancelled;
+} pending_t;
+
+static const char *const kind_names[] = {
+	[MEDLAR_KIND_SEARCH] = "search",
+	[MEDLAR_KIND_LOOKUP] = "lookup",
+	[MEDLAR_KIND_WRITE] = "write",
+};
+
+static const medlar_fault_t faults[] = {
+	[HTTP_REPLY] = MEDLAR_FAULT_MALFORMED,
+	[HTTP_REFUSED] = MEDLAR_FAULT_REFUSED,
+	[HTTP_UNSENT] = MEDLAR_FAULT_UNSENT,
+	[HTTP_RESET] = MEDLAR_FAULT_RESET,
+	[HTTP_SILENT] = MEDLAR_FAULT_SILENT,
+	[HTTP_MALFORMED] = MEDLAR_FAULT_MALFORMED,
+};
+
+/**
+ * upstream_peer() - the connections of a replica, opened on first use
+ * @link: service of the replica
+ * @replica: replica
+ *
+ * Return: the peer, or NULL without memory.
+ */
+http_peer_t *upstream_peer(upstream_link_t *link, medlar_replica_t *replica)
+{
+	const medlar_replica_info_t *info = medlar_replica_info(replica);
+	http_peer_t *peer = medlar_replica_data(replica);
+
+	if (peer)
+		return peer;
+	peer = http_peer_new(link->upstream->http, info->host, info->port,
+			     medlar_replica_share(replica).connections,
+			     link->policy->idle_max);
+	medlar_replica_set_data(replica, peer);
+	return peer;
+}
+
+/**
+ * upstream_adjust() - bring the bounds of a replica's connections up to date
+ * @link: service of the replica
+ * @replica: replica
+ */
+void upstream_adjust(upstream_link_t *link, medlar_replica_t *replica)
+{
+	const medlar_replica_info_t *info = medlar_replica_info(replica);
+	http_peer_t *peer = medlar_replica_data(replica);
+
+	if (peer && (strcmp(peer->host, info->host) != 0 ||
+		     peer->port != info->port))
+		upstream_forget(replica);
+	else if (peer)
+		http_peer_set_limit(peer,
+				    medlar_replica_share(replica).connections,
+				    link->policy->idle_max);
+}
+
+/**
+ * upstream_forget() - close the connections of a replica once unused
+ * @replica: replica
+ */
+void upstream_forget(medlar_replica_t *replica)
+{
+	http_peer_t *peer = medlar_replica_data(replica);
+
+	if (!peer)
+		return;
+	medlar_replica_set_data(replica, NULL);
+	http_peer_release(peer);
+}
+
+static bool is_json(medlar_str_t text)
+{
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *value;
+	bool whole;
+
+	if (!tokener || text.len > INT32_MAX) {
+		json_tokener_free(tokener);
+		return false;
+	}
+	json_tokener_set_flags(tokener, JSON_TOKENER_STRICT |
+						JSON_TOKENER_VALIDATE_UTF8);
+	value = json_tokener_parse_ex(tokener, text.ptr, (int)text.len);
+	/* A number at the top level ends only with the text. */
+	if (json_tokener_get_error(tokener) == json_tokener_continue)
+		value = json_tokener_parse_ex(tokener, "", 1);
+	whole = json_tokener_get_error(tokener) == json_tokener_success &&
+		json_tokener_get_parse_end(tokener) <= text.len;
+	json_object_put(value);
+	json_tokener_free(tokener);
+	return whole;
+}
+
+static bool is_usable(const pending_t *pending, const http_reply_t *reply)
+{
+	if (reply->end != HTTP_REPLY || pending->wire.bad)
+		return false;
+	return pending->wire.reply.status != MEDLAR_REPLY_OK ||
+	       pending->cancelled || is_json(reply->body);
+}
+
+/* The core drops a reply that answers something else. */
+static bool is_echo(const pending_t *pending)
+{
+	const medlar_reply_t *reply = &pending->wire.reply;
+	medlar_range_t range = medlar_attempt_range(pending->attempt);
+
+	if (memcmp(reply->id, medlar_attempt_id(pending->attempt),
+		   sizeof(reply->id)) != 0)
+		return false;
+	return reply->status != MEDLAR_REPLY_OK ||
+	       (reply->version == medlar_attempt_version(pending->attempt) &&
+		reply->range.lo == range.lo && reply->range.hi == range.hi);
+}
+
+static medlar_fault_t fault_of(const pending_t *pending, http_end_t end)
+{
+	if (end == HTTP_UNSENT && pending->cancelled)
+		return MEDLAR_FAULT_CANCELLED;
+	return faults[end];
+}
+
+static void on_header(medlar_str_t name, medlar_str_t value, void *data)
+{
+	pending_t *pending = data;
+
+	wire_header(name, value, &pending->wire);
+}
+
+static void on_done(http_call_t *call, const http_reply_t *reply, void *data)
+{
+	pending_t *pending = data;
+	upstream_t *upstream = pending->link->upstream;
+	medlar_time_t now = upstream->http->loop->now;
+
+	if (reply->end == HTTP_REPLY)
+		wire_finish(&pending->wire, reply->status, reply->body);
+	if (is_usable(pending, reply)) {
+		metrics_add(upstream->metrics, METRIC_UPSTREAM_REPLIES, 1);
+		if (!is_echo(pending))
+			http_close_connection(call);
+		medlar_attempt_reply(upstream->client, pending->attempt,
+				     &pending->wire.reply, now);
+	} else {
+		metrics_add(upstream->metrics, METRIC_UPSTREAM_FAULTS, 1);
+		if (reply->end == HTTP_SILENT)
+			metrics_add(upstream->metrics, METRIC_UPSTREAM_SILENT,
+				    1);
+		if (reply->end == HTTP_REPLY)
+			http_close_connection(call);
+		medlar_attempt_fail(upstream->client, pending->attempt,
+				    fault_of(pending, reply->end), now);
+	}
+	free(pending);
+}
+
+/**
+ * struct head - the headers of a query with room for their values
+ * @items: the headers
+ * @id: text of the request id
+ * @deadline: text of the time left
+ * @version: text of the version
+ * @epoch: text of the epoch
+ * @range: text of the range
+ */
+typedef struct head {
+	http_header_t items[HTTP_HEADERS_MAX];
+	char id[WIRE_ID_TEXT_LEN + 1];
+	char deadline[NUMBER_MAX];
+	char version[NUMBER_MAX];
+	char epoch[NUMBER_MAX];
+	char range[RANGE_TEXT_MAX];
+} head_t;
+
+static size_t write_head(head_t *head, const medlar_attempt_t *attempt,
+			 medlar_time_t now)
+{
+	const medlar_query_t *query = medlar_attempt_query(attempt);
+	medlar_range_t range = medlar_attempt_range(attempt);
+	medlar_time_t left = medlar_attempt_deadline(attempt) - now;
+	const char *kind = kind_names[medlar_query_params(query)->kind];
+
+	wire_id_text(medlar_attempt_id(attempt), head->id);
+	snprintf(head->deadline, sizeof(head->deadline), "%" PRId64,
+		 left > 0 ? left : 0);
+	snprintf(head->version, sizeof(head->version), "%" PRIu32,
+		 medlar_attempt_version(attempt));
+	snprintf(head->epoch, sizeof(head->epoch), "%" PRIu64,
+		 medlar_query_answer(query)->epoch);
+	snprintf(head->range, sizeof(head->range), "%" PRIu64 "-%" PRIu64,
+		 range.lo, range.hi);
+	head->items[0] = (http_header_t){ "Medlar-Request-Id",
+					  medlar_str_from(head->id) };
+	head->items[1] =
+		(http_header_t){ "Medlar-Kind", medlar_str_from(kind) };
+	head->items[2] = (http_header_t){ "Medlar-Deadline-Ms",
+					  medlar_str_from(head->deadline) };
+	head->items[3] = (http_header_t){ "Medlar-Version",
+					  medlar_str_from(head->version) };
+	head->items[4] = (http_header_t){ "Medlar-Epoch",
+					  medlar_str_from(head->epoch) };
+	head->items[5] = (http_header_t){ "Medlar-Range",
+					  medlar_str_from(head->range) };
+	return 6;
+}
+
+static void fail_soon(medlar_client_t *client, medlar_timer_t *timer,
+		      medlar_time_t now, void *data)
+{
+	medlar_attempt_t *attempt = data;
+
+	free(timer);
+	medlar_attempt_fail(client, attempt, MEDLAR_FAULT_UNSENT, now);
+}
+
+/* Reports that an attempt was not sent, but not from within the action. */
+static void fail_later(upstream_t *upstream, medlar_attempt_t *attempt)
+{
+	medlar_time_t now = upstream->http->loop->now;
+	medlar_timer_t *timer = malloc(sizeof(*timer));
+
+	medlar_attempt_set_data(attempt, NULL);
+	if (!timer) {
+		medlar_attempt_fail(upstream->client, attempt,
+				    MEDLAR_FAULT_UNSENT, now);
+		return;
+	}
+	medlar_timer_init(timer, fail_soon, attempt);
+	if (medlar_timer_set(upstream->client, timer, now))
+		fail_soon(upstream->client, timer, now, attempt);
+}
+
+static int start(pending_t *pending, http_peer_t *peer, medlar_time_t now)
+{
+	medlar_attempt_t *attempt = pending->attempt;
+	const medlar_query_t *query = medlar_attempt_query(attempt);
+	head_t head;
+	const http_request_t request = {
+		.method = "POST",
+		.path = "/v1/query",
+		.headers = head.items,
+		.headers_len = write_head(&head, attempt, now),
+		.body = medlar_query_params(query)->body,
+		.until = medlar_attempt_deadline(attempt) + DRAIN_MAX,
+		.silence = pending->link->policy->silence,
+		.reply_max = pending->link->upstream->reply_max,
+		.on_header = on_header,
+		.done = on_done,
+		.data = pending,
+	};
+
+	return http_start(peer, &request, &pending->call);
+}
+
+/**
+ * upstream_send() - send an attempt; see &medlar_service_ops_t
+ * @attempt: attempt
+ * @link: its service
+ */
+void upstream_send(medlar_attempt_t *attempt, upstream_link_t *link)
+{
+	upstream_t *upstream = link->upstream;
+	medlar_replica_t *replica = medlar_attempt_replica(attempt);
+	http_peer_t *peer = upstream_peer(link, replica);
+	pending_t *pending = calloc(1, sizeof(*pending));
+
+	metrics_add(upstream->metrics, METRIC_UPSTREAM_SENDS, 1);
+	if (!pending || !peer) {
+		free(pending);
+		fail_later(upstream, attempt);
+		return;
+	}
+	pending->link = link;
+	pending->attempt = attempt;
+	wire_init(&pending->wire);
+	medlar_attempt_set_data(attempt, pending);
+	if (start(pending, peer, upstream->http->loop->now)) {
+		free(pending);
+		fail_later(upstream, attempt);
+	}
+}
+
+static void ignore_reply(http_call_t *call, const http_reply_t *reply,
+			 void *data)
+{
+	(void)call;
+	(void)reply;
+	(void)data;
+}
+
+static void send_cancel(upstream_link_t *link, medlar_attempt_t *attempt)
+{
+	upstream_t *upstream = link->upstream;
+	char id[WIRE_ID_TEXT_LEN + 1];
+	const http_header_t header = { "Medlar-Request-Id",
+				       { id, WIRE_ID_TEXT_LEN } };
+	const http_request_t request = {
+		.method = "POST",
+		.path = "/v1/cancel",
+		.headers = &header,
+		.headers_len = 1,
+		.until = upstream->http->loop->now + CANCEL_MAX,
+		.silence = link->policy->silence,
+		.reply_max = upstream->reply_max,
+		.done = ignore_reply,
+	};
+	http_peer_t *peer =
+		upstream_peer(link, medlar_attempt_replica(attempt));
+
+	wire_id_text(medlar_attempt_id(attempt), id);
+	if (!peer || http_start(peer, &request, NULL))
+		return;
+	metrics_add(upstream->metrics, METRIC_UPSTREAM_CANCELS, 1);
+}
+
+/**
+ * upstream_cancel() - cancel an attempt; see &medlar_service_ops_t
+ * @attempt: attempt; its end is still reported
+ * @link: its service
+ *
+ * The reply is awaited, so that the connection can be used again. An attempt
+ * that has not been sent ends at once.
+ */
+void upstream_cancel(medlar_attempt_t *attempt, upstream_link_t *link)
+{
+	pending_t *pending = medlar_attempt_data(attempt);
+
+	if (!pending || pending->cancelled)
+		return;
+	pending->cancelled = true;
+	if (http_is_sent(pending->call))
+		send_cancel(link, attempt);
+	else
+		http_give_up(pending->call);
+}
--- /dev/null
+++ b/medlard/upstream.h
@@ -0,0 +1,45 @@
+/**
+ * DOC: requests to upstreams
+ *
+ * Sends the attempts of the core and reports how they ended. Each replica has
+ * one peer with as many connections as this instance may use.
+ */
+#ifndef MEDLARD_UPSTREAM_H
+#define MEDLARD_UPSTREAM_H
+
+#include "medlard/http.h"
+#include "medlard/wire.h"
+
+/**
+ * struct upstream - the upstream side of a worker
+ * @http: HTTP client of the worker
+ * @client: client of the worker
+ * @metrics: counters of the worker
+ * @reply_max: longest reply accepted, bytes
+ */
+typedef struct upstream {
+	http_t *http;
+	medlar_client_t *client;
+	metrics_t *metrics;
+	size_t reply_max;
+} upstream_t;
+
+/**
+ * struct upstream_link - what the actions of a service need
+ * @upstream: upstream side of its worker
+ * @service: the service
+ * @policy: its policy in force
+ */
+typedef struct upstream_link {
+	upstream_t *upstream;
+	medlar_service_t *service;
+	const medlar_policy_t *policy;
+} upstream_link_t;
+
+void upstream_send(medlar_attempt_t *attempt, upstream_link_t *link);
+void upstream_cancel(medlar_attempt_t *attempt, upstream_link_t *link);
+http_peer_t *upstream_peer(upstream_link_t *link, medlar_replica_t *replica);
+void upstream_adjust(upstream_link_t *link, medlar_replica_t *replica);
+void upstream_forget(medlar_replica_t *replica);
+
+#endif /* MEDLARD_UPSTREAM_H */
