--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -771,6 +771,25 @@
 int medlar_suspects_convict(medlar_suspects_t *suspects, uint64_t fingerprint,
 			    medlar_time_t until);
 int medlar_suspects_pardon(medlar_suspects_t *suspects, uint64_t fingerprint);
+
+/**
+ * struct medlar_suspect_entry - one entry of the table, for operators
+ * @fingerprint: the request
+ * @verdict: %MEDLAR_VERDICT_CLEAR for one that was pardoned
+ * @deaths: replicas that died with it in flight
+ * @replica: the last of them
+ * @until: when the entry expires
+ */
+typedef struct medlar_suspect_entry {
+	uint64_t fingerprint;
+	medlar_verdict_t verdict;
+	uint32_t deaths;
+	uint64_t replica;
+	medlar_time_t until;
+} medlar_suspect_entry_t;
+
+bool medlar_suspects_next(const medlar_suspects_t *suspects, size_t *cursor,
+			  medlar_time_t now, medlar_suspect_entry_t *out);
 uint64_t medlar_fingerprint(medlar_str_t service, medlar_str_t method,
 			    medlar_str_t body);
 
@@ -920,8 +939,8 @@
 				       size_t index);
 medlar_str_t medlar_query_part_body(const medlar_query_t *query, size_t index);
 
-void medlar_attempt_reply(medlar_client_t *client, medlar_attempt_t *attempt,
-			  const medlar_reply_t *reply, medlar_time_t now);
+int medlar_attempt_reply(medlar_client_t *client, medlar_attempt_t *attempt,
+			 const medlar_reply_t *reply, medlar_time_t now);
 void medlar_attempt_fail(medlar_client_t *client, medlar_attempt_t *attempt,
 			 medlar_fault_t fault, medlar_time_t now);
 medlar_query_t *medlar_attempt_query(const medlar_attempt_t *attempt);
