Judge suspects by trials, and tell peers of what is found

A rack that fails kills several replicas with the same innocent requests in flight, so a second death alone would convict them. Only a death in a trial, where the request was alone on the replica, convicts now.

--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -751,45 +751,84 @@
 	MEDLAR_VERDICT_CONVICTED,
 } medlar_verdict_t;
 
-/** struct medlar_suspects - fingerprints of requests that may crash upstreams */
+/**
+ * struct medlar_suspect_entry - what the table holds of one fingerprint
+ * @fingerprint: the request
+ * @verdict: %MEDLAR_VERDICT_CLEAR for one that was pardoned or cleared
+ * @deaths: 1 for a suspect, 2 once convicted
+ * @replica: the last replica that died, 0 when told by a peer
+ * @shard: shard of @replica
+ * @local: this instance itself saw the death
+ * @died: when the death was noticed
+ * @until: when the entry expires
+ */
+typedef struct medlar_suspect_entry {
+	uint64_t fingerprint;
+	medlar_verdict_t verdict;
+	uint32_t deaths;
+	uint64_t replica;
+	uint32_t shard;
+	bool local;
+	medlar_time_t died;
+	medlar_time_t until;
+} medlar_suspect_entry_t;
+
+typedef void (*medlar_suspect_fn_t)(const medlar_suspect_entry_t *entry,
+				    void *data);
+
+/**
+ * struct medlar_suspects - fingerprints of requests that may crash upstreams
+ * @items: entries, in no order
+ * @len: how many
+ * @cap: most entries kept
+ * @expiry: how long an entry is kept, ms
+ * @changed: told of what this instance finds out; may be NULL
+ * @data: passed to @changed
+ */
 typedef struct medlar_suspects {
 	struct medlar_suspect_ *items;
 	size_t len;
 	size_t cap;
 	medlar_time_t expiry;
+	medlar_suspect_fn_t changed;
+	void *data;
 } medlar_suspects_t;
 
+/**
+ * struct medlar_death - a replica died with a request in flight
+ * @fingerprint: the request
+ * @replica: the replica
+ * @shard: its shard
+ * @trial: the request was a suspect already and sent alone
+ * @local: seen by this instance, not told by a peer
+ */
+typedef struct medlar_death {
+	uint64_t fingerprint;
+	uint64_t replica;
+	uint32_t shard;
+	bool trial;
+	bool local;
+} medlar_death_t;
+
 int medlar_suspects_init(medlar_suspects_t *suspects, size_t cap,
 			 medlar_time_t expiry);
 void medlar_suspects_finish(medlar_suspects_t *suspects);
+void medlar_suspects_on_change(medlar_suspects_t *suspects,
+			       medlar_suspect_fn_t fn, void *data);
 medlar_verdict_t medlar_suspects_look(const medlar_suspects_t *suspects,
 				      uint64_t fingerprint, medlar_time_t now);
+bool medlar_suspects_get(const medlar_suspects_t *suspects,
+			 uint64_t fingerprint, medlar_time_t now,
+			 medlar_suspect_entry_t *out);
+bool medlar_suspects_next(const medlar_suspects_t *suspects, size_t *cursor,
+			  medlar_time_t now, medlar_suspect_entry_t *out);
 medlar_verdict_t medlar_suspects_death(medlar_suspects_t *suspects,
-				       uint64_t fingerprint, uint64_t replica,
+				       const medlar_death_t *death,
 				       medlar_time_t now);
 void medlar_suspects_success(medlar_suspects_t *suspects, uint64_t fingerprint);
 int medlar_suspects_convict(medlar_suspects_t *suspects, uint64_t fingerprint,
 			    medlar_time_t until);
 int medlar_suspects_pardon(medlar_suspects_t *suspects, uint64_t fingerprint);
-
-/**
- * struct medlar_suspect_entry - one entry of the table, for operators
- * @fingerprint: the request
- * @verdict: %MEDLAR_VERDICT_CLEAR for one that was pardoned
- * @deaths: replicas that died with it in flight
- * @replica: the last of them
- * @until: when the entry expires
- */
-typedef struct medlar_suspect_entry {
-	uint64_t fingerprint;
-	medlar_verdict_t verdict;
-	uint32_t deaths;
-	uint64_t replica;
-	medlar_time_t until;
-} medlar_suspect_entry_t;
-
-bool medlar_suspects_next(const medlar_suspects_t *suspects, size_t *cursor,
-			  medlar_time_t now, medlar_suspect_entry_t *out);
 uint64_t medlar_fingerprint(medlar_str_t service, medlar_str_t method,
 			    medlar_str_t body);
 
--- a/libmedlar/suspect.c
+++ b/libmedlar/suspect.c
@@ -1,25 +1,26 @@
 /**
  * DOC: fingerprints of requests that may crash upstreams
  *
- * A request in flight at a replica when it died is a suspect. A second death,
- * of another replica or later on, convicts its fingerprint; a success clears a
- * suspect. A pardon leaves a mark, so that a late report of the old conviction
- * does not bring it back.
+ * A request in flight at a replica when it died is a suspect. It is sent again
+ * only in a trial, alone on a replica: a death in a trial convicts it, a
+ * success clears it. Deaths of replicas outside a trial prove nothing further,
+ * since every request that shared them is a suspect as well. A pardon leaves a
+ * mark, so that a late report of the old conviction does not bring it back.
  */
 #include <stdlib.h>
 
 #include "medlar.h"
 
 #define DEATHS_TO_CONVICT 2
-/* Reports of one death of a replica may reach us this far apart, ms. */
-#define SAME_DEATH_WINDOW (2 * MEDLAR_SECOND)
 
 struct medlar_suspect_ {
 	uint64_t fingerprint;
 	uint64_t replica;
 	medlar_time_t died;
 	medlar_time_t until;
-	uint32_t deaths;
+	uint32_t shard;
+	uint16_t deaths;
+	bool local;
 	bool pardoned;
 };
 
@@ -136,38 +137,106 @@
 	return judge(item);
 }
 
+static void fill_entry(const struct medlar_suspect_ *item,
+		       medlar_suspect_entry_t *out)
+{
+	*out = (medlar_suspect_entry_t){
+		.fingerprint = item->fingerprint,
+		.verdict = judge(item),
+		.deaths = item->deaths,
+		.replica = item->replica,
+		.shard = item->shard,
+		.local = item->local,
+		.died = item->died,
+		.until = item->until,
+	};
+}
+
+static void notify(const medlar_suspects_t *suspects,
+		   const struct medlar_suspect_ *item)
+{
+	medlar_suspect_entry_t entry;
+
+	if (!suspects->changed)
+		return;
+	fill_entry(item, &entry);
+	suspects->changed(&entry, suspects->data);
+}
+
 /**
- * medlar_suspects_death() - a replica died with this request in flight
+ * medlar_suspects_on_change() - register the handler of new knowledge
  * @suspects: table
- * @fingerprint: the request
- * @replica: which replica died
+ * @fn: called when this instance itself suspects, convicts, clears or pardons
+ *	a fingerprint, so that peers can be told at once; NULL for none
+ * @data: passed to @fn
+ */
+void medlar_suspects_on_change(medlar_suspects_t *suspects,
+			       medlar_suspect_fn_t fn, void *data)
+{
+	suspects->changed = fn;
+	suspects->data = data;
+}
+
+/**
+ * medlar_suspects_get() - all that is known of a fingerprint
+ * @suspects: table
+ * @fingerprint: from medlar_fingerprint()
+ * @now: current time
+ * @out: the entry; untouched when there is none
+ *
+ * Return: true when @out was filled.
+ */
+bool medlar_suspects_get(const medlar_suspects_t *suspects,
+			 uint64_t fingerprint, medlar_time_t now,
+			 medlar_suspect_entry_t *out)
+{
+	const struct medlar_suspect_ *item = find(suspects, fingerprint);
+
+	if (!item || item->until <= now)
+		return false;
+	fill_entry(item, out);
+	return true;
+}
+
+/**
+ * medlar_suspects_death() - a replica died with a request in flight
+ * @suspects: table
+ * @death: the request, the replica, and how the request had been sent
  * @now: when the death was noticed
  *
- * Reports of one death, from several attempts or from peers, count once.
+ * The first death makes a suspect, and so do all others of requests sent before
+ * it was noticed. A death in a trial convicts.
  *
  * Return: the verdict after this death.
  */
 medlar_verdict_t medlar_suspects_death(medlar_suspects_t *suspects,
-				       uint64_t fingerprint, uint64_t replica,
+				       const medlar_death_t *death,
 				       medlar_time_t now)
 {
-	struct medlar_suspect_ *item = find_or_add(suspects, fingerprint);
+	struct medlar_suspect_ *item = find_or_add(suspects,
+						   death->fingerprint);
 	bool known = item->deaths > 0 && item->until > now;
 
-	if (known && item->replica == replica &&
-	    now - item->died < SAME_DEATH_WINDOW)
+	if (known && is_convicted(item))
+		return MEDLAR_VERDICT_CONVICTED;
+	if (known && !death->trial) {
+		item->local = item->local || death->local;
 		return judge(item);
-	item->deaths = known ? item->deaths + 1 : 1;
-	item->replica = replica;
+	}
+	item->deaths = known ? DEATHS_TO_CONVICT : 1;
+	item->replica = death->replica;
+	item->shard = death->shard;
+	item->local = death->local;
 	item->died = now;
 	item->pardoned = false;
-	if (item->until < now + suspects->expiry)
-		item->until = now + suspects->expiry;
+	item->until = now + suspects->expiry;
+	if (death->local)
+		notify(suspects, item);
 	return judge(item);
 }
 
 /**
- * medlar_suspects_success() - the request ran and its replica lives
+ * medlar_suspects_success() - a trial succeeded, here or at a peer
  * @suspects: table
  * @fingerprint: the request
  *
@@ -177,8 +246,12 @@
 {
 	struct medlar_suspect_ *item = find(suspects, fingerprint);
 
-	if (item && !item->pardoned && !is_convicted(item))
-		drop(suspects, item);
+	if (!item || item->pardoned || is_convicted(item))
+		return;
+	item->deaths = 0;
+	if (item->local)
+		notify(suspects, item);
+	drop(suspects, item);
 }
 
 /**
@@ -198,6 +271,7 @@
 		return MEDLAR_ERR_STALE;
 	item->deaths = DEATHS_TO_CONVICT;
 	item->pardoned = false;
+	item->local = false;
 	if (item->until < until)
 		item->until = until;
 	return MEDLAR_OK;
@@ -218,6 +292,7 @@
 		return MEDLAR_ERR_NOT_FOUND;
 	item->deaths = 0;
 	item->pardoned = true;
+	notify(suspects, item);
 	return MEDLAR_OK;
 }
 
@@ -239,13 +314,7 @@
 
 		if (item->until <= now)
 			continue;
-		*out = (medlar_suspect_entry_t){
-			.fingerprint = item->fingerprint,
-			.verdict = judge(item),
-			.deaths = item->deaths,
-			.replica = item->replica,
-			.until = item->until,
-		};
+		fill_entry(item, out);
 		return true;
 	}
 	return false;
