Add the core at the level of a replica

Cause: queries need a replica for each part, and the limits of a replica are shared by instances that do not talk per request.

Change: services with shards and replicas, the choice of a replica, shares of slots and connections with a hold before they grow, limits lowered on sheds, slow start, ejection, leaving by incarnation, latency quantiles and the budget. struct medlar_service_ is complete in the public header; medlar_peers_t gains the hold and the time of joining, and medlar_replica_started() and read-only accessors of a service are added.

--- /dev/null
+++ b/libmedlar/internal.h
@@ -0,0 +1,175 @@
+/**
+ * DOC: structures shared by the source files of the library
+ *
+ * Nothing in this file is part of the public interface.
+ */
+#ifndef MEDLAR_INTERNAL_H
+#define MEDLAR_INTERNAL_H
+
+#include "medlar.h"
+
+/** Replicas of a service, and shards of a map, that are accepted at most. */
+#define MEDLAR_REPLICAS_MAX 131072
+#define MEDLAR_SHARDS_MAX 65536
+
+/** enum medlar_health - whether a replica is trusted with requests */
+typedef enum medlar_health {
+	MEDLAR_HEALTH_GOOD,
+	MEDLAR_HEALTH_EJECTED, /* no requests until the ejection ends */
+	MEDLAR_HEALTH_PROBED, /* one request decides */
+} medlar_health_t;
+
+/**
+ * struct medlar_replica_cold - what choosing a replica does not read
+ * @info: newest entry of the instance list
+ * @announced: when the replica itself last told its versions, ms
+ * @left: highest incarnation known to be leaving; %LEFT_NONE for none
+ * @data: the program's own
+ * @next: next in the list of removed replicas with requests in flight
+ * @removed: no longer listed; freed when nothing is in flight
+ */
+typedef struct medlar_replica_cold {
+	medlar_replica_info_t info;
+	medlar_time_t announced;
+	medlar_time_t left;
+	void *data;
+	medlar_replica_t *next;
+	bool removed;
+} medlar_replica_cold_t;
+
+/**
+ * struct medlar_replica_ - state of an upstream that each request reads
+ * @id: hash of the name
+ * @shard: shard that it serves
+ * @cold: everything else
+ * @ejected_until: end of the newest ejection, ms
+ * @ramp_from: when its slow start began, ms; %MEDLAR_TIME_NEVER for none
+ * @done_at: when a request last ended, ms
+ * @reported_at: when a load report last came, ms
+ * @shed_at: when it last refused a request for load, ms
+ * @versions: index versions that it serves; unused entries are 0
+ * @latency: moving average of reply times, ms; 0 when unknown
+ * @limit: requests in flight that sheds leave, below 1 a send probability
+ * @failures: moving average of the share of requests that failed
+ * @load: utilization of the newest report, 0 to 2
+ * @index: position among the replicas of the shard
+ * @in_flight: requests in flight
+ * @slots: requests in flight that the share of this instance allows
+ * @connections: connections that the share allows
+ * @rank: number of peers that precede this instance at this replica
+ * @zone: number of its availability zone
+ * @strikes: points for failures in a row
+ * @ejections: ejections not yet forgotten
+ * @samples: requests judged since the last change of health; stays high once
+ *	it has been
+ * @health: see &enum medlar_health
+ * @refused: a connection was refused since the last reply
+ * @leaving: it gets no new requests
+ */
+struct medlar_replica_ {
+	uint64_t id;
+	medlar_shard_t *shard;
+	medlar_replica_cold_t *cold;
+	medlar_time_t ejected_until;
+	medlar_time_t ramp_from;
+	medlar_time_t done_at;
+	medlar_time_t reported_at;
+	medlar_time_t shed_at;
+	uint32_t versions[MEDLAR_VERSIONS_MAX];
+	float latency;
+	float limit;
+	float failures;
+	float load;
+	uint32_t index;
+	uint16_t in_flight;
+	uint16_t slots;
+	uint16_t connections;
+	uint16_t rank;
+	uint16_t zone;
+	uint8_t strikes;
+	uint8_t ejections;
+	uint8_t samples;
+	uint8_t health;
+	bool refused;
+	bool leaving;
+};
+
+/**
+ * struct medlar_shard_ - the replicas that hold the same keys
+ * @service: service that it belongs to
+ * @index: its number
+ * @replicas: all replicas; the first @active may be chosen
+ * @len: number of replicas
+ * @cap: room in @replicas
+ * @active: replicas that are not leaving and have a share for this instance
+ * @latency: moving average of reply times over all replicas, ms
+ * @since: when the first replica was added, ms
+ */
+struct medlar_shard_ {
+	medlar_service_t *service;
+	uint32_t index;
+	medlar_replica_t **replicas;
+	size_t len;
+	size_t cap;
+	size_t active;
+	float latency;
+	medlar_time_t since;
+};
+
+/**
+ * struct medlar_peer_ - an instance that may be using the upstreams
+ * @id: hash of its name
+ * @gone: when it left the membership, ms; %MEDLAR_TIME_NEVER while in it
+ */
+typedef struct medlar_peer_ {
+	uint64_t id;
+	medlar_time_t gone;
+} medlar_peer_t;
+
+/* query.c */
+int medlar_queries_init(medlar_client_t *client, medlar_service_t *service,
+			medlar_time_t now);
+void medlar_queries_finish(medlar_client_t *client, medlar_service_t *service);
+
+/* share.c */
+uint64_t medlar_share_weight(uint64_t instance, uint64_t replica);
+medlar_share_t medlar_share_ranked(size_t instances, size_t rank,
+				   uint32_t slots, uint32_t connections);
+
+/* peers.c */
+void medlar_peers_init(medlar_service_t *service);
+void medlar_peers_finish(medlar_client_t *client, medlar_service_t *service);
+void medlar_peers_rank(medlar_client_t *client, medlar_service_t *service,
+		       medlar_replica_t *replica, medlar_time_t now);
+void medlar_peers_share(medlar_client_t *client, medlar_service_t *service,
+			medlar_time_t now);
+
+/* table.c */
+int medlar_table_insert(medlar_service_t *service, medlar_replica_t *replica);
+void medlar_table_remove(medlar_service_t *service, uint64_t id);
+
+/* shard.c */
+medlar_shard_t *medlar_shard_new(medlar_service_t *service, uint32_t index);
+void medlar_shard_free(medlar_shard_t *shard);
+int medlar_shard_add(medlar_shard_t *shard, medlar_replica_t *replica,
+		     medlar_time_t now);
+void medlar_shard_remove(medlar_replica_t *replica);
+void medlar_shard_place(medlar_replica_t *replica);
+
+/* replica.c */
+medlar_replica_t *medlar_replica_new(const medlar_replica_info_t *info,
+				     uint64_t id);
+void medlar_replica_free(medlar_replica_t *replica);
+void medlar_replica_update(medlar_client_t *client, medlar_replica_t *replica,
+			   const medlar_replica_info_t *info,
+			   medlar_time_t now);
+void medlar_replica_ramp_start(medlar_replica_t *replica, medlar_time_t now);
+void medlar_replica_set_share(medlar_replica_t *replica, medlar_share_t share);
+
+/* eject.c */
+void medlar_eject_judge(medlar_client_t *client, medlar_replica_t *replica,
+			medlar_result_t result, medlar_time_t took,
+			medlar_time_t now);
+void medlar_eject_clear(medlar_replica_t *replica);
+
+#endif /* MEDLAR_INTERNAL_H */
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -27,6 +27,7 @@
 typedef struct medlar_query_ medlar_query_t;
 typedef struct medlar_part_ medlar_part_t;
 typedef struct medlar_attempt_ medlar_attempt_t;
+typedef struct medlar_suspects medlar_suspects_t;
 
 /*
  * error.c
@@ -437,12 +438,18 @@
  * struct medlar_peers - the instances that share the upstreams
  * @ids: hashes of their names, this instance included, sorted
  * @len: how many
+ * @hold: time within which a change of membership reaches every instance, ms;
+ *	shares grow only after it has passed; 0 lets them grow at once
+ * @since: when this instance joined; it has no share until @hold has passed
  */
 typedef struct medlar_peers {
 	const uint64_t *ids;
 	size_t len;
+	medlar_time_t hold;
+	medlar_time_t since;
 } medlar_peers_t;
 
+uint32_t medlar_share_total(uint32_t slots);
 medlar_share_t medlar_share_of(const medlar_peers_t *peers, uint64_t self,
 			       uint64_t replica, uint32_t slots,
 			       uint32_t connections);
@@ -535,6 +542,8 @@
 			     const uint32_t *versions, size_t len);
 void medlar_replica_leave(medlar_client_t *client, medlar_replica_t *replica,
 			  medlar_time_t incarnation, medlar_time_t now);
+void medlar_replica_started(medlar_client_t *client, medlar_replica_t *replica,
+			    medlar_time_t incarnation, medlar_time_t now);
 const medlar_replica_info_t *
 medlar_replica_info(const medlar_replica_t *replica);
 uint64_t medlar_replica_id(const medlar_replica_t *replica);
@@ -702,6 +711,36 @@
 	void (*answer)(medlar_query_t *query, void *data);
 } medlar_service_ops_t;
 
+/**
+ * struct medlar_service_ - the replicas and queries of one service
+ *
+ * The members are private to the library. The memory is the caller's and must
+ * not move while the service is in use.
+ */
+struct medlar_service_ {
+	medlar_policy_t policy;
+	medlar_service_ops_t ops;
+	void *data;
+	medlar_map_t map;
+	medlar_shard_t **shards;
+	size_t shards_len;
+	medlar_replica_t **table;
+	size_t table_len;
+	size_t table_cap;
+	struct medlar_peer_ *peers;
+	size_t peers_len;
+	medlar_replica_t *removed;
+	medlar_time_t hold;
+	medlar_time_t since;
+	medlar_timer_t raise;
+	uint64_t generation;
+	medlar_time_t seen;
+	medlar_latency_t latency;
+	medlar_budget_t budget;
+	struct medlar_queries_ *queries;
+	medlar_suspects_t *suspects;
+};
+
 int medlar_service_init(medlar_client_t *client, medlar_service_t *service,
 			const medlar_policy_t *policy,
 			const medlar_service_ops_t *ops, void *data,
@@ -724,6 +763,11 @@
 void medlar_service_set_peers(medlar_client_t *client,
 			      medlar_service_t *service,
 			      const medlar_peers_t *peers, medlar_time_t now);
+void medlar_service_set_suspects(medlar_service_t *service,
+				 medlar_suspects_t *suspects);
+const medlar_policy_t *medlar_service_policy(const medlar_service_t *service);
+const medlar_map_t *medlar_service_map(const medlar_service_t *service);
+uint64_t medlar_service_generation(const medlar_service_t *service);
 size_t medlar_service_shards(const medlar_service_t *service);
 medlar_shard_t *medlar_service_shard(medlar_service_t *service, uint32_t index);
 size_t medlar_shard_replicas(const medlar_shard_t *shard);
@@ -752,12 +796,12 @@
 } medlar_verdict_t;
 
 /** struct medlar_suspects - fingerprints of requests that may crash upstreams */
-typedef struct medlar_suspects {
+struct medlar_suspects {
 	struct medlar_suspect_ *items;
 	size_t len;
 	size_t cap;
 	medlar_time_t expiry;
-} medlar_suspects_t;
+};
 
 int medlar_suspects_init(medlar_suspects_t *suspects, size_t cap,
 			 medlar_time_t expiry);
--- /dev/null
+++ b/libmedlar/pick.c
@@ -0,0 +1,281 @@
+/**
+ * DOC: choice of the replica that gets a request
+ *
+ * Up to %ALL_MAX replicas are all weighed; of more, two drawn at random are,
+ * which spreads load nearly as well and keeps instances from herding onto the
+ * one that looked best to all of them. A replica in slow start or under
+ * a limit below one request is held back with a probability, and used all the
+ * same when there is no other. Ejected replicas are used when all are ejected.
+ */
+#include "internal.h"
+
+#define ALL_MAX 3
+#define DRAWS_MAX 8
+#define WANTED 2
+
+/* Added for a replica in another availability zone, ms. */
+#define ZONE_COST 1.0F
+
+#define LATENCY_MIN 1.0F
+#define LATENCY_FRESH (5 * MEDLAR_SECOND)
+#define LOAD_FRESH MEDLAR_SECOND
+#define LOAD_SHED 2.0F
+#define SHED_FRESH MEDLAR_SECOND
+#define SLOW_RATIO 2.0F
+#define RAMP_MIN 0.1F
+
+/** enum fit - how well a replica fits, best first */
+typedef enum fit {
+	FIT_FREE,
+	FIT_HELD, /* held back in favour of others */
+	FIT_EJECTED,
+	FIT_KINDS,
+	FIT_BUSY = FIT_KINDS, /* at its limit */
+	FIT_VERSION, /* lacks the index version */
+	FIT_TRIED,
+	FIT_COUNT
+} fit_t;
+
+/**
+ * struct choice - the best replicas found so far
+ * @client: client
+ * @pick: what the replica must fulfil
+ * @now: current time, ms
+ * @best: best replica of each usable fit, or NULL
+ * @score: its score; lower is better
+ * @seen: replicas found of each fit
+ */
+typedef struct choice {
+	medlar_client_t *client;
+	const medlar_pick_t *pick;
+	medlar_time_t now;
+	medlar_replica_t *best[FIT_KINDS];
+	float score[FIT_KINDS];
+	uint32_t seen[FIT_COUNT];
+} choice_t;
+
+/* Share of its normal load that a replica may get, 0 to 1. */
+static float ramp(const medlar_replica_t *replica, medlar_time_t now)
+{
+	float length = (float)replica->shard->service->policy.slow_start;
+	float done;
+
+	if (replica->ramp_from == MEDLAR_TIME_NEVER)
+		return 1;
+	done = (float)(now - replica->ramp_from) / length;
+	if (done < RAMP_MIN)
+		return RAMP_MIN;
+	return done < 1 ? done : 1;
+}
+
+static bool shed_lately(const medlar_replica_t *replica, medlar_time_t now)
+{
+	return replica->shed_at != 0 && now - replica->shed_at < SHED_FRESH;
+}
+
+/* Reported load, unless it is old or own observations contradict it. */
+static float load_of(const medlar_replica_t *replica, medlar_time_t now)
+{
+	if (shed_lately(replica, now))
+		return LOAD_SHED;
+	if (now - replica->reported_at > LOAD_FRESH)
+		return 0;
+	if (replica->latency > SLOW_RATIO * replica->shard->latency)
+		return 0;
+	return replica->load;
+}
+
+static float score_of(const medlar_client_t *client,
+		      const medlar_replica_t *replica, medlar_time_t now)
+{
+	float latency = replica->latency;
+	float score;
+
+	if (latency == 0 || now - replica->done_at > LATENCY_FRESH)
+		latency = replica->shard->latency;
+	if (latency < LATENCY_MIN)
+		latency = LATENCY_MIN;
+	score = (float)(replica->in_flight + 1) * latency *
+		(1 + load_of(replica, now)) * (float)(1 + replica->strikes);
+	if (replica->limit < 1)
+		score /= replica->limit;
+	if (replica->zone != client->zone)
+		score += ZONE_COST;
+	return score;
+}
+
+static bool was_tried(const medlar_pick_t *pick,
+		      const medlar_replica_t *replica)
+{
+	size_t i;
+
+	for (i = 0; i < pick->tried_len; i++)
+		if (pick->tried[i] == replica)
+			return true;
+	return false;
+}
+
+static bool is_busy(const medlar_replica_t *replica, medlar_time_t now)
+{
+	if (replica->in_flight >= replica->slots)
+		return true;
+	if (replica->health != MEDLAR_HEALTH_GOOD &&
+	    now >= replica->ejected_until)
+		return replica->in_flight > 0;
+	return replica->in_flight > 0 &&
+	       (float)replica->in_flight >= replica->limit;
+}
+
+static fit_t held_or_free(const choice_t *choice,
+			  const medlar_replica_t *replica)
+{
+	float chance = ramp(replica, choice->now);
+
+	if (replica->limit < 1 && shed_lately(replica, choice->now))
+		chance *= replica->limit;
+	if (chance >= 1)
+		return FIT_FREE;
+	if (choice->pick->spare)
+		return FIT_BUSY;
+	if (medlar_rand_unit(&choice->client->rand) < (double)chance)
+		return FIT_FREE;
+	return FIT_HELD;
+}
+
+static fit_t fit_of(const choice_t *choice, const medlar_replica_t *replica)
+{
+	const medlar_pick_t *pick = choice->pick;
+
+	if (pick->tried_len > 0 && was_tried(pick, replica))
+		return FIT_TRIED;
+	if (pick->version && !medlar_replica_serves(replica, pick->version))
+		return FIT_VERSION;
+	if (is_busy(replica, choice->now))
+		return FIT_BUSY;
+	if (replica->health != MEDLAR_HEALTH_GOOD) {
+		if (pick->spare)
+			return FIT_BUSY;
+		if (choice->now < replica->ejected_until)
+			return FIT_EJECTED;
+	}
+	return held_or_free(choice, replica);
+}
+
+static void consider(choice_t *choice, medlar_replica_t *replica)
+{
+	fit_t fit = fit_of(choice, replica);
+	float score;
+
+	choice->seen[fit]++;
+	if (fit >= FIT_KINDS)
+		return;
+	score = score_of(choice->client, replica, choice->now);
+	if (choice->best[fit] && choice->score[fit] <= score)
+		return;
+	choice->best[fit] = replica;
+	choice->score[fit] = score;
+}
+
+/* Starts anywhere, so that equal scores are not always won by the first. */
+static void consider_all(choice_t *choice, const medlar_shard_t *shard)
+{
+	size_t at = medlar_rand_below(&choice->client->rand, shard->active);
+	size_t i;
+
+	for (i = 0; i < shard->active; i++) {
+		consider(choice, shard->replicas[at]);
+		if (++at == shard->active)
+			at = 0;
+	}
+}
+
+static void consider_two(choice_t *choice, const medlar_shard_t *shard)
+{
+	medlar_replica_t *last = NULL;
+	unsigned i;
+
+	for (i = 0; i < DRAWS_MAX && choice->seen[FIT_FREE] < WANTED; i++) {
+		size_t at = medlar_rand_below(&choice->client->rand,
+					      shard->active);
+
+		if (shard->replicas[at] == last)
+			continue;
+		last = shard->replicas[at];
+		consider(choice, last);
+	}
+}
+
+static int failure(const choice_t *choice, const medlar_shard_t *shard)
+{
+	size_t i;
+
+	if (choice->seen[FIT_BUSY] > 0)
+		return MEDLAR_ERR_FULL;
+	if (choice->seen[FIT_VERSION] > 0)
+		return MEDLAR_ERR_NO_VERSION;
+	if (choice->seen[FIT_TRIED] > 0)
+		return MEDLAR_ERR_NO_REPLICA;
+	for (i = 0; i < shard->len; i++)
+		if (!shard->replicas[i]->leaving)
+			return MEDLAR_ERR_FULL;
+	return MEDLAR_ERR_NO_REPLICA;
+}
+
+static medlar_replica_t *best_of(const choice_t *choice)
+{
+	if (choice->best[FIT_FREE])
+		return choice->best[FIT_FREE];
+	if (choice->best[FIT_HELD])
+		return choice->best[FIT_HELD];
+	if (choice->seen[FIT_BUSY] > 0)
+		return NULL;
+	return choice->best[FIT_EJECTED];
+}
+
+static void trace(const choice_t *choice, const medlar_replica_t *replica)
+{
+	MEDLAR_TRACE(choice->client, MEDLAR_EVENT_PICK,
+		     MEDLAR_NUM("shard", replica->shard->index),
+		     MEDLAR_TEXT("replica",
+				 medlar_str_from(replica->cold->info.name)),
+		     MEDLAR_NUM("in_flight", replica->in_flight),
+		     MEDLAR_NUM("slots", replica->slots),
+		     MEDLAR_NUM("latency_ms", replica->latency),
+		     MEDLAR_NUM("free", choice->seen[FIT_FREE]),
+		     MEDLAR_NUM("held", choice->seen[FIT_HELD]),
+		     MEDLAR_NUM("ejected", choice->seen[FIT_EJECTED]));
+}
+
+/**
+ * medlar_replica_pick() - choose the replica for a request
+ * @client: client
+ * @shard: shard to ask
+ * @pick: what the replica must fulfil
+ * @now: current time, ms
+ * @out: set to the replica on success
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_FULL when replicas fit but each is at its
+ * limit, so that waiting helps; %MEDLAR_ERR_NO_VERSION when those not tried
+ * lack the version; or %MEDLAR_ERR_NO_REPLICA.
+ */
+int medlar_replica_pick(medlar_client_t *client, medlar_shard_t *shard,
+			const medlar_pick_t *pick, medlar_time_t now,
+			medlar_replica_t **out)
+{
+	choice_t choice = { .client = client, .pick = pick, .now = now };
+	medlar_replica_t *replica;
+
+	if (shard->active > ALL_MAX)
+		consider_two(&choice, shard);
+	if (!choice.best[FIT_FREE] && shard->active > 0) {
+		choice = (choice_t){ client, pick, now, { 0 }, { 0 }, { 0 } };
+		consider_all(&choice, shard);
+	}
+	replica = best_of(&choice);
+	if (!replica)
+		return failure(&choice, shard);
+	if (client->trace)
+		trace(&choice, replica);
+	*out = replica;
+	return MEDLAR_OK;
+}
--- /dev/null
+++ b/libmedlar/service.c
@@ -0,0 +1,370 @@
+/**
+ * DOC: a service: its shards, replicas, policy and partition map
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/* Extra sends that may be saved: those earned by so many queries. */
+#define BUDGET_QUERIES 20
+#define BUDGET_CAP_MIN 8.0
+
+static double budget_cap(const medlar_policy_t *policy)
+{
+	double cap = policy->extra_load * policy->shards * BUDGET_QUERIES;
+
+	return cap > BUDGET_CAP_MIN ? cap : BUDGET_CAP_MIN;
+}
+
+static int grow_shards(medlar_service_t *service, size_t len)
+{
+	medlar_shard_t **shards;
+
+	if (len <= service->shards_len)
+		return MEDLAR_OK;
+	if (len > MEDLAR_SHARDS_MAX)
+		return MEDLAR_ERR_RANGE;
+	shards = realloc(service->shards, len * sizeof(medlar_shard_t *));
+	if (!shards)
+		return MEDLAR_ERR_NOMEM;
+	service->shards = shards;
+	while (service->shards_len < len) {
+		uint32_t index = (uint32_t)service->shards_len;
+
+		shards[index] = medlar_shard_new(service, index);
+		if (!shards[index])
+			return MEDLAR_ERR_NOMEM;
+		service->shards_len++;
+	}
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_service_init() - start a service without replicas
+ * @client: client of the thread that the service belongs to
+ * @service: memory of the caller; must not move until it is finished
+ * @policy: its configuration; copied
+ * @ops: actions; copied
+ * @data: passed to the actions
+ * @now: current time, ms
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_RANGE or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_service_init(medlar_client_t *client, medlar_service_t *service,
+			const medlar_policy_t *policy,
+			const medlar_service_ops_t *ops, void *data,
+			medlar_time_t now)
+{
+	int error;
+
+	*service = (medlar_service_t){
+		.policy = *policy,
+		.ops = *ops,
+		.data = data,
+		.seen = now,
+	};
+	if (policy->shards < 1 || policy->shards > MEDLAR_SHARDS_MAX)
+		return MEDLAR_ERR_RANGE;
+	medlar_peers_init(service);
+	medlar_latency_init(&service->latency, now);
+	medlar_budget_init(&service->budget, policy->extra_load,
+			   budget_cap(policy));
+	error = grow_shards(service, policy->shards);
+	if (!error)
+		error = medlar_map_init_even(&service->map, 0, policy->shards);
+	if (!error)
+		error = medlar_queries_init(client, service, now);
+	if (error)
+		medlar_service_finish(client, service);
+	return error;
+}
+
+/**
+ * medlar_service_finish() - release a service
+ * @client: client
+ * @service: a service; its queries end without further actions
+ */
+void medlar_service_finish(medlar_client_t *client, medlar_service_t *service)
+{
+	size_t i;
+
+	medlar_queries_finish(client, service);
+	medlar_peers_finish(client, service);
+	medlar_map_finish(&service->map);
+	while (service->removed) {
+		medlar_replica_t *replica = service->removed;
+
+		service->removed = replica->cold->next;
+		medlar_replica_free(replica);
+	}
+	for (i = 0; i < service->shards_len; i++)
+		medlar_shard_free(service->shards[i]);
+	free(service->shards);
+	free(service->table);
+	service->shards = NULL;
+	service->shards_len = 0;
+	service->table = NULL;
+	service->table_len = 0;
+	service->table_cap = 0;
+}
+
+/**
+ * medlar_service_set_policy() - put a new configuration into force
+ * @client: client
+ * @service: service
+ * @policy: configuration; copied
+ *
+ * What the budget has earned is kept up to its new bound.
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_RANGE or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_service_set_policy(medlar_client_t *client,
+			      medlar_service_t *service,
+			      const medlar_policy_t *policy)
+{
+	double tokens = service->budget.tokens;
+	int error;
+
+	if (policy->shards < 1)
+		return MEDLAR_ERR_RANGE;
+	error = grow_shards(service, policy->shards);
+	if (error)
+		return error;
+	service->policy = *policy;
+	medlar_budget_init(&service->budget, policy->extra_load,
+			   budget_cap(policy));
+	service->budget.tokens = tokens < service->budget.cap
+					 ? tokens
+					 : service->budget.cap;
+	medlar_peers_share(client, service, service->seen);
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_service_set_map() - take over a partition map
+ * @client: client
+ * @service: service
+ * @map: map; copied. An epoch that is not higher is ignored
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_STALE, %MEDLAR_ERR_RANGE or
+ * %MEDLAR_ERR_NOMEM.
+ */
+int medlar_service_set_map(medlar_client_t *client, medlar_service_t *service,
+			   const medlar_map_t *map)
+{
+	medlar_map_t copy;
+	int error;
+
+	if (map->epoch <= service->map.epoch)
+		return MEDLAR_ERR_STALE;
+	error = grow_shards(service, map->shards);
+	if (error)
+		return error;
+	error = medlar_map_copy(&copy, map);
+	if (error)
+		return error;
+	medlar_map_finish(&service->map);
+	service->map = copy;
+	service->generation++;
+	MEDLAR_TRACE(
+		client, MEDLAR_EVENT_MAP,
+		MEDLAR_TEXT("service", medlar_str_from(service->policy.name)),
+		MEDLAR_NUM("epoch", map->epoch),
+		MEDLAR_NUM("shards", map->shards));
+	return MEDLAR_OK;
+}
+
+static bool is_terminated(const char *text, size_t size)
+{
+	return text[0] != '\0' && memchr(text, '\0', size);
+}
+
+static int add_replica(medlar_client_t *client, medlar_service_t *service,
+		       const medlar_replica_info_t *info, uint64_t id,
+		       medlar_time_t now)
+{
+	medlar_shard_t *shard = service->shards[info->shard];
+	medlar_replica_t *replica = medlar_replica_new(info, id);
+	int error = MEDLAR_ERR_NOMEM;
+
+	if (!replica)
+		return error;
+	error = medlar_table_insert(service, replica);
+	if (error)
+		goto failed;
+	error = medlar_shard_add(shard, replica, now);
+	if (error)
+		goto failed_in_table;
+	if (now - shard->since > service->policy.slow_start)
+		medlar_replica_ramp_start(replica, now);
+	medlar_peers_rank(client, service, replica, now);
+	return MEDLAR_OK;
+
+failed_in_table:
+	medlar_table_remove(service, id);
+failed:
+	medlar_replica_free(replica);
+	return error;
+}
+
+static int move_replica(medlar_service_t *service, medlar_replica_t *replica,
+			uint32_t shard, medlar_time_t now)
+{
+	medlar_shard_t *from = replica->shard;
+	int error;
+
+	if (from->index == shard)
+		return MEDLAR_OK;
+	medlar_shard_remove(replica);
+	error = medlar_shard_add(service->shards[shard], replica, now);
+	if (error)
+		medlar_shard_add(from, replica, now);
+	return error;
+}
+
+/**
+ * medlar_service_put_replica() - add a replica, or update what is listed of it
+ * @client: client
+ * @service: service
+ * @info: entry of the instance list; 0 slots or connections mean the policy's
+ * @now: current time, ms
+ *
+ * An entry of an earlier incarnation than the one known is ignored, and a
+ * replica that is leaving stays so until a later incarnation is listed.
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_STALE, %MEDLAR_ERR_RANGE, %MEDLAR_ERR_FULL
+ * or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_service_put_replica(medlar_client_t *client,
+			       medlar_service_t *service,
+			       const medlar_replica_info_t *info,
+			       medlar_time_t now)
+{
+	medlar_replica_t *replica;
+	uint64_t id;
+	int error;
+
+	service->seen = now;
+	if (info->shard >= MEDLAR_SHARDS_MAX ||
+	    !is_terminated(info->name, sizeof(info->name)) ||
+	    !is_terminated(info->host, sizeof(info->host)))
+		return MEDLAR_ERR_RANGE;
+	error = grow_shards(service, (size_t)info->shard + 1);
+	if (error)
+		return error;
+	id = medlar_str_hash(medlar_str_from(info->name), 0);
+	replica = medlar_service_find_replica(service, id);
+	service->generation++;
+	if (!replica)
+		return add_replica(client, service, info, id, now);
+	if (info->incarnation < replica->cold->info.incarnation)
+		return MEDLAR_ERR_STALE;
+	error = move_replica(service, replica, info->shard, now);
+	if (error)
+		return error;
+	medlar_replica_update(client, replica, info, now);
+	medlar_peers_rank(client, service, replica, now);
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_service_remove_replica() - forget a replica
+ * @client: client
+ * @service: service
+ * @id: its id
+ * @now: current time, ms
+ *
+ * With requests in flight it stays valid until the last of them is done.
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOT_FOUND.
+ */
+int medlar_service_remove_replica(medlar_client_t *client,
+				  medlar_service_t *service, uint64_t id,
+				  medlar_time_t now)
+{
+	medlar_replica_t *replica = medlar_service_find_replica(service, id);
+
+	if (!replica)
+		return MEDLAR_ERR_NOT_FOUND;
+	medlar_replica_leave(client, replica, 0, now);
+	medlar_table_remove(service, id);
+	medlar_shard_remove(replica);
+	service->generation++;
+	if (replica->in_flight == 0) {
+		medlar_replica_free(replica);
+		return MEDLAR_OK;
+	}
+	replica->cold->removed = true;
+	replica->cold->next = service->removed;
+	service->removed = replica;
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_service_set_suspects() - use a table of request fingerprints
+ * @service: service
+ * @suspects: table that outlives the service, or NULL for none
+ */
+void medlar_service_set_suspects(medlar_service_t *service,
+				 medlar_suspects_t *suspects)
+{
+	service->suspects = suspects;
+}
+
+/**
+ * medlar_service_policy() - configuration in force
+ * @service: service
+ *
+ * Return: the policy, valid until the next one is set.
+ */
+const medlar_policy_t *medlar_service_policy(const medlar_service_t *service)
+{
+	return &service->policy;
+}
+
+/**
+ * medlar_service_map() - partition map in force
+ * @service: service
+ *
+ * Return: the map, valid until the next one is set.
+ */
+const medlar_map_t *medlar_service_map(const medlar_service_t *service)
+{
+	return &service->map;
+}
+
+/**
+ * medlar_service_generation() - number of changes to replicas and map
+ * @service: service
+ *
+ * Return: a number that grows when a replica is listed, leaves, returns, or
+ * serves other versions; what was derived from equal ones is still valid.
+ */
+uint64_t medlar_service_generation(const medlar_service_t *service)
+{
+	return service->generation;
+}
+
+/**
+ * medlar_service_shards() - number of shards
+ * @service: service
+ *
+ * Return: how many; never shrinks.
+ */
+size_t medlar_service_shards(const medlar_service_t *service)
+{
+	return service->shards_len;
+}
+
+/**
+ * medlar_service_shard() - one of the shards
+ * @service: service
+ * @index: number of the shard
+ *
+ * Return: the shard, or NULL when there is none with that number.
+ */
+medlar_shard_t *medlar_service_shard(medlar_service_t *service, uint32_t index)
+{
+	return index < service->shards_len ? service->shards[index] : NULL;
+}
--- /dev/null
+++ b/libmedlar/share.c
@@ -0,0 +1,121 @@
+/**
+ * DOC: exact division of a replica's slots and connections among instances
+ *
+ * Instances are ranked at each replica by a hash of both, the same for every
+ * instance (rendezvous hashing). Units are dealt in rank order: rank k of N
+ * gets the units k, k + N, k + 2N and so on. Instances with equal views thus
+ * divide all units exactly, and with more instances than units only the first
+ * ranks use the replica. Adding an instance never enlarges another's share.
+ */
+#include "internal.h"
+
+/* Requests that may wait at a replica for each of its slots. */
+#define QUEUE_PER_SLOT 1
+
+/*
+ * Connections are kept back for lost instances whose connections a replica
+ * has not yet closed: one instance, and one more for each so many.
+ */
+#define INSTANCES_PER_SPARE 20
+
+/**
+ * medlar_share_weight() - rank of an instance at a replica, as a hash
+ * @instance: hash of the instance's name
+ * @replica: hash of the replica's name
+ *
+ * Return: lower values come first.
+ */
+uint64_t medlar_share_weight(uint64_t instance, uint64_t replica)
+{
+	uint64_t z = instance ^ (replica * UINT64_C(0x9e3779b97f4a7c15));
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+/**
+ * medlar_share_total() - requests that all instances may have in flight
+ * @slots: slots of a replica
+ *
+ * Return: the slots and the queue that is allowed for at the replica.
+ */
+uint32_t medlar_share_total(uint32_t slots)
+{
+	return slots + slots * QUEUE_PER_SLOT;
+}
+
+/* Connections that may be used while all instances are well. */
+static uint32_t connections_total(size_t instances, uint32_t connections)
+{
+	size_t spare = 1 + instances / INSTANCES_PER_SPARE;
+	size_t all = instances + spare;
+	uint32_t reserve;
+
+	if (connections <= 1)
+		return connections;
+	reserve = (uint32_t)((connections * spare + all - 1) / all);
+	return connections - reserve;
+}
+
+static uint16_t deal(uint32_t units, size_t instances, size_t rank)
+{
+	size_t dealt;
+
+	if (rank >= units)
+		return 0;
+	dealt = (units - rank + instances - 1) / instances;
+	return dealt < UINT16_MAX ? (uint16_t)dealt : UINT16_MAX;
+}
+
+/**
+ * medlar_share_ranked() - share of the instance with a given rank
+ * @instances: number of instances, at least 1
+ * @rank: rank of the instance, 0 to @instances - 1
+ * @slots: slots of the replica
+ * @connections: connection limit of the replica
+ *
+ * Return: its share; never more slots than connections.
+ */
+medlar_share_t medlar_share_ranked(size_t instances, size_t rank,
+				   uint32_t slots, uint32_t connections)
+{
+	uint32_t total = connections_total(instances, connections);
+	medlar_share_t share;
+
+	share.slots = deal(medlar_share_total(slots), instances, rank);
+	share.connections = deal(total, instances, rank);
+	if (share.slots > share.connections)
+		share.slots = share.connections;
+	return share;
+}
+
+/**
+ * medlar_share_of() - what an instance may use of a replica
+ * @peers: the instances that share the replica
+ * @self: hash of the name of the instance
+ * @replica: hash of the name of the replica
+ * @slots: slots of the replica
+ * @connections: connection limit of the replica
+ *
+ * Return: the share; nothing for an instance that is not among @peers.
+ */
+medlar_share_t medlar_share_of(const medlar_peers_t *peers, uint64_t self,
+			       uint64_t replica, uint32_t slots,
+			       uint32_t connections)
+{
+	uint64_t own = medlar_share_weight(self, replica);
+	bool found = false;
+	size_t rank = 0;
+	size_t i;
+
+	for (i = 0; i < peers->len; i++) {
+		if (peers->ids[i] == self)
+			found = true;
+		else if (medlar_share_weight(peers->ids[i], replica) < own)
+			rank++;
+	}
+	if (!found)
+		return (medlar_share_t){ 0 };
+	return medlar_share_ranked(peers->len, rank, slots, connections);
+}
