--- /dev/null
+++ b/libmedlar/admission.c
@@ -0,0 +1,279 @@
+/**
+ * DOC: which queries are run, wait, or are refused at once
+ *
+ * Queries run while the service has room for their parts. Others wait in one
+ * queue for each group of callers; the queues are served in turn, so that no
+ * caller crowds out the rest. What cannot be finished in time is refused
+ * before anything is sent. A full queue gives up from its longest lane,
+ * searches before lookups, and an old queue serves the newest first.
+ */
+#include "query.h"
+
+/* Parts that may be open for each slot: one at work and some to follow. */
+#define ROOM_PER_SLOT 2
+/* How often the room is worked out again, ms. */
+#define ROOM_TIME 100
+/* Shortest time over which the rate of ended queries is measured, ms. */
+#define RATE_TIME ((medlar_time_t)50)
+#define RATE_WEIGHT 0.5
+/* A query is let in against the estimates this often, to correct them, ms. */
+#define PROBE_TIME 100
+/* Share of the time left that a query may spend waiting. */
+#define WAIT_SHARE 0.5
+/* Share of the policy's deadline after which a queue counts as old. */
+#define OLD_SHARE 0.25
+#define MEDIAN 0.5
+
+static unsigned lane_of(const medlar_query_params_t *params)
+{
+	return (unsigned)(params->caller % MEDLAR_LANES);
+}
+
+static size_t slots_of(const medlar_shard_t *shard)
+{
+	size_t slots = 0;
+	size_t i;
+
+	for (i = 0; i < shard->active; i++) {
+		const medlar_replica_t *replica = shard->replicas[i];
+		float limit = replica->limit;
+
+		slots += (float)replica->slots < limit ? replica->slots
+						       : (size_t)limit;
+	}
+	return slots;
+}
+
+static void size_room(medlar_queries_t *queries, medlar_time_t now)
+{
+	const medlar_service_t *service = queries->service;
+	medlar_admission_t *admission = &queries->admission;
+	size_t slots = 0;
+	size_t i;
+
+	if (admission->sized != 0 && now - admission->sized < ROOM_TIME)
+		return;
+	for (i = 0; i < service->shards_len; i++)
+		slots += slots_of(service->shards[i]);
+	admission->room = ROOM_PER_SLOT * slots;
+	admission->sized = now;
+}
+
+/**
+ * medlar_admission_room() - whether one more query may be run
+ * @queries: queries of a service
+ * @now: current time
+ *
+ * Return: true when it may.
+ */
+bool medlar_admission_room(medlar_queries_t *queries, medlar_time_t now)
+{
+	if (!queries->tuning.admission || queries->running.len == 0)
+		return true;
+	size_room(queries, now);
+	return queries->open < queries->admission.room;
+}
+
+static medlar_time_t typical_time(const medlar_queries_t *queries)
+{
+	return medlar_latency_quantile(&queries->service->latency, MEDIAN, 0);
+}
+
+static double rate_now(const medlar_admission_t *admission, medlar_time_t now)
+{
+	medlar_time_t passed = now - admission->rated;
+
+	if (passed <= 2 * RATE_TIME)
+		return admission->rate;
+	return (double)admission->ended / (double)passed;
+}
+
+static double expected_wait(const medlar_admission_t *admission,
+			    medlar_time_t now)
+{
+	double rate = rate_now(admission, now);
+
+	return rate > 0 ? (double)(admission->len + 1) / rate : 0;
+}
+
+/**
+ * medlar_admission_ended() - queries that were run have ended
+ * @queries: queries of a service
+ * @count: how many
+ * @now: current time
+ */
+void medlar_admission_ended(medlar_queries_t *queries, size_t count,
+			    medlar_time_t now)
+{
+	medlar_admission_t *admission = &queries->admission;
+	medlar_time_t passed = now - admission->rated;
+	double rate;
+
+	admission->ended += count;
+	if (passed < RATE_TIME)
+		return;
+	rate = (double)admission->ended / (double)passed;
+	admission->rate += RATE_WEIGHT * (rate - admission->rate);
+	admission->ended = 0;
+	admission->rated = now;
+}
+
+/**
+ * medlar_admission_check() - whether a query can be finished in time
+ * @queries: queries of a service
+ * @params: the query
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_DEADLINE.
+ */
+int medlar_admission_check(medlar_queries_t *queries,
+			   const medlar_query_params_t *params,
+			   medlar_time_t now)
+{
+	medlar_time_t left = params->deadline - now;
+
+	left -= medlar_query_reserve(left);
+	if (left <= 0)
+		return MEDLAR_ERR_DEADLINE;
+	if (queries->tuning.admission && left < typical_time(queries) &&
+	    now - queries->admission.admitted < PROBE_TIME)
+		return MEDLAR_ERR_DEADLINE;
+	return MEDLAR_OK;
+}
+
+/* The query to give up for a new one: searches first, the oldest first. */
+static medlar_query_t *victim_in(const medlar_query_list_t *lane,
+				 medlar_kind_t kind)
+{
+	medlar_query_t *query = lane->head;
+
+	while (query && query->params.kind != MEDLAR_KIND_SEARCH)
+		query = query->next;
+	if (!query && kind != MEDLAR_KIND_SEARCH)
+		return lane->head;
+	return query;
+}
+
+static unsigned longest_lane(const medlar_admission_t *admission)
+{
+	unsigned longest = 0;
+	unsigned i;
+
+	for (i = 1; i < MEDLAR_LANES; i++)
+		if (admission->lanes[i].len > admission->lanes[longest].len)
+			longest = i;
+	return longest;
+}
+
+/* Makes place in a full queue, or tells that the new query is the one to go. */
+static bool make_place(medlar_client_t *client, medlar_queries_t *queries,
+		       const medlar_query_t *query, medlar_time_t now)
+{
+	medlar_admission_t *admission = &queries->admission;
+	unsigned mine = lane_of(&query->params);
+	unsigned longest = longest_lane(admission);
+	medlar_query_t *victim;
+
+	if (admission->lanes[longest].len <= admission->lanes[mine].len + 1) {
+		if (query->params.kind == MEDLAR_KIND_SEARCH)
+			return false;
+		victim = victim_in(&admission->lanes[longest],
+				   MEDLAR_KIND_SEARCH);
+	} else {
+		victim = victim_in(&admission->lanes[longest],
+				   MEDLAR_KIND_LOOKUP);
+	}
+	if (!victim)
+		return false;
+	medlar_query_end(client, victim, MEDLAR_ERR_OVERLOAD, now);
+	return true;
+}
+
+/**
+ * medlar_admission_add() - let a query wait
+ * @client: client
+ * @query: a query that is in no list
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_OVERLOAD when it would wait too long.
+ */
+int medlar_admission_add(medlar_client_t *client, medlar_query_t *query,
+			 medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	medlar_admission_t *admission = &queries->admission;
+	unsigned lane = lane_of(&query->params);
+	double left = (double)(query->finish_by - now - typical_time(queries));
+
+	if (expected_wait(admission, now) > WAIT_SHARE * left)
+		return MEDLAR_ERR_OVERLOAD;
+	if (admission->len >= queries->service->policy.queue_max &&
+	    !make_place(client, queries, query, now))
+		return MEDLAR_ERR_OVERLOAD;
+	if (admission->lanes[lane].len == 0 &&
+	    admission->served[lane] < admission->clock)
+		admission->served[lane] = admission->clock;
+	medlar_query_list_add(&admission->lanes[lane], query);
+	admission->len++;
+	query->state = MEDLAR_QUERY_QUEUED;
+	medlar_query_arm(client, query,
+			 query->finish_by - typical_time(queries));
+	medlar_wait_arm(client, queries, now);
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_admission_remove() - take a query out of the queue
+ * @query: a queued query
+ */
+void medlar_admission_remove(medlar_query_t *query)
+{
+	medlar_admission_t *admission = &query->queries->admission;
+
+	medlar_query_list_remove(&admission->lanes[lane_of(&query->params)],
+				 query);
+	admission->len--;
+}
+
+static medlar_query_t *next_query(medlar_queries_t *queries, medlar_time_t now)
+{
+	medlar_admission_t *admission = &queries->admission;
+	double old = OLD_SHARE * (double)queries->service->policy.deadline;
+	unsigned best = MEDLAR_LANES;
+	medlar_query_t *query;
+	unsigned i;
+
+	for (i = 0; i < MEDLAR_LANES; i++)
+		if (admission->lanes[i].len > 0 &&
+		    (best == MEDLAR_LANES ||
+		     admission->served[i] < admission->served[best]))
+			best = i;
+	if (best == MEDLAR_LANES)
+		return NULL;
+	admission->clock = admission->served[best]++;
+	query = admission->lanes[best].head;
+	if ((double)(now - query->answer.started) > old)
+		query = admission->lanes[best].tail;
+	return query;
+}
+
+/**
+ * medlar_admission_run() - run queries that wait, as far as there is room
+ * @client: client
+ * @queries: queries of a service
+ * @now: current time
+ */
+void medlar_admission_run(medlar_client_t *client, medlar_queries_t *queries,
+			  medlar_time_t now)
+{
+	while (queries->admission.len > 0 &&
+	       medlar_admission_room(queries, now)) {
+		medlar_query_t *query = next_query(queries, now);
+		int error;
+
+		medlar_admission_remove(query);
+		error = medlar_query_run(client, query, now);
+		if (error)
+			medlar_query_end(client, query, error, now);
+	}
+}
--- /dev/null
+++ b/libmedlar/attempt.c
@@ -0,0 +1,453 @@
+/**
+ * DOC: outcomes of attempts
+ *
+ * Every reply is checked for request id, index version and range before its
+ * payload is looked at. A reply that fails the check is dropped, and the
+ * connection that it came on must be closed. Outcomes that nobody waits for
+ * any more still release the slot at the replica.
+ */
+#include <string.h>
+
+#include "query.h"
+
+/* Kept from the time left, for the reply to travel back, ms. */
+#define RETURN_TIME 1
+
+typedef void (*reply_fn_t)(medlar_client_t *client, medlar_query_t *query,
+			   medlar_part_t *part, const medlar_reply_t *reply,
+			   medlar_time_t now);
+
+/**
+ * struct reply_row - what a status of a reply means
+ * @result: how the replica is judged
+ * @act: what the part does next
+ */
+typedef struct reply_row {
+	medlar_result_t result;
+	reply_fn_t act;
+} reply_row_t;
+
+/**
+ * struct fault_row - what a fault means
+ * @result: how the replica is judged
+ * @retry: what another attempt costs
+ * @death: the replica may have died
+ */
+typedef struct fault_row {
+	medlar_result_t result;
+	medlar_retry_t retry;
+	bool death;
+} fault_row_t;
+
+/**
+ * struct ended - an attempt that was just taken out of its part
+ * @query: query that waits for the outcome, or NULL
+ * @part: index of the part
+ * @replica: id of the replica
+ * @shard: shard of the replica
+ * @fingerprint: of the query
+ * @trial: sent alone, as a suspect
+ */
+typedef struct ended {
+	medlar_query_t *query;
+	size_t part;
+	uint64_t replica;
+	uint32_t shard;
+	uint64_t fingerprint;
+	bool trial;
+} ended_t;
+
+static void take_body(medlar_client_t *client, medlar_query_t *query,
+		      medlar_part_t *part, const medlar_reply_t *reply,
+		      medlar_time_t now)
+{
+	(void)now;
+	medlar_part_done(client, query, part, reply->body);
+}
+
+static void retry_unsent(medlar_client_t *client, medlar_query_t *query,
+			 medlar_part_t *part, const medlar_reply_t *reply,
+			 medlar_time_t now)
+{
+	(void)reply;
+	medlar_part_retry(client, query, part, MEDLAR_RETRY_UNSENT, now);
+}
+
+static void retry_shed(medlar_client_t *client, medlar_query_t *query,
+		       medlar_part_t *part, const medlar_reply_t *reply,
+		       medlar_time_t now)
+{
+	(void)reply;
+	medlar_part_retry(client, query, part, MEDLAR_RETRY_SHED, now);
+}
+
+static void retry_failed(medlar_client_t *client, medlar_query_t *query,
+			 medlar_part_t *part, const medlar_reply_t *reply,
+			 medlar_time_t now)
+{
+	(void)reply;
+	medlar_part_retry(client, query, part, MEDLAR_RETRY_FAILED, now);
+}
+
+static void follow(medlar_client_t *client, medlar_query_t *query,
+		   medlar_part_t *part, const medlar_reply_t *reply,
+		   medlar_time_t now)
+{
+	if (!part->attempts)
+		medlar_part_moved(client, query, part, reply->moved_to, now);
+}
+
+static const reply_row_t reply_rows[] = {
+	[MEDLAR_REPLY_OK] = { MEDLAR_RESULT_OK, take_body },
+	[MEDLAR_REPLY_NOT_EXECUTED] = { MEDLAR_RESULT_SHED, retry_shed },
+	[MEDLAR_REPLY_WRONG_VERSION] = { MEDLAR_RESULT_CANCELLED,
+					 retry_unsent },
+	[MEDLAR_REPLY_MOVED] = { MEDLAR_RESULT_CANCELLED, follow },
+	[MEDLAR_REPLY_CANCELLED] = { MEDLAR_RESULT_CANCELLED, retry_failed },
+	[MEDLAR_REPLY_ERROR] = { MEDLAR_RESULT_ERROR, retry_failed },
+};
+
+static const fault_row_t fault_rows[] = {
+	[MEDLAR_FAULT_REFUSED] = { MEDLAR_RESULT_REFUSED, MEDLAR_RETRY_UNSENT,
+				   false },
+	[MEDLAR_FAULT_UNSENT] = { MEDLAR_RESULT_CANCELLED, MEDLAR_RETRY_UNSENT,
+				  false },
+	[MEDLAR_FAULT_RESET] = { MEDLAR_RESULT_RESET, MEDLAR_RETRY_FAILED,
+				 true },
+	[MEDLAR_FAULT_SILENT] = { MEDLAR_RESULT_SILENT, MEDLAR_RETRY_FAILED,
+				  false },
+	[MEDLAR_FAULT_MALFORMED] = { MEDLAR_RESULT_ERROR, MEDLAR_RETRY_FAILED,
+				     false },
+	[MEDLAR_FAULT_CANCELLED] = { MEDLAR_RESULT_CANCELLED,
+				     MEDLAR_RETRY_FAILED, false },
+};
+
+static const char *check(const medlar_attempt_t *attempt,
+			 const medlar_reply_t *reply)
+{
+	const medlar_part_t *part;
+
+	if (memcmp(attempt->id, reply->id, sizeof(attempt->id)) != 0)
+		return "id";
+	if (reply->status < 0 || reply->status > MEDLAR_REPLY_ERROR)
+		return "status";
+	if (reply->status != MEDLAR_REPLY_OK)
+		return NULL;
+	if (reply->version != attempt->version)
+		return "version";
+	if (attempt->state != MEDLAR_ATTEMPT_LIVE)
+		return NULL;
+	part = &attempt->of.query->parts[attempt->part];
+	if (reply->range.lo != part->range.lo ||
+	    reply->range.hi != part->range.hi)
+		return "range";
+	return NULL;
+}
+
+/* The version that a replica has just refused is no longer announced. */
+static void forget_version(medlar_client_t *client, medlar_replica_t *replica,
+			   uint32_t version)
+{
+	uint32_t left[MEDLAR_VERSIONS_MAX] = { 0 };
+	size_t len = 0;
+	size_t i;
+
+	for (i = 0; i < MEDLAR_VERSIONS_MAX; i++)
+		if (replica->versions[i] && replica->versions[i] != version)
+			left[len++] = replica->versions[i];
+	medlar_replica_announce(client, replica, left, len);
+}
+
+static void learn(medlar_client_t *client, const medlar_attempt_t *attempt,
+		  const medlar_reply_t *reply, medlar_time_t now)
+{
+	medlar_replica_t *replica = attempt->replica;
+	size_t len = 0;
+
+	if (reply->incarnation > 0)
+		medlar_replica_started(client, replica, reply->incarnation,
+				       now);
+	if (reply->leaving)
+		medlar_replica_leave(client, replica, reply->incarnation, now);
+	medlar_replica_report(client, replica, &reply->load, now);
+	while (len < MEDLAR_VERSIONS_MAX && reply->versions[len])
+		len++;
+	if (len > 0)
+		medlar_replica_announce(client, replica, reply->versions, len);
+	if (reply->status == MEDLAR_REPLY_WRONG_VERSION)
+		forget_version(client, replica, attempt->version);
+}
+
+static void unlink_attempt(medlar_part_t *part, medlar_attempt_t *attempt)
+{
+	medlar_attempt_t **at = &part->attempts;
+
+	while (*at != attempt)
+		at = &(*at)->next;
+	*at = attempt->next;
+}
+
+/* Releases the slot and the attempt; the replica may be freed by it. */
+static ended_t finish(medlar_client_t *client, medlar_queries_t *queries,
+		      medlar_attempt_t *attempt, medlar_result_t result,
+		      medlar_time_t now)
+{
+	medlar_replica_t *replica = attempt->replica;
+	medlar_time_t took = (uint32_t)now - attempt->sent;
+	bool live = attempt->state == MEDLAR_ATTEMPT_LIVE;
+	ended_t ended = {
+		.query = live ? attempt->of.query : NULL,
+		.part = attempt->part,
+		.replica = medlar_replica_id(replica),
+		.shard = replica->shard->index,
+		.fingerprint = live ? attempt->of.query->params.fingerprint
+				    : attempt->of.fingerprint,
+		.trial = attempt->trial,
+	};
+
+	if (ended.query)
+		unlink_attempt(&ended.query->parts[ended.part], attempt);
+	else
+		queries->stats.late++;
+	if (ended.query && ended.trial)
+		ended.query->trying = false;
+	if (result == MEDLAR_RESULT_OK)
+		medlar_hedge_learn(queries, took, now);
+	medlar_pool_put_attempt(queries, attempt);
+	medlar_replica_done(client, replica, result, took, now);
+	return ended;
+}
+
+static medlar_queries_t *queries_of(const medlar_attempt_t *attempt)
+{
+	return attempt->replica->shard->service->queries;
+}
+
+static void trace_drop(medlar_client_t *client, const medlar_attempt_t *attempt,
+		       const medlar_reply_t *reply, const char *why)
+{
+	const medlar_replica_info_t *info = medlar_replica_info(
+		attempt->replica);
+
+	MEDLAR_QUERY_TRACE(client, MEDLAR_EVENT_DROP,
+			   MEDLAR_TEXT("wrong", medlar_str_from(why)),
+			   MEDLAR_TEXT("replica", medlar_str_from(info->name)),
+			   MEDLAR_NUM("version", reply->version),
+			   MEDLAR_NUM("wanted", attempt->version),
+			   MEDLAR_NUM("lo", reply->range.lo),
+			   MEDLAR_NUM("hi", reply->range.hi));
+}
+
+static void trace_reply(medlar_client_t *client, const ended_t *ended,
+			int result, int status)
+{
+	MEDLAR_QUERY_TRACE(client, MEDLAR_EVENT_REPLY,
+			   MEDLAR_HEX("query", ended->fingerprint),
+			   MEDLAR_NUM("shard", ended->shard),
+			   MEDLAR_HEX("replica", ended->replica),
+			   MEDLAR_NUM("result", result),
+			   MEDLAR_NUM("status", status),
+			   MEDLAR_NUM("late", ended->query ? 0 : 1));
+}
+
+/**
+ * medlar_attempt_reply() - an upstream has replied
+ * @client: client
+ * @attempt: attempt that the connection was waiting for; gone afterwards
+ * @reply: what came
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_PROTOCOL when the reply is not the one that
+ * was asked for, and its connection must be closed; or %MEDLAR_ERR_STALE when
+ * the outcome of @attempt was reported before.
+ */
+int medlar_attempt_reply(medlar_client_t *client, medlar_attempt_t *attempt,
+			 const medlar_reply_t *reply, medlar_time_t now)
+{
+	medlar_queries_t *queries;
+	const reply_row_t *row;
+	const char *wrong;
+	medlar_part_t *part;
+	ended_t ended;
+
+	if (attempt->state == MEDLAR_ATTEMPT_FREE)
+		return MEDLAR_ERR_STALE;
+	queries = queries_of(attempt);
+	wrong = check(attempt, reply);
+	row = &reply_rows[wrong ? MEDLAR_REPLY_ERROR : reply->status];
+	if (wrong) {
+		queries->stats.dropped++;
+		trace_drop(client, attempt, reply, wrong);
+	} else {
+		learn(client, attempt, reply, now);
+	}
+	ended = finish(client, queries, attempt, row->result, now);
+	trace_reply(client, &ended, row->result, reply->status);
+	medlar_wait_wake(client, queries, ended.shard, now);
+	if (ended.query) {
+		part = &ended.query->parts[ended.part];
+		row->act(client, ended.query, part, reply, now);
+		if (row->result == MEDLAR_RESULT_OK)
+			medlar_gate_success(client, ended.query, part,
+					    ended.trial, now);
+		medlar_query_check(client, ended.query, now);
+	}
+	return wrong ? MEDLAR_ERR_PROTOCOL : MEDLAR_OK;
+}
+
+/**
+ * medlar_attempt_fail() - an attempt has ended without a reply
+ * @client: client
+ * @attempt: attempt; gone afterwards
+ * @fault: what went wrong
+ * @now: current time
+ */
+void medlar_attempt_fail(medlar_client_t *client, medlar_attempt_t *attempt,
+			 medlar_fault_t fault, medlar_time_t now)
+{
+	const fault_row_t *row = &fault_rows[fault];
+	medlar_queries_t *queries;
+	ended_t ended;
+
+	if (attempt->state == MEDLAR_ATTEMPT_FREE)
+		return;
+	queries = queries_of(attempt);
+	ended = finish(client, queries, attempt, row->result, now);
+	trace_reply(client, &ended, row->result, -1);
+	if (row->death) {
+		const medlar_death_t death = {
+			.fingerprint = ended.fingerprint,
+			.replica = ended.replica,
+			.shard = ended.shard,
+			.trial = ended.trial,
+			.local = true,
+		};
+
+		if (ended.query)
+			ended.query->parts[ended.part].suspect = true;
+		medlar_gate_death(client, queries, &death, now);
+	}
+	medlar_wait_wake(client, queries, ended.shard, now);
+	if (!ended.query)
+		return;
+	medlar_part_retry(client, ended.query, &ended.query->parts[ended.part],
+			  row->retry, now);
+	medlar_query_check(client, ended.query, now);
+}
+
+/**
+ * medlar_attempt_query() - query that an attempt belongs to
+ * @attempt: an attempt
+ *
+ * Return: the query, or NULL once the outcome no longer matters.
+ */
+medlar_query_t *medlar_attempt_query(const medlar_attempt_t *attempt)
+{
+	if (attempt->state != MEDLAR_ATTEMPT_LIVE)
+		return NULL;
+	return attempt->of.query;
+}
+
+/**
+ * medlar_attempt_replica() - where an attempt was sent
+ * @attempt: an attempt whose outcome has not been reported
+ *
+ * Return: the replica.
+ */
+medlar_replica_t *medlar_attempt_replica(const medlar_attempt_t *attempt)
+{
+	return attempt->replica;
+}
+
+/**
+ * medlar_attempt_range() - keys that an attempt asks
+ * @attempt: an attempt
+ *
+ * Return: the range; empty once the outcome no longer matters.
+ */
+medlar_range_t medlar_attempt_range(const medlar_attempt_t *attempt)
+{
+	if (attempt->state != MEDLAR_ATTEMPT_LIVE)
+		return (medlar_range_t){ 0, 0 };
+	return attempt->of.query->parts[attempt->part].range;
+}
+
+/**
+ * medlar_attempt_kind() - why an attempt was made
+ * @attempt: an attempt
+ *
+ * Return: the kind.
+ */
+medlar_attempt_kind_t medlar_attempt_kind(const medlar_attempt_t *attempt)
+{
+	return (medlar_attempt_kind_t)attempt->kind;
+}
+
+/**
+ * medlar_attempt_id() - request id of an attempt
+ * @attempt: an attempt
+ *
+ * Return: %MEDLAR_REQUEST_ID_LEN random bytes.
+ */
+const uint8_t *medlar_attempt_id(const medlar_attempt_t *attempt)
+{
+	return attempt->id;
+}
+
+/**
+ * medlar_attempt_version() - index version that an attempt asks for
+ * @attempt: an attempt
+ *
+ * Return: the version.
+ */
+uint32_t medlar_attempt_version(const medlar_attempt_t *attempt)
+{
+	return attempt->version;
+}
+
+/**
+ * medlar_attempt_generation() - how often the memory of an attempt was reused
+ * @attempt: an attempt; memory of attempts stays valid as long as the service
+ *
+ * Return: a number that differs from that of an earlier attempt in the same
+ * memory, so that a stale reference can be told.
+ */
+uint32_t medlar_attempt_generation(const medlar_attempt_t *attempt)
+{
+	return attempt->generation;
+}
+
+/**
+ * medlar_attempt_deadline() - when the reply to an attempt is needed
+ * @attempt: an attempt
+ *
+ * Return: time, earlier than the deadline of the query by what merging and
+ * answering takes; 0 once the outcome no longer matters.
+ */
+medlar_time_t medlar_attempt_deadline(const medlar_attempt_t *attempt)
+{
+	if (attempt->state != MEDLAR_ATTEMPT_LIVE)
+		return 0;
+	return attempt->of.query->finish_by - RETURN_TIME;
+}
+
+/**
+ * medlar_attempt_data() - the program's own data of an attempt
+ * @attempt: an attempt
+ *
+ * Return: what was set last; NULL at first.
+ */
+void *medlar_attempt_data(const medlar_attempt_t *attempt)
+{
+	return attempt->data;
+}
+
+/**
+ * medlar_attempt_set_data() - attach the program's own data
+ * @attempt: an attempt
+ * @data: anything; forgotten when the outcome is reported
+ */
+void medlar_attempt_set_data(medlar_attempt_t *attempt, void *data)
+{
+	attempt->data = data;
+}
--- /dev/null
+++ b/libmedlar/gate.c
@@ -0,0 +1,397 @@
+/**
+ * DOC: sending requests that may crash upstreams with care
+ *
+ * A request that is not known to be harmless goes to one shard first, its
+ * canary, and to the others once that has replied. All instances choose the
+ * same canary, so that simultaneous sendings of one request meet at the same
+ * replica. After a death, each request that was in flight is sent again only in
+ * a trial: one at a time, to a replica that has nothing else in flight.
+ */
+#include "query.h"
+
+/* Canaries sent before waiting for one of them. */
+#define CANARIES_MAX 2
+/* Shards looked at for a canary that can be sent at once. */
+#define CANARY_SHARDS 3
+/* How often a query waiting for a trial looks at it, ms. */
+#define TRIAL_CHECK 5
+/* Time after which a suspect told by a peer is tried here, ms. */
+#define PEER_TRIAL_TIME MEDLAR_SECOND
+/* A replica this much slower than its shard gets no canary. */
+#define SLOW_RATIO 2.0F
+
+static uint64_t *proven_slot(medlar_queries_t *queries, uint64_t fingerprint)
+{
+	return &queries->proven[fingerprint & (MEDLAR_PROVEN - 1)];
+}
+
+static uint64_t weight(uint64_t fingerprint, uint64_t replica)
+{
+	medlar_rand_t mix = { fingerprint ^ replica };
+
+	return medlar_rand_next(&mix);
+}
+
+static bool was_tried(const medlar_part_t *part,
+		      const medlar_replica_t *replica)
+{
+	unsigned i;
+
+	for (i = 0; i < part->tried_len; i++)
+		if (part->tried[i] == replica)
+			return true;
+	return false;
+}
+
+static bool fits(const medlar_query_t *query, const medlar_part_t *part,
+		 const medlar_replica_t *replica, medlar_time_t now)
+{
+	const medlar_shard_t *shard = replica->shard;
+
+	if (!medlar_replica_usable(replica, now) ||
+	    !medlar_replica_serves(replica, query->version) ||
+	    was_tried(part, replica))
+		return false;
+	if (query->gate == MEDLAR_GATE_TRIAL)
+		return replica->in_flight == 0;
+	if (shard->latency > 0 &&
+	    replica->latency > SLOW_RATIO * shard->latency)
+		return false;
+	return replica->in_flight < replica->slots &&
+	       (float)replica->in_flight < replica->limit;
+}
+
+/* The replica that every instance would choose. */
+static medlar_replica_t *choose(const medlar_query_t *query,
+				const medlar_part_t *part, medlar_time_t now)
+{
+	const medlar_shard_t *shard = medlar_service_shard(
+		query->queries->service, part->shard);
+	medlar_replica_t *best = NULL;
+	uint64_t best_weight = 0;
+	size_t i;
+
+	for (i = 0; shard && i < shard->active; i++) {
+		medlar_replica_t *replica = shard->replicas[i];
+		uint64_t mine = weight(query->params.fingerprint, replica->id);
+
+		if (best && mine <= best_weight)
+			continue;
+		if (!fits(query, part, replica, now))
+			continue;
+		best = replica;
+		best_weight = mine;
+	}
+	return best;
+}
+
+static bool send_chosen(medlar_client_t *client, medlar_query_t *query,
+			medlar_part_t *part, medlar_time_t now)
+{
+	medlar_replica_t *replica = choose(query, part, now);
+
+	return replica && medlar_part_launch(client, query, part, replica,
+					     now) == MEDLAR_OK;
+}
+
+/* The next part that was not sent yet, counted from the last canary. */
+static medlar_part_t *next_held(medlar_query_t *query)
+{
+	size_t i;
+
+	for (i = 0; i < query->len; i++) {
+		medlar_part_t *part = &query->parts[query->probe];
+
+		query->probe = (uint32_t)((query->probe + 1) % query->len);
+		if (part->state == MEDLAR_PART_HELD)
+			return part;
+	}
+	return NULL;
+}
+
+static void send_canary(medlar_client_t *client, medlar_query_t *query,
+			medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	medlar_part_t *first = next_held(query);
+	medlar_part_t *part = first;
+	unsigned i;
+
+	query->gate_due = now + medlar_hedge_delay(queries);
+	medlar_query_arm(client, query, query->gate_due);
+	if (!first)
+		return;
+	query->probes++;
+	queries->stats.canaries++;
+	for (i = 0; part && i < CANARY_SHARDS; i++) {
+		if (send_chosen(client, query, part, now))
+			return;
+		part = next_held(query);
+	}
+	medlar_part_start(client, query, first, now);
+}
+
+static void release(medlar_client_t *client, medlar_query_t *query,
+		    medlar_time_t now)
+{
+	size_t len = query->len;
+	size_t i;
+
+	query->gate = MEDLAR_GATE_OPEN;
+	query->gate_due = MEDLAR_TIME_NEVER;
+	for (i = 0; i < len; i++) {
+		query->parts[i].suspect = false;
+		if (query->parts[i].state == MEDLAR_PART_HELD)
+			medlar_part_start(client, query, &query->parts[i], now);
+	}
+}
+
+/* Whether a query of the same fingerprint has a trial in flight. */
+static bool is_tried_elsewhere(const medlar_query_t *query)
+{
+	const medlar_query_t *other = query->queries->running.head;
+
+	for (; other; other = other->next)
+		if (other->trying &&
+		    other->params.fingerprint == query->params.fingerprint)
+			return true;
+	return false;
+}
+
+/* The part that lost a replica, or else any. */
+static medlar_part_t *part_to_try(medlar_query_t *query)
+{
+	medlar_part_t *any = NULL;
+	size_t i;
+
+	for (i = 0; i < query->len; i++) {
+		medlar_part_t *part = &query->parts[i];
+
+		if (part->state != MEDLAR_PART_HELD)
+			continue;
+		if (part->suspect)
+			return part;
+		if (!any)
+			any = part;
+	}
+	return any;
+}
+
+static void send_trial(medlar_client_t *client, medlar_query_t *query,
+		       medlar_time_t now)
+{
+	medlar_part_t *part = part_to_try(query);
+
+	if (!part)
+		return;
+	if (!send_chosen(client, query, part, now)) {
+		part->tried_len = 0;
+		return;
+	}
+	part->due = MEDLAR_DUE_NONE;
+	query->trying = true;
+	query->queries->stats.trials++;
+}
+
+static void look_at_suspect(medlar_client_t *client, medlar_query_t *query,
+			    medlar_time_t now)
+{
+	medlar_suspect_entry_t entry = { .verdict = MEDLAR_VERDICT_CLEAR };
+	const medlar_suspects_t *suspects = query->queries->service->suspects;
+
+	if (suspects)
+		medlar_suspects_get(suspects, query->params.fingerprint, now,
+				    &entry);
+	if (entry.verdict == MEDLAR_VERDICT_CONVICTED) {
+		query->doom = MEDLAR_ERR_CONVICTED;
+		return;
+	}
+	if (entry.verdict == MEDLAR_VERDICT_CLEAR) {
+		release(client, query, now);
+		return;
+	}
+	if (!entry.local && now - entry.died < PEER_TRIAL_TIME)
+		return;
+	if (!is_tried_elsewhere(query))
+		send_trial(client, query, now);
+}
+
+/**
+ * medlar_gate_advance() - go on with a query whose parts are held back
+ * @client: client
+ * @query: a running query
+ * @now: current time
+ *
+ * May set the doom of the query, which medlar_query_check() looks at.
+ */
+void medlar_gate_advance(medlar_client_t *client, medlar_query_t *query,
+			 medlar_time_t now)
+{
+	if (query->gate == MEDLAR_GATE_OPEN || now < query->gate_due)
+		return;
+	if (query->gate == MEDLAR_GATE_TRIAL) {
+		query->gate_due = now + TRIAL_CHECK;
+		medlar_query_arm(client, query, query->gate_due);
+		look_at_suspect(client, query, now);
+		return;
+	}
+	if (query->probes < CANARIES_MAX)
+		send_canary(client, query, now);
+	else
+		query->gate_due = MEDLAR_TIME_NEVER;
+}
+
+static void begin_trial(medlar_client_t *client, medlar_query_t *query,
+			medlar_time_t now)
+{
+	query->gate = MEDLAR_GATE_TRIAL;
+	query->gate_due = now;
+	medlar_query_arm(client, query, now);
+}
+
+/* A query whose fingerprint was suspected before it came. */
+static void begin_suspected(medlar_client_t *client, medlar_query_t *query,
+			    uint32_t shard, medlar_time_t now)
+{
+	size_t i;
+
+	for (i = 0; i < query->len; i++)
+		query->parts[i].suspect = query->parts[i].shard == shard;
+	begin_trial(client, query, now);
+}
+
+/**
+ * medlar_gate_begin() - send as much of a new query as is safe
+ * @client: client
+ * @query: a running query, all of whose parts are held back
+ * @now: current time
+ */
+void medlar_gate_begin(medlar_client_t *client, medlar_query_t *query,
+		       medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	const medlar_suspects_t *suspects = queries->service->suspects;
+	uint64_t fingerprint = query->params.fingerprint;
+	medlar_suspect_entry_t entry;
+
+	query->probes = 0;
+	query->trying = false;
+	if (suspects && queries->tuning.trials &&
+	    medlar_suspects_get(suspects, fingerprint, now, &entry) &&
+	    entry.verdict == MEDLAR_VERDICT_SUSPECT) {
+		begin_suspected(client, query, entry.shard, now);
+		return;
+	}
+	if (!suspects || !queries->tuning.canaries || query->len < 2 ||
+	    *proven_slot(queries, fingerprint) == fingerprint) {
+		release(client, query, now);
+		return;
+	}
+	query->gate = MEDLAR_GATE_CANARY;
+	query->probe = (uint32_t)(fingerprint % query->len);
+	send_canary(client, query, now);
+}
+
+static bool has_suspect_part(const medlar_query_t *query)
+{
+	size_t i;
+
+	for (i = 0; i < query->len; i++)
+		if (query->parts[i].suspect &&
+		    query->parts[i].state == MEDLAR_PART_HELD)
+			return true;
+	return false;
+}
+
+/**
+ * medlar_gate_success() - a replica has answered a part and lives
+ * @client: client
+ * @query: a running query
+ * @part: the part
+ * @trial: it was sent alone
+ * @now: current time
+ */
+void medlar_gate_success(medlar_client_t *client, medlar_query_t *query,
+			 medlar_part_t *part, bool trial, medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	uint64_t fingerprint = query->params.fingerprint;
+
+	part->suspect = false;
+	if (query->gate == MEDLAR_GATE_TRIAL) {
+		if (!trial)
+			return;
+		if (!has_suspect_part(query) && queries->service->suspects)
+			medlar_suspects_success(queries->service->suspects,
+						fingerprint);
+		query->gate_due = now;
+		medlar_gate_advance(client, query, now);
+		return;
+	}
+	*proven_slot(queries, fingerprint) = fingerprint;
+	if (query->gate == MEDLAR_GATE_CANARY)
+		release(client, query, now);
+}
+
+/* Parts that were to be sent are held back until a trial has succeeded. */
+static void hold(medlar_client_t *client, medlar_query_t *query,
+		 medlar_time_t now)
+{
+	size_t i;
+
+	for (i = 0; i < query->len; i++) {
+		medlar_part_t *part = &query->parts[i];
+
+		if (part->state != MEDLAR_PART_WAITING &&
+		    part->state != MEDLAR_PART_PAUSED)
+			continue;
+		medlar_wait_remove(query->queries, part);
+		part->due = MEDLAR_DUE_NONE;
+		part->state = MEDLAR_PART_HELD;
+	}
+	begin_trial(client, query, now);
+}
+
+static void trace_death(medlar_client_t *client, const medlar_death_t *death,
+			medlar_verdict_t verdict)
+{
+	MEDLAR_QUERY_TRACE(client, MEDLAR_EVENT_SUSPECT,
+			   MEDLAR_HEX("fingerprint", death->fingerprint),
+			   MEDLAR_HEX("replica", death->replica),
+			   MEDLAR_NUM("shard", death->shard),
+			   MEDLAR_NUM("trial", death->trial),
+			   MEDLAR_NUM("verdict", verdict));
+}
+
+/**
+ * medlar_gate_death() - a replica may have died with a request in flight
+ * @client: client
+ * @queries: queries of the service
+ * @death: the request and the replica
+ * @now: current time
+ *
+ * Holds back, or dooms, every running query with that fingerprint.
+ */
+void medlar_gate_death(medlar_client_t *client, medlar_queries_t *queries,
+		       const medlar_death_t *death, medlar_time_t now)
+{
+	medlar_suspects_t *suspects = queries->service->suspects;
+	medlar_query_t *query = queries->running.head;
+	medlar_verdict_t verdict;
+
+	if (!suspects || !queries->tuning.trials)
+		return;
+	verdict = medlar_suspects_death(suspects, death, now);
+	trace_death(client, death, verdict);
+	*proven_slot(queries, death->fingerprint) = 0;
+	for (; query; query = query->next) {
+		if (query->params.fingerprint != death->fingerprint)
+			continue;
+		if (verdict == MEDLAR_VERDICT_CONVICTED) {
+			query->doom = MEDLAR_ERR_CONVICTED;
+			medlar_query_arm(client, query, now);
+		} else if (query->gate != MEDLAR_GATE_TRIAL) {
+			hold(client, query, now);
+		}
+	}
+}
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -930,6 +930,7 @@
 	MEDLAR_ATTEMPT_HEDGE,
 	MEDLAR_ATTEMPT_RETRY,
 	MEDLAR_ATTEMPT_REDIRECT,
+	MEDLAR_ATTEMPT_KINDS
 } medlar_attempt_kind_t;
 
 /** enum medlar_reply_status - what the upstream says it did */
@@ -1032,10 +1033,57 @@
 medlar_attempt_kind_t medlar_attempt_kind(const medlar_attempt_t *attempt);
 const uint8_t *medlar_attempt_id(const medlar_attempt_t *attempt);
 uint32_t medlar_attempt_version(const medlar_attempt_t *attempt);
+uint32_t medlar_attempt_generation(const medlar_attempt_t *attempt);
 medlar_time_t medlar_attempt_deadline(const medlar_attempt_t *attempt);
 void *medlar_attempt_data(const medlar_attempt_t *attempt);
 void medlar_attempt_set_data(medlar_attempt_t *attempt, void *data);
 
+/**
+ * struct medlar_query_tuning - mechanisms that can be switched off, to measure
+ * what each one earns
+ * @hedges: a second request when the first one is late
+ * @budget: hedges and retries are paid for; without it they are free
+ * @canaries: an unknown request goes to one shard first
+ * @trials: a request that may crash upstreams is sent alone
+ * @admission: queries wait or are refused when the service is full
+ */
+typedef struct medlar_query_tuning {
+	bool hedges;
+	bool budget;
+	bool canaries;
+	bool trials;
+	bool admission;
+} medlar_query_tuning_t;
+
+/**
+ * struct medlar_query_stats - counters of one service since it was started
+ * @started: queries let in or queued
+ * @refused: queries turned away by medlar_query_start()
+ * @answered: answers given, of any outcome
+ * @sends: attempts of each &enum medlar_attempt_kind
+ * @canaries: first sends that were made ahead of the others
+ * @trials: attempts that were made alone
+ * @restarts: queries begun again at another index version
+ * @late: outcomes that nobody waited for any more
+ * @dropped: replies whose id, version or range was wrong
+ */
+typedef struct medlar_query_stats {
+	uint64_t started;
+	uint64_t refused;
+	uint64_t answered;
+	uint64_t sends[MEDLAR_ATTEMPT_KINDS];
+	uint64_t canaries;
+	uint64_t trials;
+	uint64_t restarts;
+	uint64_t late;
+	uint64_t dropped;
+} medlar_query_stats_t;
+
+void medlar_service_tune(medlar_service_t *service,
+			 const medlar_query_tuning_t *tuning);
+const medlar_query_stats_t *
+medlar_service_stats(const medlar_service_t *service);
+
 /*
  * store.c
  */
--- /dev/null
+++ b/libmedlar/part.c
@@ -0,0 +1,434 @@
+/**
+ * DOC: sending a part of a query until it is answered or given up
+ */
+#include <string.h>
+
+#include "query.h"
+
+/* Attempts that gain nothing after which a part is given up. */
+#define FAILURES_MAX 6
+/* Attempts that were never sent that are repeated without a pause. */
+#define HASTY_MAX 2
+
+/**
+ * medlar_query_index() - place of a part in its query
+ * @query: query
+ * @part: one of its parts
+ *
+ * Return: its index.
+ */
+size_t medlar_query_index(const medlar_query_t *query,
+			  const medlar_part_t *part)
+{
+	return (size_t)(part - query->parts);
+}
+
+static void remember(medlar_part_t *part, medlar_replica_t *replica)
+{
+	if (part->tried_len == MEDLAR_TRIED_MAX) {
+		memmove(&part->tried[0], &part->tried[1],
+			(MEDLAR_TRIED_MAX - 1) * sizeof(part->tried[0]));
+		part->tried_len--;
+	}
+	part->tried[part->tried_len++] = replica;
+}
+
+static void fill_id(medlar_client_t *client, medlar_attempt_t *attempt)
+{
+	uint64_t bits[2] = { medlar_rand_next(&client->rand),
+			     medlar_rand_next(&client->rand) };
+
+	_Static_assert(sizeof(bits) == MEDLAR_REQUEST_ID_LEN, "id length");
+	memcpy(attempt->id, bits, sizeof(bits));
+}
+
+static void trace_send(medlar_client_t *client, const medlar_query_t *query,
+		       const medlar_part_t *part,
+		       const medlar_attempt_t *attempt)
+{
+	static const medlar_event_t events[MEDLAR_ATTEMPT_KINDS] = {
+		[MEDLAR_ATTEMPT_FIRST] = MEDLAR_EVENT_PICK,
+		[MEDLAR_ATTEMPT_HEDGE] = MEDLAR_EVENT_HEDGE,
+		[MEDLAR_ATTEMPT_RETRY] = MEDLAR_EVENT_RETRY,
+		[MEDLAR_ATTEMPT_REDIRECT] = MEDLAR_EVENT_RETRY,
+	};
+	const medlar_replica_info_t *info = medlar_replica_info(
+		attempt->replica);
+
+	MEDLAR_QUERY_TRACE(
+		client, events[attempt->kind],
+		MEDLAR_HEX("query", query->params.fingerprint),
+		MEDLAR_NUM("shard", part->shard),
+		MEDLAR_TEXT("replica", medlar_str_from(info->name)),
+		MEDLAR_NUM("kind", attempt->kind),
+		MEDLAR_NUM("trial", attempt->trial),
+		MEDLAR_NUM("version", attempt->version),
+		MEDLAR_NUM("tokens", query->queries->service->budget.tokens));
+}
+
+/**
+ * medlar_part_launch() - send a part to a given replica
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it
+ * @replica: where to
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_part_launch(medlar_client_t *client, medlar_query_t *query,
+		       medlar_part_t *part, medlar_replica_t *replica,
+		       medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	medlar_service_t *service = queries->service;
+	medlar_attempt_t *attempt = medlar_pool_attempt(queries);
+
+	if (!attempt)
+		return MEDLAR_ERR_NOMEM;
+	medlar_wait_remove(queries, part);
+	fill_id(client, attempt);
+	attempt->of.query = query;
+	attempt->replica = replica;
+	attempt->next = part->attempts;
+	attempt->sent = (uint32_t)now;
+	attempt->version = query->version;
+	attempt->part = (uint16_t)medlar_query_index(query, part);
+	attempt->kind = part->kind;
+	attempt->state = MEDLAR_ATTEMPT_LIVE;
+	attempt->trial = query->gate == MEDLAR_GATE_TRIAL;
+	part->attempts = attempt;
+	part->state = MEDLAR_PART_FLYING;
+	part->stranded = false;
+	part->divided = false;
+	part->sends += part->sends < UINT8_MAX;
+	remember(part, replica);
+	medlar_part_due(client, query, part, now + medlar_hedge_delay(queries));
+	medlar_replica_sent(client, replica, now);
+	if (part->kind == MEDLAR_ATTEMPT_FIRST)
+		medlar_budget_earn(&service->budget);
+	queries->stats.sends[part->kind]++;
+	query->answer.sends++;
+	trace_send(client, query, part, attempt);
+	service->ops.send(attempt, service->data);
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_part_send() - send a part to the best replica, if it may be sent now
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_OVERLOAD when the budget has nothing left;
+ * %MEDLAR_ERR_FULL, %MEDLAR_ERR_NO_VERSION or %MEDLAR_ERR_NO_REPLICA as of
+ * medlar_replica_pick(); or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_part_send(medlar_client_t *client, medlar_query_t *query,
+		     medlar_part_t *part, medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	medlar_shard_t *shard = medlar_service_shard(queries->service,
+						     part->shard);
+	medlar_pick_t pick = {
+		.version = query->version,
+		.tried = part->tried,
+		.tried_len = part->tried_len,
+		.spare = part->kind == MEDLAR_ATTEMPT_HEDGE,
+	};
+	medlar_replica_t *replica;
+	int error;
+
+	if (!shard)
+		return MEDLAR_ERR_NO_REPLICA;
+	if (!medlar_budget_ready(queries, part))
+		return MEDLAR_ERR_OVERLOAD;
+	error = medlar_replica_pick(client, shard, &pick, now, &replica);
+	if (error)
+		return error;
+	error = medlar_part_launch(client, query, part, replica, now);
+	if (!error)
+		medlar_budget_pay(queries, part);
+	return error;
+}
+
+/* Whether some replica of the shard could serve the part, now or later. */
+static bool is_served(const medlar_query_t *query, const medlar_part_t *part)
+{
+	const medlar_shard_t *shard = medlar_service_shard(
+		query->queries->service, part->shard);
+	size_t i;
+
+	for (i = 0; shard && i < medlar_shard_replicas(shard); i++) {
+		const medlar_replica_t *replica = medlar_shard_replica(shard,
+								       i);
+
+		if (!replica->leaving &&
+		    medlar_replica_serves(replica, query->version))
+			return true;
+	}
+	return false;
+}
+
+static void pause_part(medlar_client_t *client, medlar_query_t *query,
+		       medlar_part_t *part, medlar_time_t now)
+{
+	medlar_time_t pause = medlar_hedge_pause(client, query->queries,
+						 part->sends);
+
+	part->state = MEDLAR_PART_PAUSED;
+	medlar_part_due(client, query, part, now + pause);
+}
+
+/* All replicas were tried: after a pause, each may be tried again. */
+static void try_all_again(medlar_client_t *client, medlar_query_t *query,
+			  medlar_part_t *part, medlar_time_t now)
+{
+	part->tried_len = 0;
+	pause_part(client, query, part, now);
+}
+
+static void park(medlar_client_t *client, medlar_query_t *query,
+		 medlar_part_t *part, medlar_time_t now)
+{
+	int error = medlar_wait_add(client, query, part, now);
+
+	if (error)
+		medlar_part_fail(client, query, part, error, now);
+}
+
+/**
+ * medlar_part_start() - send a part now, or see to it that it is sent later
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it, in no queue and without live attempt
+ * @now: current time
+ */
+void medlar_part_start(medlar_client_t *client, medlar_query_t *query,
+		       medlar_part_t *part, medlar_time_t now)
+{
+	int error;
+
+	part->divided = false;
+	error = medlar_part_send(client, query, part, now);
+	part->stranded = error == MEDLAR_ERR_NO_REPLICA;
+	if (error == MEDLAR_OK)
+		return;
+	if (error == MEDLAR_ERR_OVERLOAD) {
+		pause_part(client, query, part, now);
+	} else if (error == MEDLAR_ERR_FULL) {
+		park(client, query, part, now);
+	} else if (error == MEDLAR_ERR_NO_REPLICA && part->tried_len == 0) {
+		park(client, query, part, now);
+	} else if (error == MEDLAR_ERR_NO_REPLICA || is_served(query, part)) {
+		try_all_again(client, query, part, now);
+	} else {
+		query->lost = error == MEDLAR_ERR_NO_VERSION;
+		medlar_part_fail(client, query, part, error, now);
+	}
+}
+
+/* Sends a part and those that were divided from it. */
+static void start_from(medlar_client_t *client, medlar_query_t *query,
+		       size_t index, medlar_time_t now)
+{
+	bool held = query->gate == MEDLAR_GATE_TRIAL;
+	size_t i;
+
+	query->parts[index].state = MEDLAR_PART_HELD;
+	if (held)
+		return;
+	medlar_part_start(client, query, &query->parts[index], now);
+	for (i = index + 1; i < query->len; i++)
+		if (query->parts[i].divided &&
+		    query->parts[i].state == MEDLAR_PART_HELD)
+			medlar_part_start(client, query, &query->parts[i], now);
+}
+
+/**
+ * medlar_part_replace() - place a part by the newest map, and send it
+ * @client: client
+ * @query: a running query
+ * @index: index of an open part of it, in no queue and without live attempt
+ * @now: current time
+ *
+ * The map may divide the part; the parts of the query may move in memory.
+ */
+void medlar_part_replace(medlar_client_t *client, medlar_query_t *query,
+			 size_t index, medlar_time_t now)
+{
+	/* Without memory it is asked where it was, and may be redirected. */
+	(void)medlar_plan_part(query, index);
+	start_from(client, query, index, now);
+}
+
+/**
+ * medlar_part_resume() - send a part that has waited
+ * @client: client
+ * @query: a running query
+ * @index: index of an open part of it, in no queue and without live attempt
+ * @now: current time
+ *
+ * The parts of the query may move in memory.
+ */
+void medlar_part_resume(medlar_client_t *client, medlar_query_t *query,
+			size_t index, medlar_time_t now)
+{
+	if (query->placed != query->queries->service->map.epoch)
+		medlar_part_replace(client, query, index, now);
+	else
+		medlar_part_start(client, query, &query->parts[index], now);
+}
+
+static void try_again(medlar_client_t *client, medlar_query_t *query,
+		      medlar_part_t *part, medlar_time_t now)
+{
+	if (query->gate == MEDLAR_GATE_TRIAL)
+		part->state = MEDLAR_PART_HELD;
+	else if (part->unpaid && part->sends > HASTY_MAX)
+		pause_part(client, query, part, now);
+	else
+		medlar_part_resume(client, query,
+				   medlar_query_index(query, part), now);
+}
+
+/**
+ * medlar_part_retry() - go on after an attempt that gained nothing
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it; the attempt has been taken out of it
+ * @why: what the attempt came to
+ * @now: current time
+ *
+ * The parts of the query may move in memory.
+ */
+void medlar_part_retry(medlar_client_t *client, medlar_query_t *query,
+		       medlar_part_t *part, medlar_retry_t why,
+		       medlar_time_t now)
+{
+	if (part->attempts)
+		return;
+	part->due = MEDLAR_DUE_NONE;
+	part->failures += why == MEDLAR_RETRY_FAILED;
+	if (part->failures >= FAILURES_MAX) {
+		medlar_part_fail(client, query, part, MEDLAR_ERR_NO_REPLICA,
+				 now);
+		return;
+	}
+	part->unpaid = why == MEDLAR_RETRY_UNSENT;
+	part->kind = MEDLAR_ATTEMPT_RETRY;
+	try_again(client, query, part, now);
+}
+
+/**
+ * medlar_part_moved() - go on after an upstream told that a range has moved
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it without live attempt
+ * @shard: where the range is said to be now
+ * @now: current time
+ *
+ * A newer map is believed more than the redirect, unless it names the shard
+ * that sent it. The parts of the query may move in memory.
+ */
+void medlar_part_moved(medlar_client_t *client, medlar_query_t *query,
+		       medlar_part_t *part, uint32_t shard, medlar_time_t now)
+{
+	size_t index = medlar_query_index(query, part);
+	uint32_t from = part->shard;
+
+	part->due = MEDLAR_DUE_NONE;
+	if (!medlar_plan_follow(query, index, shard)) {
+		medlar_part_fail(client, query, part, MEDLAR_ERR_NO_REPLICA,
+				 now);
+		return;
+	}
+	part->kind = MEDLAR_ATTEMPT_REDIRECT;
+	if (query->placed != query->queries->service->map.epoch)
+		(void)medlar_plan_part(query, index);
+	if (query->parts[index].shard == from)
+		query->parts[index].shard = shard;
+	start_from(client, query, index, now);
+}
+
+static void close_part(medlar_query_t *query, medlar_part_t *part)
+{
+	medlar_wait_remove(query->queries, part);
+	part->due = MEDLAR_DUE_NONE;
+	query->open--;
+	query->queries->open--;
+}
+
+/**
+ * medlar_part_drop() - no longer wait for the attempts of a part
+ * @client: client
+ * @query: query
+ * @part: a part of it; its attempts are cancelled and hold only their slots
+ */
+void medlar_part_drop(medlar_client_t *client, medlar_query_t *query,
+		      medlar_part_t *part)
+{
+	medlar_service_t *service = query->queries->service;
+
+	(void)client;
+	while (part->attempts) {
+		medlar_attempt_t *attempt = part->attempts;
+
+		part->attempts = attempt->next;
+		attempt->next = NULL;
+		attempt->state = MEDLAR_ATTEMPT_LATE;
+		attempt->of.fingerprint = query->params.fingerprint;
+		service->ops.cancel(attempt, service->data);
+	}
+}
+
+/**
+ * medlar_part_done() - take in the reply to a part
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it; the attempt has been taken out of it
+ * @body: payload; copied
+ */
+void medlar_part_done(medlar_client_t *client, medlar_query_t *query,
+		      medlar_part_t *part, medlar_str_t body)
+{
+	part->body = (uint32_t)query->bodies.len;
+	part->body_len = (uint32_t)body.len;
+	medlar_buf_add(&query->bodies, body);
+	part->state = MEDLAR_PART_DONE;
+	query->done += part->range.hi - part->range.lo;
+	close_part(query, part);
+	medlar_part_drop(client, query, part);
+}
+
+/**
+ * medlar_part_fail() - give a part up; its range will be stated as missing
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it without live attempt
+ * @reason: why
+ * @now: current time
+ */
+void medlar_part_fail(medlar_client_t *client, medlar_query_t *query,
+		      medlar_part_t *part, int reason, medlar_time_t now)
+{
+	part->state = MEDLAR_PART_FAILED;
+	query->reason = reason;
+	close_part(query, part);
+	medlar_query_arm(client, query, now);
+}
+
+/**
+ * medlar_part_due() - set when a part needs attention next
+ * @client: client
+ * @query: a running query
+ * @part: an open part of it
+ * @due: time
+ */
+void medlar_part_due(medlar_client_t *client, medlar_query_t *query,
+		     medlar_part_t *part, medlar_time_t due)
+{
+	part->due = (uint32_t)(due - query->answer.started);
+	medlar_query_arm(client, query, due);
+}
--- /dev/null
+++ b/libmedlar/plan.c
@@ -0,0 +1,189 @@
+/**
+ * DOC: which ranges a query asks, and which shards hold them
+ *
+ * The parts of a query are disjoint by construction and together exactly what
+ * was asked, so no range is answered twice and none is left out unstated. A
+ * part whose range has moved is asked where the newest map has it, divided
+ * when the map divides it.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "query.h"
+
+#define PARTS_CAP_MIN 16
+
+static int reserve(medlar_query_t *query, size_t len)
+{
+	size_t cap = query->cap ? query->cap : PARTS_CAP_MIN;
+	medlar_part_t *parts;
+
+	if (len > MEDLAR_PARTS_MAX)
+		return MEDLAR_ERR_TOO_LARGE;
+	if (len <= query->cap)
+		return MEDLAR_OK;
+	while (cap < len)
+		cap *= 2;
+	parts = realloc(query->parts, cap * sizeof(*parts));
+	if (!parts)
+		return MEDLAR_ERR_NOMEM;
+	query->parts = parts;
+	query->cap = cap;
+	return MEDLAR_OK;
+}
+
+static int reserve_marks(medlar_queries_t *queries, size_t len)
+{
+	uint8_t *marks;
+
+	if (len <= queries->marks_cap)
+		return MEDLAR_OK;
+	marks = realloc(queries->marks, len);
+	if (!marks)
+		return MEDLAR_ERR_NOMEM;
+	queries->marks = marks;
+	queries->marks_cap = len;
+	return MEDLAR_OK;
+}
+
+/* Marks the entries of the map that hold a key of the query. */
+static int mark_entries(medlar_query_t *query, const medlar_map_t *map)
+{
+	const medlar_query_params_t *params = &query->params;
+	uint8_t *marks;
+	size_t i;
+	int error = reserve_marks(query->queries, map->len);
+
+	if (error)
+		return error;
+	marks = query->queries->marks;
+	memset(marks, params->keys ? 0 : 1, map->len);
+	for (i = 0; params->keys && i < params->keys_len; i++) {
+		const medlar_map_entry_t *entry = medlar_map_find(
+			map, params->keys[i]);
+
+		if (!entry)
+			return MEDLAR_ERR_RANGE;
+		marks[entry - map->entries] = 1;
+	}
+	return MEDLAR_OK;
+}
+
+static void add_part(medlar_query_t *query, medlar_range_t range,
+		     uint32_t shard)
+{
+	query->parts[query->len++] = (medlar_part_t){
+		.range = range,
+		.shard = shard,
+		.due = MEDLAR_DUE_NONE,
+		.state = MEDLAR_PART_HELD,
+		.kind = MEDLAR_ATTEMPT_FIRST,
+	};
+	query->open++;
+	query->queries->open++;
+}
+
+/**
+ * medlar_plan() - divide a query into parts by the newest map
+ * @query: a query without parts
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_TOO_LARGE, %MEDLAR_ERR_RANGE for a key
+ * outside the key space, or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_plan(medlar_query_t *query)
+{
+	const medlar_map_t *map = &query->queries->service->map;
+	size_t i;
+	int error = mark_entries(query, map);
+
+	if (!error)
+		error = reserve(query, map->len);
+	query->asked.len = 0;
+	for (i = 0; !error && i < map->len; i++) {
+		if (!query->queries->marks[i])
+			continue;
+		error = medlar_ranges_add(&query->asked, map->entries[i].range);
+		if (!error)
+			add_part(query, map->entries[i].range,
+				 map->entries[i].shard);
+	}
+	query->width = medlar_ranges_width(&query->asked);
+	query->answer.epoch = map->epoch;
+	return error;
+}
+
+static size_t entries_in(const medlar_map_t *map, const medlar_map_entry_t *at,
+			 medlar_range_t range)
+{
+	const medlar_map_entry_t *end = map->entries + map->len;
+	size_t count = 0;
+
+	while (at < end && at->range.lo < range.hi) {
+		count++;
+		at++;
+	}
+	return count;
+}
+
+/**
+ * medlar_plan_part() - place a part by the newest map
+ * @query: a running query
+ * @part: index of a part that waits nowhere and has no live attempt
+ *
+ * When the map divides its range, the part keeps the first piece, and parts
+ * that are held back and marked as divided are appended for the others.
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_TOO_LARGE or %MEDLAR_ERR_NOMEM; then the
+ * part is as it was.
+ */
+int medlar_plan_part(medlar_query_t *query, size_t part)
+{
+	const medlar_map_t *map = &query->queries->service->map;
+	medlar_range_t whole = query->parts[part].range;
+	const medlar_map_entry_t *entry = medlar_map_find(map, whole.lo);
+	size_t pieces = entry ? entries_in(map, entry, whole) : 0;
+	medlar_part_t *first;
+	size_t i;
+	int error = reserve(query, query->len + pieces);
+
+	if (error || pieces == 0)
+		return error;
+	first = &query->parts[part];
+	for (i = 1; i < pieces; i++) {
+		medlar_range_t range = entry[i].range;
+
+		if (range.hi > whole.hi)
+			range.hi = whole.hi;
+		add_part(query, range, entry[i].shard);
+		query->parts[query->len - 1].kind = first->kind;
+		query->parts[query->len - 1].unpaid = first->unpaid;
+		query->parts[query->len - 1].divided = true;
+	}
+	if (first->shard != entry->shard)
+		first->tried_len = 0;
+	first->shard = entry->shard;
+	if (entry->range.hi < whole.hi)
+		first->range.hi = entry->range.hi;
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_plan_follow() - follow a redirect of an upstream
+ * @query: a running query
+ * @part: index of a part without live attempt
+ * @shard: where the range is said to be now
+ *
+ * Return: false when a redirect was followed before or leads nowhere.
+ */
+bool medlar_plan_follow(medlar_query_t *query, size_t part, uint32_t shard)
+{
+	medlar_part_t *moved = &query->parts[part];
+
+	if (moved->moved || shard == moved->shard ||
+	    shard >= medlar_service_shards(query->queries->service))
+		return false;
+	moved->moved = true;
+	moved->shard = shard;
+	moved->tried_len = 0;
+	return true;
+}
--- /dev/null
+++ b/libmedlar/pool.c
@@ -0,0 +1,202 @@
+/**
+ * DOC: pools of attempts and queries
+ *
+ * Memory is taken from the system in chunks and kept until the service ends,
+ * so that a query on the steady path allocates nothing. A query keeps its
+ * arrays when it returns to the pool, unless its replies were unusually large.
+ */
+#include <stdlib.h>
+
+#include "query.h"
+
+#define CHUNK 256
+#define CHUNKS_GROWTH 16
+#define BODIES_KEPT_MAX ((size_t)1 << 20)
+
+static int add_chunk(medlar_queries_t *queries)
+{
+	medlar_attempt_t *chunk;
+	medlar_attempt_t **chunks = queries->chunks;
+	size_t i;
+
+	if (queries->chunks_len % CHUNKS_GROWTH == 0) {
+		size_t cap = queries->chunks_len + CHUNKS_GROWTH;
+
+		chunks = realloc(chunks, cap * sizeof(medlar_attempt_t *));
+		if (!chunks)
+			return MEDLAR_ERR_NOMEM;
+		queries->chunks = chunks;
+	}
+	chunk = calloc(CHUNK, sizeof(*chunk));
+	if (!chunk)
+		return MEDLAR_ERR_NOMEM;
+	chunks[queries->chunks_len++] = chunk;
+	for (i = CHUNK; i-- > 0;)
+		medlar_pool_put_attempt(queries, &chunk[i]);
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_pool_attempt() - take an attempt from the pool
+ * @queries: queries of a service
+ *
+ * Return: an attempt to be filled in, or NULL when out of memory.
+ */
+medlar_attempt_t *medlar_pool_attempt(medlar_queries_t *queries)
+{
+	medlar_attempt_t *attempt;
+
+	if (!queries->pool && add_chunk(queries))
+		return NULL;
+	attempt = queries->pool;
+	queries->pool = attempt->next;
+	attempt->next = NULL;
+	return attempt;
+}
+
+/**
+ * medlar_pool_put_attempt() - return an attempt to the pool
+ * @queries: queries of the service
+ * @attempt: an attempt whose outcome is known
+ */
+void medlar_pool_put_attempt(medlar_queries_t *queries,
+			     medlar_attempt_t *attempt)
+{
+	attempt->state = MEDLAR_ATTEMPT_FREE;
+	attempt->generation++;
+	attempt->data = NULL;
+	attempt->next = queries->pool;
+	queries->pool = attempt;
+}
+
+/**
+ * medlar_pool_query() - take a query from the pool
+ * @queries: queries of a service
+ *
+ * Return: a query without parts, or NULL when out of memory.
+ */
+medlar_query_t *medlar_pool_query(medlar_queries_t *queries)
+{
+	medlar_query_t *query = queries->spare;
+
+	if (query) {
+		queries->spare = query->next;
+		query->next = NULL;
+		return query;
+	}
+	query = calloc(1, sizeof(*query));
+	if (!query)
+		return NULL;
+	query->queries = queries;
+	medlar_buf_init(&query->bodies);
+	medlar_ranges_init(&query->asked);
+	medlar_ranges_init(&query->covered);
+	medlar_ranges_init(&query->missing);
+	medlar_timer_init(&query->timer, medlar_query_on_timer, query);
+	return query;
+}
+
+static void forget(medlar_query_t *query)
+{
+	medlar_query_t kept = *query;
+
+	*query = (medlar_query_t){
+		.queries = kept.queries,
+		.parts = kept.parts,
+		.cap = kept.cap,
+		.timer = kept.timer,
+		.bodies = kept.bodies,
+		.asked = kept.asked,
+		.covered = kept.covered,
+		.missing = kept.missing,
+	};
+	query->asked.len = 0;
+	query->covered.len = 0;
+	query->missing.len = 0;
+	if (query->bodies.cap > BODIES_KEPT_MAX)
+		medlar_buf_finish(&query->bodies);
+	else
+		medlar_buf_reset(&query->bodies);
+}
+
+/**
+ * medlar_pool_put_query() - return a query to the pool
+ * @query: a query that is in no list and has no live attempt
+ */
+void medlar_pool_put_query(medlar_query_t *query)
+{
+	medlar_queries_t *queries = query->queries;
+
+	forget(query);
+	query->next = queries->spare;
+	queries->spare = query;
+}
+
+static void free_query(medlar_query_t *query)
+{
+	free(query->parts);
+	medlar_buf_finish(&query->bodies);
+	medlar_ranges_finish(&query->asked);
+	medlar_ranges_finish(&query->covered);
+	medlar_ranges_finish(&query->missing);
+	free(query);
+}
+
+/**
+ * medlar_pool_finish() - release the pools
+ * @queries: queries of a service, all of them returned
+ */
+void medlar_pool_finish(medlar_queries_t *queries)
+{
+	size_t i;
+
+	while (queries->spare) {
+		medlar_query_t *query = queries->spare;
+
+		queries->spare = query->next;
+		free_query(query);
+	}
+	for (i = 0; i < queries->chunks_len; i++)
+		free(queries->chunks[i]);
+	free(queries->chunks);
+	queries->chunks = NULL;
+	queries->chunks_len = 0;
+	queries->pool = NULL;
+}
+
+/**
+ * medlar_query_list_add() - append a query to a list
+ * @list: list
+ * @query: a query that is in no list
+ */
+void medlar_query_list_add(medlar_query_list_t *list, medlar_query_t *query)
+{
+	query->next = NULL;
+	query->prev = list->tail;
+	if (list->tail)
+		list->tail->next = query;
+	else
+		list->head = query;
+	list->tail = query;
+	list->len++;
+}
+
+/**
+ * medlar_query_list_remove() - take a query out of a list
+ * @list: list
+ * @query: a query that is in @list
+ */
+void medlar_query_list_remove(medlar_query_list_t *list, medlar_query_t *query)
+{
+	if (query->prev)
+		query->prev->next = query->next;
+	else
+		list->head = query->next;
+	if (query->next)
+		query->next->prev = query->prev;
+	else
+		list->tail = query->prev;
+	query->prev = NULL;
+	query->next = NULL;
+	list->len--;
+}
--- /dev/null
+++ b/libmedlar/queries.c
@@ -0,0 +1,96 @@
+/**
+ * DOC: the queries of one service
+ */
+#include <stdlib.h>
+
+#include "query.h"
+
+/**
+ * medlar_queries_init() - begin without queries
+ * @client: client
+ * @service: service; its queries member is set
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_queries_init(medlar_client_t *client, medlar_service_t *service,
+			medlar_time_t now)
+{
+	medlar_queries_t *queries = calloc(1, sizeof(*queries));
+
+	(void)client;
+	if (!queries)
+		return MEDLAR_ERR_NOMEM;
+	queries->service = service;
+	queries->placed = service->map.epoch;
+	queries->admission.rated = now;
+	queries->tuning = (medlar_query_tuning_t){
+		.hedges = true,
+		.budget = true,
+		.canaries = true,
+		.trials = true,
+		.admission = true,
+	};
+	medlar_hedge_reset(queries);
+	medlar_timer_init(&queries->tick, medlar_wait_tick, queries);
+	service->queries = queries;
+	return MEDLAR_OK;
+}
+
+static void finish_list(medlar_client_t *client, medlar_query_list_t *list)
+{
+	while (list->head) {
+		medlar_query_t *query = list->head;
+
+		medlar_timer_clear(client, &query->timer);
+		medlar_query_list_remove(list, query);
+		medlar_pool_put_query(query);
+	}
+}
+
+/**
+ * medlar_queries_finish() - end all queries without further actions
+ * @client: client
+ * @service: service
+ */
+void medlar_queries_finish(medlar_client_t *client, medlar_service_t *service)
+{
+	medlar_queries_t *queries = service->queries;
+	unsigned i;
+
+	if (!queries)
+		return;
+	medlar_timer_clear(client, &queries->tick);
+	finish_list(client, &queries->running);
+	finish_list(client, &queries->ended);
+	for (i = 0; i < MEDLAR_LANES; i++)
+		finish_list(client, &queries->admission.lanes[i]);
+	medlar_wait_finish(queries);
+	medlar_pool_finish(queries);
+	free(queries->marks);
+	free(queries);
+	service->queries = NULL;
+}
+
+/**
+ * medlar_service_tune() - switch mechanisms on and off
+ * @service: service
+ * @tuning: those to be in force
+ */
+void medlar_service_tune(medlar_service_t *service,
+			 const medlar_query_tuning_t *tuning)
+{
+	service->queries->tuning = *tuning;
+}
+
+/**
+ * medlar_service_stats() - counters of the queries of a service
+ * @service: service
+ *
+ * Return: the counters, valid as long as the service.
+ */
+const medlar_query_stats_t *
+medlar_service_stats(const medlar_service_t *service)
+{
+	return &service->queries->stats;
+}
--- /dev/null
+++ b/libmedlar/query.c
@@ -0,0 +1,426 @@
+/**
+ * DOC: searches and lookups, from their arrival to their one answer
+ *
+ * Events come in through medlar_query_start(), the outcomes of attempts, the
+ * timer of a query and changes of the service; each ends with
+ * medlar_query_check(), which is the only place where a running query is
+ * answered.
+ */
+#include "query.h"
+
+/* Kept from the time left, to merge and send the answer: a share, and ms. */
+#define RESERVE_SHARE 0.02
+#define RESERVE_MIN 2
+
+/**
+ * medlar_query_reserve() - time to be kept for merging and answering
+ * @left: time left to the deadline, ms
+ *
+ * Return: duration in ms.
+ */
+medlar_time_t medlar_query_reserve(medlar_time_t left)
+{
+	medlar_time_t share = (medlar_time_t)(RESERVE_SHARE * (double)left);
+
+	return share > RESERVE_MIN ? share : RESERVE_MIN;
+}
+
+/**
+ * medlar_query_arm() - see to it that a query is looked at by some time
+ * @client: client
+ * @query: a query that has not ended
+ * @due: time
+ */
+void medlar_query_arm(medlar_client_t *client, medlar_query_t *query,
+		      medlar_time_t due)
+{
+	if (query->timer.slot == 0 || due < query->timer.due)
+		medlar_timer_set(client, &query->timer, due);
+}
+
+static void set_times(medlar_query_t *query, medlar_time_t now)
+{
+	const medlar_query_params_t *params = &query->params;
+	const medlar_policy_t *policy = &query->queries->service->policy;
+
+	query->answer.started = now;
+	query->finish_by = params->deadline -
+			   medlar_query_reserve(params->deadline - now);
+	query->cutoff = MEDLAR_TIME_NEVER;
+	query->gate_due = MEDLAR_TIME_NEVER;
+	if (policy->priority != MEDLAR_LATENCY_FIRST || params->target <= 0)
+		return;
+	query->cutoff = params->target < query->finish_by ? params->target
+							  : query->finish_by;
+}
+
+static int no_version(const medlar_queries_t *queries)
+{
+	const medlar_service_t *service = queries->service;
+	size_t i;
+
+	for (i = 0; i < service->shards_len; i++)
+		if (service->shards[i]->active > 0)
+			return MEDLAR_ERR_NO_VERSION;
+	return MEDLAR_ERR_NO_REPLICA;
+}
+
+/* Undoes what medlar_query_run() had begun. */
+static void unplan(medlar_query_t *query)
+{
+	query->queries->open -= query->open;
+	query->open = 0;
+	query->len = 0;
+}
+
+static int prepare(medlar_query_t *query, medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	const medlar_suspects_t *suspects = queries->service->suspects;
+	uint64_t fingerprint = query->params.fingerprint;
+	int error;
+
+	if (suspects && medlar_suspects_look(suspects, fingerprint, now) ==
+				MEDLAR_VERDICT_CONVICTED)
+		return MEDLAR_ERR_CONVICTED;
+	error = medlar_plan(query);
+	if (error)
+		return error;
+	query->placed = query->answer.epoch;
+	query->version = medlar_restart_version(queries, query, now);
+	if (query->version == 0 && query->len > 0)
+		return no_version(queries);
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_query_run() - begin to send the parts of a query
+ * @client: client
+ * @query: a query that is in no list
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_CONVICTED, %MEDLAR_ERR_NO_VERSION,
+ * %MEDLAR_ERR_NO_REPLICA, %MEDLAR_ERR_RANGE, %MEDLAR_ERR_TOO_LARGE or
+ * %MEDLAR_ERR_NOMEM; then nothing was sent.
+ */
+int medlar_query_run(medlar_client_t *client, medlar_query_t *query,
+		     medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	int error = prepare(query, now);
+
+	if (error) {
+		unplan(query);
+		return error;
+	}
+	query->state = MEDLAR_QUERY_RUNNING;
+	queries->admission.admitted = now;
+	medlar_query_list_add(&queries->running, query);
+	MEDLAR_QUERY_TRACE(client, MEDLAR_EVENT_ADMIT,
+			   MEDLAR_HEX("query", query->params.fingerprint),
+			   MEDLAR_NUM("waited_ms", now - query->answer.started),
+			   MEDLAR_NUM("parts", query->len),
+			   MEDLAR_NUM("version", query->version),
+			   MEDLAR_NUM("epoch", query->answer.epoch));
+	medlar_query_arm(client, query, query->finish_by);
+	if (query->cutoff > now)
+		medlar_query_arm(client, query, query->cutoff);
+	if (query->open == 0)
+		medlar_query_arm(client, query, now);
+	medlar_gate_begin(client, query, now);
+	return MEDLAR_OK;
+}
+
+static int admit(medlar_client_t *client, medlar_query_t *query,
+		 medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+
+	if (queries->admission.len == 0 && medlar_admission_room(queries, now))
+		return medlar_query_run(client, query, now);
+	return medlar_admission_add(client, query, now);
+}
+
+static void trace_refusal(medlar_client_t *client,
+			  const medlar_query_params_t *params, int error)
+{
+	MEDLAR_QUERY_TRACE(
+		client, MEDLAR_EVENT_REFUSE,
+		MEDLAR_HEX("query", params->fingerprint),
+		MEDLAR_HEX("caller", params->caller),
+		MEDLAR_TEXT("error",
+			    medlar_str_from(medlar_error_name(error))));
+}
+
+/**
+ * medlar_query_start() - take in a search or lookup
+ * @client: client
+ * @service: service
+ * @params: what the caller sent; copied, what it points to is not
+ * @data: the program's own
+ * @now: current time
+ * @out: set to the query on success, before any action
+ *
+ * On success exactly one answer action follows, unless the query is cancelled,
+ * and never from within this call. On failure nothing was run and there is no
+ * query.
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_DEADLINE, %MEDLAR_ERR_OVERLOAD or
+ * %MEDLAR_ERR_CONVICTED when it is refused; or an error as of
+ * medlar_query_run().
+ */
+int medlar_query_start(medlar_client_t *client, medlar_service_t *service,
+		       const medlar_query_params_t *params, void *data,
+		       medlar_time_t now, medlar_query_t **out)
+{
+	medlar_queries_t *queries = service->queries;
+	medlar_query_t *query = NULL;
+	int error = medlar_admission_check(queries, params, now);
+
+	if (error)
+		goto refused;
+	error = MEDLAR_ERR_NOMEM;
+	query = medlar_pool_query(queries);
+	if (!query)
+		goto refused;
+	query->params = *params;
+	query->data = data;
+	*out = query;
+	set_times(query, now);
+	error = admit(client, query, now);
+	if (error)
+		goto refused;
+	queries->stats.started++;
+	return MEDLAR_OK;
+
+refused:
+	queries->stats.refused++;
+	trace_refusal(client, params, error);
+	if (query)
+		medlar_pool_put_query(query);
+	*out = NULL;
+	return error;
+}
+
+/* Takes a query out of all lists and lets go of its attempts. */
+static void stop(medlar_client_t *client, medlar_query_t *query,
+		 medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	size_t i;
+
+	medlar_timer_clear(client, &query->timer);
+	for (i = 0; i < query->len; i++) {
+		medlar_wait_remove(queries, &query->parts[i]);
+		medlar_part_drop(client, query, &query->parts[i]);
+	}
+	queries->open -= query->open;
+	query->open = 0;
+	if (query->state != MEDLAR_QUERY_RUNNING)
+		return;
+	medlar_query_list_remove(&queries->running, query);
+	medlar_admission_ended(queries, 1, now);
+}
+
+static void trace_answer(medlar_client_t *client, const medlar_query_t *query,
+			 medlar_time_t now)
+{
+	const medlar_answer_t *answer = &query->answer;
+
+	MEDLAR_QUERY_TRACE(
+		client, MEDLAR_EVENT_ANSWER,
+		MEDLAR_HEX("query", query->params.fingerprint),
+		MEDLAR_NUM("outcome", answer->outcome),
+		MEDLAR_TEXT("error",
+			    medlar_str_from(medlar_error_name(answer->error))),
+		MEDLAR_NUM("coverage_percent", answer->coverage * 100),
+		MEDLAR_NUM("version", answer->version),
+		MEDLAR_NUM("epoch", answer->epoch),
+		MEDLAR_NUM("sends", answer->sends),
+		MEDLAR_NUM("took_ms", now - answer->started));
+}
+
+/* After this the query is in the list of ended ones, and answered. */
+static void close_query(medlar_client_t *client, medlar_query_t *query,
+			int error, medlar_time_t now)
+{
+	stop(client, query, now);
+	medlar_answer_make(query, error);
+	query->state = MEDLAR_QUERY_ENDED;
+	medlar_query_list_add(&query->queries->ended, query);
+	query->queries->stats.answered++;
+	trace_answer(client, query, now);
+}
+
+/**
+ * medlar_query_end() - answer a query
+ * @client: client
+ * @query: a running query, or one that has just left the queue; it may be gone
+ *	afterwards
+ * @error: why it ends; %MEDLAR_OK when nothing is left to do
+ * @now: current time
+ */
+void medlar_query_end(medlar_client_t *client, medlar_query_t *query, int error,
+		      medlar_time_t now)
+{
+	medlar_service_t *service = query->queries->service;
+
+	close_query(client, query, error, now);
+	service->ops.answer(query, service->data);
+}
+
+static bool only_stranded(const medlar_query_t *query)
+{
+	size_t i;
+
+	for (i = 0; i < query->len; i++) {
+		const medlar_part_t *part = &query->parts[i];
+
+		if (part->state != MEDLAR_PART_DONE &&
+		    part->state != MEDLAR_PART_FAILED && !part->stranded)
+			return false;
+	}
+	return true;
+}
+
+/* Whether a partial answer is due and worth giving. */
+static bool is_good_enough(const medlar_query_t *query, medlar_time_t now)
+{
+	double least = query->queries->service->policy.coverage_min;
+
+	if (now < query->cutoff || query->done == 0)
+		return false;
+	return (double)query->done >= least * (double)query->width ||
+	       only_stranded(query);
+}
+
+static bool is_over(const medlar_query_t *query, medlar_time_t now, int *error)
+{
+	*error = query->doom;
+	if (query->doom)
+		return true;
+	*error = query->reason;
+	if (query->open == 0)
+		return true;
+	*error = MEDLAR_ERR_DEADLINE;
+	return now >= query->finish_by || is_good_enough(query, now);
+}
+
+/**
+ * medlar_query_check() - answer a query if it is time
+ * @client: client
+ * @query: a running query; it may be gone afterwards
+ * @now: current time
+ *
+ * Return: true when it was answered.
+ */
+bool medlar_query_check(medlar_client_t *client, medlar_query_t *query,
+			medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	int error;
+
+	if (query->lost && !query->doom && now < query->finish_by)
+		medlar_restart(client, query, now);
+	if (!is_over(query, now, &error))
+		return false;
+	medlar_query_end(client, query, error, now);
+	medlar_admission_run(client, queries, now);
+	return true;
+}
+
+static void handle_due_parts(medlar_client_t *client, medlar_query_t *query,
+			     medlar_time_t now)
+{
+	uint32_t passed = (uint32_t)(now - query->answer.started);
+	size_t i;
+
+	for (i = 0; i < query->len; i++) {
+		medlar_part_t *part = &query->parts[i];
+
+		if (part->due > passed)
+			continue;
+		part->due = MEDLAR_DUE_NONE;
+		if (part->state == MEDLAR_PART_FLYING)
+			medlar_hedge(client, query, part, now);
+		else if (part->state == MEDLAR_PART_PAUSED)
+			medlar_part_resume(client, query, i, now);
+	}
+}
+
+static medlar_time_t next_due(const medlar_query_t *query, medlar_time_t now)
+{
+	medlar_time_t due = query->finish_by;
+	uint32_t first = MEDLAR_DUE_NONE;
+	size_t i;
+
+	if (query->cutoff > now && query->cutoff < due)
+		due = query->cutoff;
+	if (query->gate_due < due)
+		due = query->gate_due;
+	for (i = 0; i < query->len; i++)
+		if (query->parts[i].due < first)
+			first = query->parts[i].due;
+	if (first != MEDLAR_DUE_NONE && query->answer.started + first < due)
+		due = query->answer.started + first;
+	return due;
+}
+
+/**
+ * medlar_query_on_timer() - something of a query is due
+ * @client: client
+ * @timer: timer of the query
+ * @now: current time
+ * @data: the query
+ */
+void medlar_query_on_timer(medlar_client_t *client, medlar_timer_t *timer,
+			   medlar_time_t now, void *data)
+{
+	medlar_query_t *query = data;
+
+	(void)timer;
+	if (query->state == MEDLAR_QUERY_QUEUED) {
+		medlar_admission_remove(query);
+		medlar_query_end(client, query, MEDLAR_ERR_OVERLOAD, now);
+		return;
+	}
+	if (now < query->finish_by) {
+		medlar_gate_advance(client, query, now);
+		handle_due_parts(client, query, now);
+	}
+	if (medlar_query_check(client, query, now))
+		return;
+	medlar_query_arm(client, query, next_due(query, now));
+}
+
+/**
+ * medlar_query_cancel() - the caller has given up
+ * @client: client
+ * @query: a query that was started; no answer action follows, and it is to be
+ *	finished next
+ * @now: current time
+ */
+void medlar_query_cancel(medlar_client_t *client, medlar_query_t *query,
+			 medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+
+	if (query->state == MEDLAR_QUERY_ENDED)
+		return;
+	if (query->state == MEDLAR_QUERY_QUEUED)
+		medlar_admission_remove(query);
+	close_query(client, query, MEDLAR_ERR_CANCELLED, now);
+	medlar_admission_run(client, queries, now);
+}
+
+/**
+ * medlar_query_finish() - release a query
+ * @client: client
+ * @query: a query that was answered or cancelled; gone afterwards
+ */
+void medlar_query_finish(medlar_client_t *client, medlar_query_t *query)
+{
+	(void)client;
+	medlar_query_list_remove(&query->queries->ended, query);
+	medlar_pool_put_query(query);
+}
--- /dev/null
+++ b/libmedlar/version.c
@@ -0,0 +1,191 @@
+/**
+ * DOC: choice of the one index version that a query is answered from
+ *
+ * The newest version is not the best while few replicas have it. The version
+ * that covers the most keys wins. Among those that cover equally much, the
+ * newest wins that has at least half the replicas, in the shard where it has
+ * the fewest, of the one that has the most there: otherwise the first replicas
+ * of a new version would get the load of all.
+ */
+#include "internal.h"
+
+#define CANDIDATES_MAX 16
+#define DEPTH_SHARE 2
+
+/**
+ * struct candidate - a version that may be chosen
+ * @version: version
+ * @width: keys that it covers
+ * @depth: fewest replicas that serve it in a shard that has any
+ */
+typedef struct candidate {
+	uint32_t version;
+	uint64_t width;
+	size_t depth;
+} candidate_t;
+
+typedef struct candidates {
+	candidate_t items[CANDIDATES_MAX];
+	size_t len;
+} candidates_t;
+
+/* Keeps the newest versions when there are too many. */
+static void add(candidates_t *list, uint32_t version)
+{
+	size_t oldest = 0;
+	size_t i;
+
+	for (i = 0; i < list->len; i++) {
+		if (list->items[i].version == version)
+			return;
+		if (list->items[i].version < list->items[oldest].version)
+			oldest = i;
+	}
+	if (list->len < CANDIDATES_MAX)
+		list->items[list->len++] = (candidate_t){ .version = version };
+	else if (version > list->items[oldest].version)
+		list->items[oldest] = (candidate_t){ .version = version };
+}
+
+static void collect(const medlar_service_t *service, uint32_t at_least,
+		    uint32_t avoid, candidates_t *list)
+{
+	size_t s;
+	size_t r;
+	size_t v;
+
+	for (s = 0; s < service->shards_len; s++) {
+		const medlar_shard_t *shard = service->shards[s];
+
+		for (r = 0; r < shard->active; r++) {
+			const uint32_t *versions = shard->replicas[r]->versions;
+
+			for (v = 0; v < MEDLAR_VERSIONS_MAX; v++)
+				if (versions[v] && versions[v] != avoid &&
+				    versions[v] >= at_least)
+					add(list, versions[v]);
+		}
+	}
+}
+
+/* Replicas that serve a version; ejected ones count when all are ejected. */
+static size_t depth_in(const medlar_shard_t *shard, uint32_t version,
+		       medlar_time_t now)
+{
+	size_t usable = 0;
+	size_t serving = 0;
+	size_t ejected = 0;
+	size_t i;
+
+	for (i = 0; i < shard->active; i++) {
+		const medlar_replica_t *replica = shard->replicas[i];
+		bool serves = medlar_replica_serves(replica, version);
+
+		if (medlar_replica_usable(replica, now)) {
+			usable++;
+			serving += serves;
+		} else {
+			ejected += serves;
+		}
+	}
+	return usable > 0 ? serving : ejected;
+}
+
+static uint64_t overlap(medlar_range_t a, medlar_range_t b)
+{
+	uint64_t lo = a.lo > b.lo ? a.lo : b.lo;
+	uint64_t hi = a.hi < b.hi ? a.hi : b.hi;
+
+	return lo < hi ? hi - lo : 0;
+}
+
+static void weigh_range(const medlar_service_t *service,
+			const medlar_map_t *map, medlar_range_t range,
+			candidate_t *candidate, medlar_time_t now)
+{
+	const medlar_map_entry_t *entry = medlar_map_find(map, range.lo);
+	const medlar_map_entry_t *end = map->entries + map->len;
+
+	for (; entry && entry < end && entry->range.lo < range.hi; entry++) {
+		size_t depth;
+
+		if (entry->shard >= service->shards_len)
+			continue;
+		depth = depth_in(service->shards[entry->shard],
+				 candidate->version, now);
+		if (depth == 0)
+			continue;
+		candidate->width += overlap(entry->range, range);
+		if (candidate->depth == 0 || depth < candidate->depth)
+			candidate->depth = depth;
+	}
+}
+
+static const candidate_t *best_of(const candidates_t *list)
+{
+	const candidate_t *best = NULL;
+	uint64_t width = 0;
+	size_t depth = 0;
+	size_t i;
+
+	for (i = 0; i < list->len; i++) {
+		const candidate_t *item = &list->items[i];
+
+		if (item->width > width) {
+			width = item->width;
+			depth = item->depth;
+		} else if (item->width == width && item->depth > depth) {
+			depth = item->depth;
+		}
+	}
+	for (i = 0; i < list->len; i++) {
+		const candidate_t *item = &list->items[i];
+
+		if (item->width != width || item->width == 0 ||
+		    item->depth * DEPTH_SHARE < depth)
+			continue;
+		if (!best || item->version > best->version)
+			best = item;
+	}
+	return best;
+}
+
+/**
+ * medlar_version_choose() - choose the version that a query is answered from
+ * @service: service
+ * @map: partition map that says where the keys are
+ * @ranges: keys asked, disjoint
+ * @len: number of @ranges
+ * @at_least: oldest version that is acceptable; 0 for any
+ * @avoid: version not to choose; 0 for none
+ * @now: current time, ms
+ * @coverage: set to the share of the keys that the version reaches, 0 to 1
+ *
+ * Return: the version, or 0 when none reaches a key.
+ */
+uint32_t medlar_version_choose(const medlar_service_t *service,
+			       const medlar_map_t *map,
+			       const medlar_range_t *ranges, size_t len,
+			       uint32_t at_least, uint32_t avoid,
+			       medlar_time_t now, double *coverage)
+{
+	candidates_t list = { .len = 0 };
+	const candidate_t *best;
+	uint64_t width = 0;
+	size_t c;
+	size_t i;
+
+	*coverage = 0;
+	collect(service, at_least, avoid, &list);
+	for (c = 0; c < list.len; c++)
+		for (i = 0; i < len; i++)
+			weigh_range(service, map, ranges[i], &list.items[c],
+				    now);
+	best = best_of(&list);
+	if (!best)
+		return 0;
+	for (i = 0; i < len; i++)
+		width += ranges[i].hi - ranges[i].lo;
+	*coverage = (double)best->width / (double)width;
+	return best->version;
+}
--- /dev/null
+++ b/tests/fakes/world.h
@@ -0,0 +1,570 @@
+/**
+ * DOC: replicas as queues on a virtual clock, round the real core
+ *
+ * One service, its replicas, and a heap of events. Replicas have slots and a
+ * queue each; what they do with a request can be set per replica or decided by
+ * a callback. For tests and for experiments with the policy; written in the
+ * common subset of C and C++.
+ */
+#ifndef TESTS_FAKES_WORLD_H
+#define TESTS_FAKES_WORLD_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libmedlar/medlar.h"
+
+#define WORLD_MS INT64_C(1000) /* us */
+#define WORLD_REPLICAS_MAX 2048
+#define WORLD_QUEUE_MAX 64
+
+typedef struct world world_t;
+typedef struct world_replica world_replica_t;
+typedef struct world_call world_call_t;
+
+/** enum world_fate - what becomes of a request at a replica */
+typedef enum world_fate {
+	WORLD_ANSWER,
+	WORLD_SHED,
+	WORLD_WRONG_VERSION,
+	WORLD_MOVED,
+	WORLD_ERROR,
+	WORLD_REFUSE,
+	WORLD_RESET,
+	WORLD_SILENCE,
+	WORLD_CRASH, /* resets all that is in flight at the replica */
+	WORLD_BAD_ID,
+	WORLD_BAD_VERSION,
+	WORLD_BAD_RANGE,
+	WORLD_FATES
+} world_fate_t;
+
+/**
+ * struct world_call - a request on its way
+ * @attempt: attempt of the core
+ * @at: replica
+ * @took_us: time of service
+ * @fate: what becomes of it
+ * @version: version that it asks for
+ * @fingerprint: of its query
+ * @range: keys that it asks
+ * @serving: it holds a slot of the replica
+ * @dead: its outcome was reported
+ * @next: next call in flight at the replica
+ */
+struct world_call {
+	medlar_attempt_t *attempt;
+	world_replica_t *at;
+	int64_t took_us;
+	world_fate_t fate;
+	uint32_t version;
+	uint64_t fingerprint;
+	medlar_range_t range;
+	bool serving;
+	bool dead;
+	world_call_t *next;
+};
+
+/**
+ * struct world_replica - a replica as it really is
+ * @handle: replica of the core
+ * @info: how it is listed
+ * @shard: shard whose keys it holds
+ * @slow: factor on its time of service
+ * @dead: refuses connections
+ * @busy: slots in use
+ * @queue: calls that wait for a slot
+ * @queued: how many
+ * @calls: calls in flight, queued ones included
+ * @executed: requests that it ran
+ * @deaths: times that it crashed
+ */
+struct world_replica {
+	medlar_replica_t *handle;
+	medlar_replica_info_t info;
+	uint32_t shard;
+	double slow;
+	bool dead;
+	unsigned busy;
+	world_call_t *queue[WORLD_QUEUE_MAX];
+	unsigned queued;
+	world_call_t *calls;
+	uint64_t executed;
+	unsigned deaths;
+};
+
+typedef void (*world_fn_t)(world_t *world, void *data);
+typedef void (*world_decide_t)(world_t *world, world_call_t *call);
+typedef void (*world_answer_t)(world_t *world, medlar_query_t *query);
+
+/** struct world_event - something that happens at @due, in us */
+typedef struct world_event {
+	int64_t due;
+	uint64_t order;
+	world_fn_t fn;
+	void *data;
+} world_event_t;
+
+/**
+ * struct world - one service and its replicas
+ * @client: client of the core
+ * @service: service under test
+ * @suspects: its fingerprints
+ * @rand: generator of the world, apart from the core's
+ * @now_us: virtual time
+ * @heap: events to come
+ * @heap_len: how many
+ * @heap_cap: room
+ * @order: events ever added
+ * @replicas: replicas
+ * @len: how many
+ * @mean_us: mean time of service
+ * @decide: sets took_us and fate of a call; NULL for the standard model
+ * @answered: told of each answer before the query is finished; may be NULL
+ * @data: the user's own
+ * @answers: answers by outcome
+ * @live: attempts sent and not reported
+ * @cancels: cancel actions
+ * @mixed: replies accepted by replicas that lack the version, a fault
+ */
+struct world {
+	medlar_client_t client;
+	medlar_service_t service;
+	medlar_suspects_t suspects;
+	medlar_rand_t rand;
+	int64_t now_us;
+	world_event_t *heap;
+	size_t heap_len;
+	size_t heap_cap;
+	uint64_t order;
+	world_replica_t *replicas;
+	size_t len;
+	double mean_us;
+	world_decide_t decide;
+	world_answer_t answered;
+	void *data;
+	uint64_t answers[MEDLAR_OUTCOME_CANCELLED + 1];
+	size_t live;
+	uint64_t cancels;
+};
+
+static inline medlar_time_t world_now(const world_t *world)
+{
+	return world->now_us / WORLD_MS;
+}
+
+static inline bool world_before(const world_event_t *a, const world_event_t *b)
+{
+	if (a->due != b->due)
+		return a->due < b->due;
+	return a->order < b->order;
+}
+
+static inline void world_at(world_t *world, int64_t due, world_fn_t fn,
+			    void *data)
+{
+	size_t at = world->heap_len++;
+	world_event_t event;
+
+	if (world->heap_len > world->heap_cap) {
+		world->heap_cap = 2 * world->heap_len + 64;
+		world->heap = (world_event_t *)realloc(
+			world->heap, world->heap_cap * sizeof(*world->heap));
+		if (!world->heap)
+			abort();
+	}
+	event.due = due;
+	event.order = world->order++;
+	event.fn = fn;
+	event.data = data;
+	while (at > 0 && world_before(&event, &world->heap[(at - 1) / 2])) {
+		world->heap[at] = world->heap[(at - 1) / 2];
+		at = (at - 1) / 2;
+	}
+	world->heap[at] = event;
+}
+
+static inline world_event_t world_pop(world_t *world)
+{
+	world_event_t top = world->heap[0];
+	world_event_t last = world->heap[--world->heap_len];
+	size_t at = 0;
+
+	for (;;) {
+		size_t child = 2 * at + 1;
+
+		if (child >= world->heap_len)
+			break;
+		if (child + 1 < world->heap_len &&
+		    world_before(&world->heap[child + 1], &world->heap[child]))
+			child++;
+		if (!world_before(&world->heap[child], &last))
+			break;
+		world->heap[at] = world->heap[child];
+		at = child;
+	}
+	if (world->heap_len > 0)
+		world->heap[at] = last;
+	return top;
+}
+
+static inline void world_unlink(world_call_t *call)
+{
+	world_call_t **at = &call->at->calls;
+
+	while (*at != call)
+		at = &(*at)->next;
+	*at = call->next;
+}
+
+static inline void world_fill_reply(const world_call_t *call,
+				    medlar_reply_t *reply)
+{
+	static const medlar_reply_status_t statuses[WORLD_FATES] = {
+		MEDLAR_REPLY_OK,
+		MEDLAR_REPLY_NOT_EXECUTED,
+		MEDLAR_REPLY_WRONG_VERSION,
+		MEDLAR_REPLY_MOVED,
+		MEDLAR_REPLY_ERROR,
+	};
+
+	memset(reply, 0, sizeof(*reply));
+	memcpy(reply->id, medlar_attempt_id(call->attempt), sizeof(reply->id));
+	reply->version = call->version;
+	reply->range = call->range;
+	reply->status = statuses[call->fate];
+	reply->moved_to = call->at->info.port;
+	reply->load.utilization = -1;
+	reply->load.queue = -1;
+	memcpy(reply->versions, call->at->info.versions,
+	       sizeof(reply->versions));
+	reply->body = MEDLAR_STR("[1]");
+	if (call->fate == WORLD_BAD_ID)
+		reply->id[0] ^= 1;
+	if (call->fate == WORLD_BAD_VERSION)
+		reply->version++;
+	if (call->fate == WORLD_BAD_RANGE)
+		reply->range.hi--;
+}
+
+static inline void world_report(world_t *world, world_call_t *call,
+				world_fate_t fate)
+{
+	medlar_time_t now = world_now(world);
+	medlar_reply_t reply;
+
+	call->fate = fate;
+	world->live--;
+	if (fate == WORLD_REFUSE) {
+		medlar_attempt_fail(&world->client, call->attempt,
+				    MEDLAR_FAULT_REFUSED, now);
+	} else if (fate == WORLD_RESET || fate == WORLD_CRASH) {
+		medlar_attempt_fail(&world->client, call->attempt,
+				    MEDLAR_FAULT_RESET, now);
+	} else if (fate == WORLD_SILENCE) {
+		medlar_attempt_fail(&world->client, call->attempt,
+				    MEDLAR_FAULT_SILENT, now);
+	} else {
+		world_fill_reply(call, &reply);
+		medlar_attempt_reply(&world->client, call->attempt, &reply,
+				     now);
+	}
+}
+
+static inline void world_finish_call(world_t *world, void *data);
+
+static inline void world_serve(world_t *world, world_call_t *call)
+{
+	call->serving = true;
+	call->at->busy++;
+	world_at(world, world->now_us + call->took_us, world_finish_call, call);
+}
+
+/* All in flight at a replica is reset; it may take requests again at once. */
+static inline void world_crash(world_t *world, world_replica_t *replica)
+{
+	world_call_t *call;
+
+	replica->deaths++;
+	replica->queued = 0;
+	replica->busy = 0;
+	while ((call = replica->calls) != NULL) {
+		replica->calls = call->next;
+		call->dead = true;
+		world_report(world, call, WORLD_RESET);
+		if (!call->serving)
+			free(call);
+	}
+}
+
+static inline void world_finish_call(world_t *world, void *data)
+{
+	world_call_t *call = (world_call_t *)data;
+	world_replica_t *replica = call->at;
+
+	if (call->dead) {
+		free(call);
+		return;
+	}
+	if (call->fate == WORLD_CRASH) {
+		world_crash(world, replica);
+		free(call);
+		return;
+	}
+	if (call->serving) {
+		replica->busy--;
+		replica->executed += call->fate == WORLD_ANSWER;
+	}
+	world_unlink(call);
+	if (replica->queued > 0 && call->serving) {
+		world_call_t *next = replica->queue[0];
+
+		replica->queued--;
+		memmove(replica->queue, replica->queue + 1,
+			replica->queued * sizeof(world_call_t *));
+		world_serve(world, next);
+	}
+	world_report(world, call, call->fate);
+	free(call);
+}
+
+static inline double world_exponential(world_t *world)
+{
+	double unit = medlar_rand_unit(&world->rand);
+	double sum = 0;
+	double term = unit;
+	int i;
+
+	/* -log(1 - unit) as a series; the tail is cut at about 7 means. */
+	for (i = 1; i < 1000; i++) {
+		sum += term / i;
+		term *= unit;
+	}
+	return sum;
+}
+
+/** world_standard() - a minimum time of service and an exponential tail */
+static inline void world_standard(world_t *world, world_call_t *call)
+{
+	double scale = 0.5 + 0.5 * world_exponential(world);
+
+	call->took_us = (int64_t)(world->mean_us * scale * call->at->slow) + 1;
+	call->fate = WORLD_ANSWER;
+}
+
+static inline world_replica_t *world_replica_of(medlar_attempt_t *attempt)
+{
+	return (world_replica_t *)medlar_replica_data(
+		medlar_attempt_replica(attempt));
+}
+
+static inline bool world_serves(const world_replica_t *replica,
+				uint32_t version)
+{
+	unsigned i;
+
+	for (i = 0; i < MEDLAR_VERSIONS_MAX; i++)
+		if (replica->info.versions[i] == version)
+			return true;
+	return false;
+}
+
+static inline void world_send(medlar_attempt_t *attempt, void *data)
+{
+	world_t *world = (world_t *)data;
+	world_call_t *call = (world_call_t *)calloc(1, sizeof(*call));
+	medlar_query_t *query = medlar_attempt_query(attempt);
+
+	if (!call)
+		abort();
+	call->attempt = attempt;
+	call->at = world_replica_of(attempt);
+	call->version = medlar_attempt_version(attempt);
+	call->fingerprint = medlar_query_params(query)->fingerprint;
+	call->range = medlar_attempt_range(attempt);
+	call->next = call->at->calls;
+	call->at->calls = call;
+	world->live++;
+	if (world->decide)
+		world->decide(world, call);
+	else
+		world_standard(world, call);
+	if (call->at->dead)
+		call->fate = WORLD_REFUSE;
+	else if (call->fate == WORLD_ANSWER &&
+		 !world_serves(call->at, call->version))
+		call->fate = WORLD_WRONG_VERSION;
+	if (call->fate != WORLD_ANSWER && call->fate != WORLD_CRASH) {
+		if (call->fate != WORLD_SILENCE)
+			call->took_us = WORLD_MS;
+		world_at(world, world->now_us + call->took_us,
+			 world_finish_call, call);
+	} else if (call->at->busy < call->at->info.slots) {
+		world_serve(world, call);
+	} else if (call->at->queued < WORLD_QUEUE_MAX) {
+		call->at->queue[call->at->queued++] = call;
+	} else {
+		call->fate = WORLD_SHED;
+		world_at(world, world->now_us + WORLD_MS, world_finish_call,
+			 call);
+	}
+}
+
+static inline void world_cancel(medlar_attempt_t *attempt, void *data)
+{
+	(void)attempt;
+	((world_t *)data)->cancels++;
+}
+
+static inline void world_answer(medlar_query_t *query, void *data)
+{
+	world_t *world = (world_t *)data;
+
+	world->answers[medlar_query_answer(query)->outcome]++;
+	if (world->answered)
+		world->answered(world, query);
+	medlar_query_finish(&world->client, query);
+}
+
+static inline void world_put(world_t *world, world_replica_t *replica)
+{
+	medlar_time_t now = world_now(world);
+
+	if (medlar_service_put_replica(&world->client, &world->service,
+				       &replica->info, now))
+		abort();
+	replica->handle = medlar_service_find_replica(
+		&world->service,
+		medlar_str_hash(medlar_str_from(replica->info.name), 0));
+	medlar_replica_set_data(replica->handle, replica);
+}
+
+/**
+ * world_init() - a service all of whose replicas serve version 7
+ * @world: memory of the caller
+ * @policy: policy; its shards and slots are used
+ * @per_shard: replicas of each shard
+ * @seed: seed of the core and the world
+ */
+static inline void world_init(world_t *world, const medlar_policy_t *policy,
+			      unsigned per_shard, uint64_t seed)
+{
+	medlar_service_ops_t ops;
+	uint32_t shard;
+	unsigned r;
+
+	memset(world, 0, sizeof(*world));
+	world->rand.state = seed;
+	world->now_us = 1000 * WORLD_MS;
+	world->mean_us = 10 * WORLD_MS;
+	ops.send = world_send;
+	ops.cancel = world_cancel;
+	ops.answer = world_answer;
+	medlar_client_init(&world->client, MEDLAR_STR("one"), 0, seed);
+	if (medlar_suspects_init(&world->suspects, 64, MEDLAR_MINUTE) ||
+	    medlar_service_init(&world->client, &world->service, policy, &ops,
+				world, world_now(world)))
+		abort();
+	medlar_service_set_suspects(&world->service, &world->suspects);
+	world->replicas = (world_replica_t *)calloc(WORLD_REPLICAS_MAX,
+						    sizeof(world_replica_t));
+	for (shard = 0; shard < policy->shards; shard++) {
+		for (r = 0; r < per_shard; r++) {
+			world_replica_t *replica =
+				&world->replicas[world->len++];
+
+			snprintf(replica->info.name, sizeof(replica->info.name),
+				 "r%u-%u", shard, r);
+			snprintf(replica->info.host, sizeof(replica->info.host),
+				 "127.0.0.1");
+			replica->info.port = 1;
+			replica->info.shard = shard;
+			replica->info.slots = (uint16_t)policy->slots;
+			replica->info.connections = 25;
+			replica->info.incarnation = 1;
+			replica->info.versions[0] = 7;
+			replica->shard = shard;
+			replica->slow = 1;
+			world_put(world, replica);
+		}
+	}
+}
+
+/** world_step() - the next event or timer; false when nothing is left */
+static inline bool world_step(world_t *world)
+{
+	medlar_time_t timer = medlar_client_due(&world->client);
+	int64_t timer_us = timer == MEDLAR_TIME_NEVER ? INT64_MAX
+						      : timer * WORLD_MS;
+
+	if (world->heap_len == 0 && timer_us == INT64_MAX)
+		return false;
+	if (world->heap_len > 0 && world->heap[0].due <= timer_us) {
+		world_event_t event = world_pop(world);
+
+		if (event.due > world->now_us)
+			world->now_us = event.due;
+		event.fn(world, event.data);
+	} else {
+		if (timer_us > world->now_us)
+			world->now_us = timer_us;
+		medlar_client_run(&world->client, world_now(world));
+	}
+	return true;
+}
+
+/** world_run() - go on until a time in us, or until nothing is left to do */
+static inline void world_run(world_t *world, int64_t until)
+{
+	for (;;) {
+		medlar_time_t timer = medlar_client_due(&world->client);
+		int64_t next = world->heap_len > 0 ? world->heap[0].due
+						   : INT64_MAX;
+
+		if (timer != MEDLAR_TIME_NEVER && timer * WORLD_MS < next)
+			next = timer * WORLD_MS;
+		if (next > until || !world_step(world))
+			break;
+	}
+	if (until != INT64_MAX && world->now_us < until)
+		world->now_us = until;
+}
+
+static inline void world_finish(world_t *world)
+{
+	size_t i;
+
+	medlar_service_finish(&world->client, &world->service);
+	medlar_suspects_finish(&world->suspects);
+	medlar_client_finish(&world->client);
+	for (i = 0; i < world->len; i++) {
+		while (world->replicas[i].calls) {
+			world_call_t *call = world->replicas[i].calls;
+
+			world->replicas[i].calls = call->next;
+			free(call);
+		}
+	}
+	free(world->replicas);
+	free(world->heap);
+}
+
+/** world_ask() - start a search with the deadline given in ms from now */
+static inline int world_ask(world_t *world, uint64_t fingerprint,
+			    medlar_time_t deadline, void *data)
+{
+	medlar_query_params_t params;
+	medlar_query_t *query;
+
+	memset(&params, 0, sizeof(params));
+	params.kind = MEDLAR_KIND_SEARCH;
+	params.fingerprint = fingerprint;
+	params.caller = fingerprint;
+	params.deadline = world_now(world) + deadline;
+	params.target = world_now(world) + world->service.policy.target;
+	return medlar_query_start(&world->client, &world->service, &params,
+				  data, world_now(world), &query);
+}
+
+#endif /* TESTS_FAKES_WORLD_H */
