Generate the configuration from a questionnaire and submit it safely

Cause: operators drive the system by revising answers; two of them edit at once and the store's replies may be lost. Change: one table of questions; a queueing estimate; generation as a pure function that refuses clashes with the answers that would work; a three-way merge by answer; submissions that commit by compare-and-swap, keep earlier revisions and settle lost replies by their id. Conclusion: what is told as accepted is in the history, what is told as refused is not.

--- /dev/null
+++ b/libmedlar/estimate.c
@@ -0,0 +1,164 @@
+/**
+ * DOC: latency, coverage and extra load to expect of a service
+ *
+ * The replicas of a shard are taken as one queue with as many servers as they
+ * have slots (Erlang C). Service times are log-normal through the two answers
+ * that the questionnaire asks for. A hedge is an independent second try. The
+ * latency of a query is that of its slowest shard.
+ */
+#include <math.h>
+
+#include "medlar.h"
+
+#define Z_99 2.3263478740408408 /* 0.99 quantile of the normal distribution */
+#define SIGMA_MIN 0.01
+#define WAIT_POINTS 32
+#define LATENCY_MAX 1e8
+#define BISECTIONS 60
+#define HEDGE_PART 0.8 /* share of the extra load that hedges may use */
+#define HEDGE_QUANTILE_MIN 0.5
+
+typedef struct model {
+	double median;
+	double sigma;
+	double wait_probability;
+	double wait_mean;
+	double hedge_delay;
+} model_t;
+
+/**
+ * medlar_hedge_quantile() - latency quantile after which a hedge is sent
+ * @extra_load: hedges and retries allowed, share of first sends
+ *
+ * Hedges sent after quantile q add 1 - q to the load. A fifth of the
+ * allowance is left for retries.
+ *
+ * Return: 0.5 to 1, never growing with @extra_load; 1 means no hedges.
+ */
+double medlar_hedge_quantile(double extra_load)
+{
+	return fmax(HEDGE_QUANTILE_MIN, 1 - HEDGE_PART * extra_load);
+}
+
+static double service_tail(const model_t *model, double t)
+{
+	double z;
+
+	if (t <= 0)
+		return 1;
+	z = (log(t) - log(model->median)) / model->sigma;
+	return 0.5 * erfc(z / sqrt(2));
+}
+
+/* Probability that waiting and service together take longer than t. */
+static double try_tail(const model_t *model, double t)
+{
+	double waiting = 0;
+	int i;
+
+	for (i = 0; i < WAIT_POINTS; i++) {
+		double u = (i + 0.5) / WAIT_POINTS;
+		double wait = -log1p(-u) * model->wait_mean;
+
+		waiting += service_tail(model, t - wait) / WAIT_POINTS;
+	}
+	return (1 - model->wait_probability) * service_tail(model, t) +
+	       model->wait_probability * waiting;
+}
+
+static double shard_tail(const model_t *model, double t)
+{
+	double tail = try_tail(model, t);
+
+	if (model->hedge_delay > 0 && t > model->hedge_delay)
+		tail *= try_tail(model, t - model->hedge_delay);
+	return tail;
+}
+
+typedef double (*tail_fn_t)(const model_t *model, double t);
+
+static double quantile(const model_t *model, tail_fn_t tail, double above)
+{
+	double lo = 0;
+	double hi = LATENCY_MAX;
+	int i;
+
+	for (i = 0; i < BISECTIONS; i++) {
+		double mid = (lo + hi) / 2;
+
+		if (tail(model, mid) > above)
+			lo = mid;
+		else
+			hi = mid;
+	}
+	return hi;
+}
+
+/* Probability that a request waits, by the recursion of Erlang B. */
+static double erlang_c(int64_t servers, double load)
+{
+	double blocked = 1;
+	int64_t k;
+
+	for (k = 1; k <= servers; k++)
+		blocked = load * blocked / ((double)k + load * blocked);
+	return blocked / (1 - load / (double)servers * (1 - blocked));
+}
+
+static double mean_service(const medlar_operations_t *operations, double sigma)
+{
+	return operations->median * exp(sigma * sigma / 2);
+}
+
+static double sigma_of(const medlar_operations_t *operations)
+{
+	double sigma = log(operations->p99 / operations->median) / Z_99;
+
+	return fmax(sigma, SIGMA_MIN);
+}
+
+static void set_waiting(model_t *model, int64_t servers, double load,
+			double mean)
+{
+	if (load >= (double)servers) {
+		model->wait_probability = 1;
+		model->wait_mean = LATENCY_MAX;
+		return;
+	}
+	model->wait_probability = erlang_c(servers, load);
+	model->wait_mean = mean / ((double)servers - load);
+}
+
+/**
+ * medlar_estimate_service() - estimate one service at its peak
+ * @product: what it must deliver
+ * @operations: what its upstreams can bear
+ * @estimate: receives the result
+ */
+void medlar_estimate_service(const medlar_product_t *product,
+			     const medlar_operations_t *operations,
+			     medlar_estimate_t *estimate)
+{
+	double extra = operations->extra_load / 100;
+	double sigma = sigma_of(operations);
+	double mean = mean_service(operations, sigma);
+	double load = product->peak_rate * mean / MEDLAR_SECOND;
+	int64_t servers = operations->replicas * operations->slots;
+	int64_t left = servers - operations->lost * operations->slots;
+	bool hedges = extra > 0 && operations->replicas > 1 && !product->writes;
+	model_t model = { .median = operations->median, .sigma = sigma };
+	double late = 1 - pow(product->percentile / 100,
+			      1.0 / (double)operations->shards);
+
+	*estimate = (medlar_estimate_t){ .extra_load = hedges ? extra : 0 };
+	load *= 1 + estimate->extra_load;
+	estimate->utilization = load / (double)servers;
+	estimate->utilization_lost = left > 0 ? load / (double)left : INFINITY;
+	set_waiting(&model, servers, load, mean);
+	if (hedges)
+		model.hedge_delay = quantile(&model, try_tail,
+					     1 - medlar_hedge_quantile(extra));
+	estimate->hedge_delay = model.hedge_delay;
+	estimate->latency = quantile(&model, shard_tail, late);
+	estimate->coverage = 1 - shard_tail(&model, (double)product->target);
+}
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -716,6 +716,146 @@
 const medlar_policy_t *medlar_config_find(const medlar_config_t *config,
 					  medlar_str_t name);
 
+/*
+ * questionnaire.c
+ */
+
+/** enum medlar_section - who answers a question */
+typedef enum medlar_section {
+	MEDLAR_SECTION_PRODUCT,
+	MEDLAR_SECTION_OPERATIONS,
+	MEDLAR_SECTION_COUNT
+} medlar_section_t;
+
+/**
+ * struct medlar_product - what one service must deliver
+ * @name: name of the service
+ * @writes: true when its requests are not idempotent
+ * @priority: &enum medlar_priority
+ * @deadline: longest deadline of a caller, ms
+ * @target: latency wanted, ms
+ * @percentile: share of answers that meet @target, percent
+ * @coverage: least coverage worth answering, percent
+ * @peak_rate: requests a second at the busiest time, all instances together
+ * @window: how long a repeated write is recognised, hours
+ */
+typedef struct medlar_product {
+	char name[MEDLAR_NAME_MAX + 1];
+	bool writes;
+	int priority;
+	int64_t deadline;
+	int64_t target;
+	double percentile;
+	double coverage;
+	double peak_rate;
+	int64_t window;
+} medlar_product_t;
+
+/**
+ * struct medlar_operations - what the upstreams of one service can bear
+ * @name: name of the service
+ * @shards: shards at the first partition map
+ * @replicas: replicas of each shard
+ * @lost: replicas of a shard that may be lost at peak
+ * @slots: requests that a replica runs at once
+ * @connections: connections that a replica accepts from all instances
+ * @connect_cost: time to open a connection, ms
+ * @median: median time that a replica needs for a request, ms
+ * @p99: time that 99 in 100 requests need at most, ms
+ * @extra_load: hedges and retries allowed, percent of first sends
+ */
+typedef struct medlar_operations {
+	char name[MEDLAR_NAME_MAX + 1];
+	int64_t shards;
+	int64_t replicas;
+	int64_t lost;
+	int64_t slots;
+	int64_t connections;
+	int64_t connect_cost;
+	double median;
+	double p99;
+	double extra_load;
+} medlar_operations_t;
+
+/**
+ * struct medlar_questionnaire - the answers of both sections
+ * @products: array of &struct medlar_product
+ * @operations: array of &struct medlar_operations
+ * @instances: entry instances
+ * @address_ttl: how long callers keep an address answer, seconds
+ */
+typedef struct medlar_questionnaire {
+	medlar_doc_array_t products;
+	medlar_doc_array_t operations;
+	int64_t instances;
+	int64_t address_ttl;
+} medlar_questionnaire_t;
+
+/**
+ * struct medlar_question - a question as operators see it
+ * @section: who answers it
+ * @per_service: asked for each service, else once
+ * @field: name, type, range and place of the answer
+ * @unit: unit of the answer, or an empty string
+ * @preset: answer in a new questionnaire, JSON
+ * @why: reason why it is asked
+ */
+typedef struct medlar_question {
+	medlar_section_t section;
+	bool per_service;
+	medlar_doc_field_t field;
+	const char *unit;
+	const char *preset;
+	const char *why;
+} medlar_question_t;
+
+const medlar_question_t *medlar_questions(size_t *len);
+const char *medlar_section_name(medlar_section_t section);
+int medlar_questionnaire_parse(medlar_client_t *client,
+			       medlar_questionnaire_t *questionnaire,
+			       medlar_str_t file, medlar_str_t json);
+void medlar_questionnaire_finish(medlar_questionnaire_t *questionnaire);
+void medlar_questionnaire_template(medlar_buf_t *out);
+
+/*
+ * estimate.c
+ */
+
+/**
+ * struct medlar_estimate - what a queueing model expects of a service
+ * @utilization: share of the slots that is busy at peak, 0 to 1 and above
+ * @utilization_lost: the same with the replicas lost that the answers allow
+ * @latency: latency at the wanted percentile with full coverage, ms
+ * @hedge_delay: time after which a hedge is sent, ms; 0 for never
+ * @coverage: coverage expected at the target, 0 to 1
+ * @extra_load: extra sends expected, share of first sends
+ */
+typedef struct medlar_estimate {
+	double utilization;
+	double utilization_lost;
+	double latency;
+	double hedge_delay;
+	double coverage;
+	double extra_load;
+} medlar_estimate_t;
+
+void medlar_estimate_service(const medlar_product_t *product,
+			     const medlar_operations_t *operations,
+			     medlar_estimate_t *estimate);
+double medlar_hedge_quantile(double extra_load);
+
+/*
+ * generate.c
+ */
+
+int medlar_config_generate(medlar_client_t *client,
+			   const medlar_questionnaire_t *questionnaire,
+			   medlar_str_t file, uint64_t revision,
+			   medlar_config_t *config);
+int medlar_config_explain(medlar_client_t *client,
+			  const medlar_questionnaire_t *questionnaire,
+			  medlar_buf_t *out);
+
 /*
  * service.c
  */
@@ -1011,6 +1151,117 @@
 	void *data;
 } medlar_store_t;
 
+/*
+ * merge.c
+ */
+
+int medlar_merge(medlar_client_t *client, medlar_str_t file, medlar_str_t base,
+		 medlar_str_t theirs, medlar_str_t mine, medlar_buf_t *out);
+
+/*
+ * revision.c
+ */
+
+/** Key of the configuration document in the store. */
+#define MEDLAR_CONFIG_KEY "medlar/config"
+#define MEDLAR_HISTORY_PREFIX "medlar/history/"
+#define MEDLAR_HISTORY_LEN 64
+#define MEDLAR_SUBMISSION_ID_LEN 32
+
+/**
+ * struct medlar_revision - the configuration document, read
+ * @number: revision; 0 when there is none yet
+ * @submission: id of the submission that made it, terminated
+ * @answers: answers of each section, canonical JSON; empty until submitted
+ * @config: configuration, JSON; empty until both sections are there
+ */
+typedef struct medlar_revision {
+	uint64_t number;
+	char submission[MEDLAR_SUBMISSION_ID_LEN + 1];
+	medlar_buf_t answers[MEDLAR_SECTION_COUNT];
+	medlar_buf_t config;
+} medlar_revision_t;
+
+int medlar_revision_parse(medlar_revision_t *revision, medlar_str_t json);
+void medlar_revision_finish(medlar_revision_t *revision);
+void medlar_history_key(uint64_t number, medlar_buf_t *out);
+
+/*
+ * submission.c
+ */
+
+typedef struct medlar_submission_ medlar_submission_t;
+
+/**
+ * typedef medlar_submission_fn_t - receives the end of a submission
+ * @submission: may be finished in this call
+ * @error: %MEDLAR_OK: accepted, as @revision. %MEDLAR_ERR_STORE_UNKNOWN: the
+ *	commit may yet have taken effect. Any other error: not accepted
+ * @revision: revision that was accepted, else the newest one seen
+ * @data: from medlar_submission_start()
+ */
+typedef void (*medlar_submission_fn_t)(medlar_submission_t *submission,
+				       int error, uint64_t revision,
+				       void *data);
+
+/**
+ * struct medlar_submission_params - a change of one section
+ * @section: section that is replaced
+ * @author: name of the operator
+ * @base: revision that @answers were edited from; 0 for none
+ * @answers: the new answers of the section, JSON
+ * @time: current time since 1970, ms
+ * @timeout: time after which the submission is given up, ms
+ */
+typedef struct medlar_submission_params {
+	medlar_section_t section;
+	medlar_str_t author;
+	uint64_t base;
+	medlar_str_t answers;
+	medlar_time_t time;
+	medlar_time_t timeout;
+} medlar_submission_params_t;
+
+/*
+ * The members of struct medlar_submission_ are private.
+ */
+struct medlar_submission_ {
+	medlar_client_t *client;
+	const medlar_store_t *store;
+	medlar_submission_fn_t done;
+	void *data;
+	medlar_section_t section;
+	medlar_buf_t author;
+	medlar_buf_t mine;
+	medlar_buf_t base_answers;
+	medlar_buf_t document;
+	medlar_buf_t current;
+	medlar_revision_t seen;
+	uint64_t base;
+	uint64_t index;
+	uint64_t archive_index;
+	uint64_t number;
+	char id[MEDLAR_SUBMISSION_ID_LEN + 1];
+	medlar_time_t time;
+	medlar_timer_t deadline;
+	medlar_timer_t retry;
+	medlar_time_t backoff;
+	medlar_time_t now;
+	void (*resume)(medlar_submission_t *submission);
+	bool waiting;
+	bool ambiguous;
+	bool ended;
+};
+
+int medlar_submission_start(medlar_client_t *client,
+			    medlar_submission_t *submission,
+			    const medlar_store_t *store,
+			    const medlar_submission_params_t *params,
+			    medlar_submission_fn_t done, void *data,
+			    medlar_time_t now);
+bool medlar_submission_idle(const medlar_submission_t *submission);
+void medlar_submission_finish(medlar_submission_t *submission);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/libmedlar/submission.c
@@ -0,0 +1,577 @@
+/**
+ * DOC: submission of changed answers to the store
+ *
+ * Steps: read the current revision; find the answers that the change started
+ * from; merge; generate the configuration; archive the current revision;
+ * commit by compare-and-swap. The end of a commit whose reply was lost is
+ * found by reading: every document carries the id of its submission. A commit
+ * may be repeated on the same index, because only one copy can take effect.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "medlar.h"
+
+#define BACKOFF_MIN ((medlar_time_t)50)
+#define BACKOFF_MAX (2 * MEDLAR_SECOND)
+
+typedef void (*step_t)(medlar_submission_t *submission);
+
+static void read_current(medlar_submission_t *submission);
+static void archive(medlar_submission_t *submission);
+static void commit(medlar_submission_t *submission);
+static void settle(medlar_submission_t *submission);
+
+static void end(medlar_submission_t *submission, int error)
+{
+	uint64_t revision = error ? submission->seen.number
+				  : submission->number;
+
+	if (submission->ended)
+		return;
+	submission->ended = true;
+	medlar_timer_clear(submission->client, &submission->deadline);
+	medlar_timer_clear(submission->client, &submission->retry);
+	MEDLAR_TRACE(submission->client, MEDLAR_EVENT_CONFIG,
+		     MEDLAR_TEXT("step", MEDLAR_STR("submitted")),
+		     MEDLAR_TEXT("result",
+				 medlar_str_from(medlar_error_name(error))),
+		     MEDLAR_NUM("revision", revision));
+	submission->done(submission, error, revision, submission->data);
+}
+
+static void expire(medlar_client_t *client, medlar_timer_t *timer,
+		   medlar_time_t now, void *data)
+{
+	medlar_submission_t *submission = data;
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	end(submission, submission->ambiguous ? MEDLAR_ERR_STORE_UNKNOWN
+					      : MEDLAR_ERR_STORE_DOWN);
+}
+
+static void wake(medlar_client_t *client, medlar_timer_t *timer,
+		 medlar_time_t now, void *data)
+{
+	medlar_submission_t *submission = data;
+
+	(void)client;
+	(void)timer;
+	submission->now = now;
+	submission->resume(submission);
+}
+
+/* Repeats a step after an exponential delay with jitter. */
+static void retry_later(medlar_submission_t *submission, step_t step)
+{
+	medlar_client_t *client = submission->client;
+	medlar_time_t delay = submission->backoff +
+			      (medlar_time_t)medlar_rand_below(
+				      &client->rand,
+				      (uint64_t)submission->backoff);
+
+	submission->backoff *= 2;
+	if (submission->backoff > BACKOFF_MAX)
+		submission->backoff = BACKOFF_MAX;
+	submission->resume = step;
+	if (medlar_timer_set(client, &submission->retry,
+			     submission->now + delay))
+		end(submission, MEDLAR_ERR_NOMEM);
+}
+
+static bool begin_reply(medlar_submission_t *submission)
+{
+	submission->waiting = false;
+	return !submission->ended;
+}
+
+static void get(medlar_submission_t *submission, medlar_str_t key,
+		medlar_store_fn_t done, step_t again)
+{
+	const medlar_store_t *store = submission->store;
+
+	submission->waiting = true;
+	if (store->get(store->data, key, done, submission) == MEDLAR_OK)
+		return;
+	submission->waiting = false;
+	retry_later(submission, again);
+}
+
+static void cas(medlar_submission_t *submission, medlar_str_t key,
+		medlar_str_t value, uint64_t index, medlar_store_fn_t done,
+		step_t again)
+{
+	const medlar_store_t *store = submission->store;
+
+	submission->waiting = true;
+	if (store->cas(store->data, key, value, index, done, submission) ==
+	    MEDLAR_OK)
+		return;
+	submission->waiting = false;
+	retry_later(submission, again);
+}
+
+static void write_answers(medlar_submission_t *submission,
+			  medlar_str_t section_answers, medlar_buf_t *out)
+{
+	const char *comma = "";
+	int section;
+
+	medlar_buf_add(out, MEDLAR_STR("{"));
+	for (section = 0; section < MEDLAR_SECTION_COUNT; section++) {
+		medlar_str_t answers =
+			section == (int)submission->section
+				? section_answers
+				: medlar_buf_str(
+					  &submission->seen.answers[section]);
+
+		if (answers.len == 0)
+			continue;
+		medlar_buf_printf(
+			out, "%s\"%s\":", comma,
+			medlar_section_name((medlar_section_t)section));
+		medlar_buf_add(out, answers);
+		comma = ",";
+	}
+	medlar_buf_add(out, MEDLAR_STR("}"));
+}
+
+static bool has_both_sections(const medlar_submission_t *submission)
+{
+	int section;
+
+	for (section = 0; section < MEDLAR_SECTION_COUNT; section++)
+		if (section != (int)submission->section &&
+		    submission->seen.answers[section].len == 0)
+			return false;
+	return true;
+}
+
+static int generate(medlar_submission_t *submission, medlar_str_t answers,
+		    medlar_buf_t *out)
+{
+	static const char file[] = "questionnaire";
+	medlar_questionnaire_t questionnaire;
+	medlar_config_t config;
+	int error;
+
+	error = medlar_questionnaire_parse(submission->client, &questionnaire,
+					   medlar_str_from(file), answers);
+	if (error)
+		return error;
+	error = medlar_config_generate(submission->client, &questionnaire,
+				       medlar_str_from(file),
+				       submission->number, &config);
+	medlar_questionnaire_finish(&questionnaire);
+	if (error)
+		return error;
+	medlar_buf_add(out, MEDLAR_STR(",\"config\":"));
+	medlar_config_write(&config, out);
+	medlar_config_finish(&config);
+	return out->error;
+}
+
+static int write_document(medlar_submission_t *submission,
+			  medlar_str_t section_answers)
+{
+	medlar_buf_t *out = &submission->document;
+	medlar_buf_t answers;
+	int error = MEDLAR_OK;
+
+	medlar_buf_init(&answers);
+	medlar_buf_reset(out);
+	write_answers(submission, section_answers, &answers);
+	medlar_buf_printf(out,
+			  "{\"revision\":%llu,\"submission\":\"%s\","
+			  "\"section\":\"%s\",\"time\":%lld,\"author\":",
+			  (unsigned long long)submission->number,
+			  submission->id,
+			  medlar_section_name(submission->section),
+			  (long long)submission->time);
+	medlar_buf_json_string(out, medlar_buf_str(&submission->author));
+	medlar_buf_add(out, MEDLAR_STR(",\"questionnaire\":"));
+	medlar_buf_add(out, medlar_buf_str(&answers));
+	if (has_both_sections(submission))
+		error = generate(submission, medlar_buf_str(&answers), out);
+	medlar_buf_add(out, MEDLAR_STR("}"));
+	if (!error)
+		error = answers.error ? answers.error : out->error;
+	medlar_buf_finish(&answers);
+	return error;
+}
+
+static void merge_and_archive(medlar_submission_t *submission)
+{
+	medlar_str_t theirs = medlar_buf_str(
+		&submission->seen.answers[submission->section]);
+	medlar_str_t base = medlar_buf_str(&submission->base_answers);
+	medlar_buf_t merged;
+	int error = MEDLAR_OK;
+
+	medlar_buf_init(&merged);
+	if (theirs.len > 0)
+		error = medlar_merge(submission->client,
+				     medlar_str_from(medlar_section_name(
+					     submission->section)),
+				     base.len > 0 ? base : MEDLAR_STR("{}"),
+				     theirs, medlar_buf_str(&submission->mine),
+				     &merged);
+	else
+		medlar_buf_add(&merged, medlar_buf_str(&submission->mine));
+	submission->number = submission->seen.number + 1;
+	if (!error)
+		error = write_document(submission, medlar_buf_str(&merged));
+	medlar_buf_finish(&merged);
+	if (error)
+		end(submission, error);
+	else
+		archive(submission);
+}
+
+static void keep_base(medlar_submission_t *submission,
+		      const medlar_revision_t *revision)
+{
+	medlar_buf_reset(&submission->base_answers);
+	medlar_buf_add(&submission->base_answers,
+		       medlar_buf_str(&revision->answers[submission->section]));
+}
+
+static void on_base(const medlar_store_reply_t *reply, void *data);
+
+static void read_base(medlar_submission_t *submission)
+{
+	medlar_buf_t key;
+
+	medlar_buf_init(&key);
+	medlar_history_key(submission->base, &key);
+	get(submission, medlar_buf_str(&key), on_base, read_base);
+	medlar_buf_finish(&key);
+}
+
+static void on_base(const medlar_store_reply_t *reply, void *data)
+{
+	medlar_submission_t *submission = data;
+	medlar_revision_t revision;
+	bool found;
+
+	if (!begin_reply(submission))
+		return;
+	if (reply->status == MEDLAR_STORE_DOWN ||
+	    reply->status == MEDLAR_STORE_UNKNOWN) {
+		retry_later(submission, read_base);
+		return;
+	}
+	found = reply->status == MEDLAR_STORE_OK &&
+		medlar_revision_parse(&revision, reply->value) == MEDLAR_OK;
+	if (found && revision.number == submission->base) {
+		keep_base(submission, &revision);
+		medlar_revision_finish(&revision);
+		merge_and_archive(submission);
+		return;
+	}
+	if (found)
+		medlar_revision_finish(&revision);
+	end(submission, MEDLAR_ERR_EXPIRED);
+}
+
+static int keep_current(medlar_submission_t *submission,
+			const medlar_store_reply_t *reply)
+{
+	medlar_revision_finish(&submission->seen);
+	medlar_buf_reset(&submission->current);
+	submission->index = 0;
+	if (reply->status != MEDLAR_STORE_OK)
+		return MEDLAR_OK;
+	submission->index = reply->index;
+	medlar_buf_add(&submission->current, reply->value);
+	return medlar_revision_parse(&submission->seen, reply->value);
+}
+
+static bool is_lost(const medlar_store_reply_t *reply)
+{
+	return reply->status == MEDLAR_STORE_DOWN ||
+	       reply->status == MEDLAR_STORE_UNKNOWN;
+}
+
+static void on_current(const medlar_store_reply_t *reply, void *data)
+{
+	medlar_submission_t *submission = data;
+	int error;
+
+	if (!begin_reply(submission))
+		return;
+	if (is_lost(reply)) {
+		retry_later(submission, read_current);
+		return;
+	}
+	submission->ambiguous = false;
+	error = keep_current(submission, reply);
+	if (error) {
+		end(submission, error);
+		return;
+	}
+	if (submission->base == submission->seen.number)
+		keep_base(submission, &submission->seen);
+	else if (submission->base > submission->seen.number)
+		end(submission, MEDLAR_ERR_NOT_FOUND);
+	else if (submission->base > 0 && submission->base_answers.len == 0) {
+		read_base(submission);
+		return;
+	}
+	if (!submission->ended)
+		merge_and_archive(submission);
+}
+
+static void read_current(medlar_submission_t *submission)
+{
+	get(submission, MEDLAR_STR(MEDLAR_CONFIG_KEY), on_current,
+	    read_current);
+}
+
+static void on_archived(const medlar_store_reply_t *reply, void *data)
+{
+	medlar_submission_t *submission = data;
+
+	if (!begin_reply(submission))
+		return;
+	if (reply->status == MEDLAR_STORE_OK)
+		commit(submission);
+	else
+		retry_later(submission, archive);
+}
+
+static void write_archive(medlar_submission_t *submission)
+{
+	medlar_buf_t key;
+
+	medlar_buf_init(&key);
+	medlar_history_key(submission->seen.number, &key);
+	cas(submission, medlar_buf_str(&key),
+	    medlar_buf_str(&submission->current), submission->archive_index,
+	    on_archived, archive);
+	medlar_buf_finish(&key);
+}
+
+static void on_archive_read(const medlar_store_reply_t *reply, void *data)
+{
+	medlar_submission_t *submission = data;
+
+	if (!begin_reply(submission))
+		return;
+	if (is_lost(reply)) {
+		retry_later(submission, archive);
+		return;
+	}
+	submission->archive_index = 0;
+	if (reply->status == MEDLAR_STORE_OK) {
+		submission->archive_index = reply->index;
+		if (medlar_str_equal(reply->value,
+				     medlar_buf_str(&submission->current))) {
+			commit(submission);
+			return;
+		}
+	}
+	write_archive(submission);
+}
+
+/* Keeps the current revision before it is replaced. */
+static void archive(medlar_submission_t *submission)
+{
+	medlar_buf_t key;
+
+	if (submission->seen.number == 0) {
+		commit(submission);
+		return;
+	}
+	medlar_buf_init(&key);
+	medlar_history_key(submission->seen.number, &key);
+	get(submission, medlar_buf_str(&key), on_archive_read, archive);
+	medlar_buf_finish(&key);
+}
+
+static void on_committed(const medlar_store_reply_t *reply, void *data)
+{
+	medlar_submission_t *submission = data;
+
+	if (!begin_reply(submission))
+		return;
+	if (reply->status == MEDLAR_STORE_OK) {
+		end(submission, MEDLAR_OK);
+		return;
+	}
+	if (reply->status == MEDLAR_STORE_DOWN) {
+		retry_later(submission, commit);
+		return;
+	}
+	if (reply->status == MEDLAR_STORE_UNKNOWN)
+		submission->ambiguous = true;
+	if (submission->ambiguous)
+		settle(submission);
+	else
+		read_current(submission);
+}
+
+static void commit(medlar_submission_t *submission)
+{
+	cas(submission, MEDLAR_STR(MEDLAR_CONFIG_KEY),
+	    medlar_buf_str(&submission->document), submission->index,
+	    on_committed, commit);
+}
+
+static void on_settle_history(const medlar_store_reply_t *reply, void *data);
+
+static void settle_history(medlar_submission_t *submission)
+{
+	medlar_buf_t key;
+
+	medlar_buf_init(&key);
+	medlar_history_key(submission->number, &key);
+	get(submission, medlar_buf_str(&key), on_settle_history,
+	    settle_history);
+	medlar_buf_finish(&key);
+}
+
+/* The revision of this commit was replaced: its copy tells whose it was. */
+static void on_settle_history(const medlar_store_reply_t *reply, void *data)
+{
+	medlar_submission_t *submission = data;
+	medlar_revision_t revision;
+	int error = MEDLAR_ERR_STORE_UNKNOWN;
+
+	if (!begin_reply(submission))
+		return;
+	if (is_lost(reply)) {
+		retry_later(submission, settle_history);
+		return;
+	}
+	if (reply->status != MEDLAR_STORE_OK ||
+	    medlar_revision_parse(&revision, reply->value)) {
+		end(submission, error);
+		return;
+	}
+	if (revision.number == submission->number)
+		error = strcmp(revision.submission, submission->id) == 0
+				? MEDLAR_OK
+				: MEDLAR_ERR_CONFLICT;
+	medlar_revision_finish(&revision);
+	if (error == MEDLAR_ERR_CONFLICT)
+		read_current(submission);
+	else
+		end(submission, error);
+}
+
+static void on_settle(const medlar_store_reply_t *reply, void *data)
+{
+	medlar_submission_t *submission = data;
+	uint64_t index = submission->index;
+
+	if (!begin_reply(submission))
+		return;
+	if (is_lost(reply)) {
+		retry_later(submission, settle);
+		return;
+	}
+	if (keep_current(submission, reply)) {
+		end(submission, MEDLAR_ERR_STORE_UNKNOWN);
+		return;
+	}
+	if (strcmp(submission->seen.submission, submission->id) == 0 &&
+	    submission->seen.number == submission->number)
+		end(submission, MEDLAR_OK);
+	else if (submission->index == index)
+		retry_later(submission, commit);
+	else if (submission->seen.number <= submission->number)
+		read_current(submission);
+	else
+		settle_history(submission);
+}
+
+/* Finds out whether a commit whose reply was lost took effect. */
+static void settle(medlar_submission_t *submission)
+{
+	get(submission, MEDLAR_STR(MEDLAR_CONFIG_KEY), on_settle, settle);
+}
+
+static void set_id(medlar_submission_t *submission)
+{
+	medlar_rand_t *rand = &submission->client->rand;
+
+	snprintf(submission->id, sizeof(submission->id), "%016llx%016llx",
+		 (unsigned long long)medlar_rand_next(rand),
+		 (unsigned long long)medlar_rand_next(rand));
+}
+
+/**
+ * medlar_submission_start() - submit changed answers of one section
+ * @client: its error handler receives what is wrong with the answers
+ * @submission: memory of the caller
+ * @store: store, valid as long as the submission is
+ * @params: the change; copied
+ * @done: called once with the result, possibly before this call returns
+ * @data: passed to @done
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM when nothing was started.
+ */
+int medlar_submission_start(medlar_client_t *client,
+			    medlar_submission_t *submission,
+			    const medlar_store_t *store,
+			    const medlar_submission_params_t *params,
+			    medlar_submission_fn_t done, void *data,
+			    medlar_time_t now)
+{
+	*submission = (medlar_submission_t){
+		.client = client,
+		.store = store,
+		.done = done,
+		.data = data,
+		.section = params->section,
+		.base = params->base,
+		.time = params->time,
+		.backoff = BACKOFF_MIN,
+		.now = now,
+	};
+	medlar_buf_add(&submission->author, params->author);
+	medlar_buf_add(&submission->mine, params->answers);
+	set_id(submission);
+	medlar_timer_init(&submission->deadline, expire, submission);
+	medlar_timer_init(&submission->retry, wake, submission);
+	if (submission->author.error || submission->mine.error ||
+	    medlar_timer_set(client, &submission->deadline,
+			     now + params->timeout)) {
+		medlar_submission_finish(submission);
+		return MEDLAR_ERR_NOMEM;
+	}
+	read_current(submission);
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_submission_idle() - whether no store call is outstanding
+ * @submission: submission that has ended
+ *
+ * Return: true when its memory may be released after
+ * medlar_submission_finish().
+ */
+bool medlar_submission_idle(const medlar_submission_t *submission)
+{
+	return !submission->waiting;
+}
+
+/**
+ * medlar_submission_finish() - release what a submission holds
+ * @submission: submission that has ended and is idle
+ */
+void medlar_submission_finish(medlar_submission_t *submission)
+{
+	medlar_timer_clear(submission->client, &submission->deadline);
+	medlar_timer_clear(submission->client, &submission->retry);
+	medlar_revision_finish(&submission->seen);
+	medlar_buf_finish(&submission->author);
+	medlar_buf_finish(&submission->mine);
+	medlar_buf_finish(&submission->base_answers);
+	medlar_buf_finish(&submission->document);
+	medlar_buf_finish(&submission->current);
+}
