--- /dev/null
+++ b/tests/fakes/common_kv.c
@@ -0,0 +1,228 @@
+/**
+ * DOC: key-value table with leases of the platform stand-in
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common_kv.h"
+
+static void *grow(void *items, size_t len, size_t size)
+{
+	void *grown = realloc(items, (len + 1) * size);
+
+	if (!grown)
+		abort();
+	memset((char *)grown + len * size, 0, size);
+	return grown;
+}
+
+/**
+ * fake_kv_finish() - release all keys and leases
+ * @kv: table
+ */
+void fake_kv_finish(fake_kv_t *kv)
+{
+	size_t i;
+
+	for (i = 0; i < kv->len; i++) {
+		free(kv->items[i].key);
+		medlar_buf_finish(&kv->items[i].value);
+	}
+	free(kv->items);
+	free(kv->sessions);
+	*kv = (fake_kv_t){ 0 };
+}
+
+static fake_kv_item_t *find(const fake_kv_t *kv, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < kv->len; i++) {
+		if (!strcmp(kv->items[i].key, key))
+			return &kv->items[i];
+	}
+	return NULL;
+}
+
+/**
+ * fake_kv_find() - look up a key
+ * @kv: table
+ * @key: name
+ *
+ * Return: the item, or NULL.
+ */
+const fake_kv_item_t *fake_kv_find(const fake_kv_t *kv, const char *key)
+{
+	return find(kv, key);
+}
+
+static fake_kv_item_t *add(fake_kv_t *kv, const char *key)
+{
+	fake_kv_item_t *item;
+
+	kv->items = grow(kv->items, kv->len, sizeof(*kv->items));
+	item = &kv->items[kv->len++];
+	item->key = strdup(key);
+	item->created = kv->index + 1;
+	return item;
+}
+
+static bool lock_allowed(fake_kv_t *kv, const fake_kv_item_t *item,
+			 const char *session)
+{
+	if (!fake_session_find(kv, session))
+		return false;
+	return !item || !item->session[0] || !strcmp(item->session, session);
+}
+
+/**
+ * fake_kv_put() - write a key if its conditions hold
+ * @kv: table
+ * @write: what to write
+ *
+ * Return: true if it was written.
+ */
+bool fake_kv_put(fake_kv_t *kv, const fake_kv_write_t *write)
+{
+	fake_kv_item_t *item = find(kv, write->key);
+
+	if (write->has_cas && write->cas != (item ? item->modified : 0))
+		return false;
+	if (write->acquire && !lock_allowed(kv, item, write->acquire))
+		return false;
+	if (!item)
+		item = add(kv, write->key);
+	if (write->acquire)
+		snprintf(item->session, sizeof(item->session), "%s",
+			 write->acquire);
+	medlar_buf_reset(&item->value);
+	medlar_buf_add(&item->value, write->value);
+	item->modified = ++kv->index;
+	return true;
+}
+
+/**
+ * fake_kv_matches() - whether a read of a key or prefix includes an item
+ * @item: item
+ * @key: name or prefix
+ * @recurse: @key is a prefix
+ *
+ * Return: true if it does.
+ */
+bool fake_kv_matches(const fake_kv_item_t *item, const char *key, bool recurse)
+{
+	if (recurse)
+		return !strncmp(item->key, key, strlen(key));
+	return !strcmp(item->key, key);
+}
+
+/**
+ * fake_kv_index() - modification index of a key or prefix
+ * @kv: table
+ * @key: name or prefix
+ * @recurse: @key is a prefix
+ *
+ * Return: the highest index of all matching items, at least 1.
+ */
+uint64_t fake_kv_index(const fake_kv_t *kv, const char *key, bool recurse)
+{
+	uint64_t index = 1;
+	size_t i;
+
+	for (i = 0; i < kv->len; i++) {
+		const fake_kv_item_t *item = &kv->items[i];
+
+		if (item->modified > index &&
+		    fake_kv_matches(item, key, recurse))
+			index = item->modified;
+	}
+	return index;
+}
+
+/**
+ * fake_session_create() - make a lease
+ * @kv: table
+ * @rand: source of its name
+ * @ttl: lifetime, microseconds
+ * @now: current time, microseconds
+ *
+ * Return: the lease.
+ */
+fake_session_t *fake_session_create(fake_kv_t *kv, medlar_rand_t *rand,
+				    medlar_time_t ttl, medlar_time_t now)
+{
+	uint64_t a = medlar_rand_next(rand);
+	uint64_t b = medlar_rand_next(rand);
+	fake_session_t *session;
+
+	kv->sessions = grow(kv->sessions, kv->sessions_len, sizeof(*session));
+	session = &kv->sessions[kv->sessions_len++];
+	snprintf(session->id, sizeof(session->id),
+		 "%08x-%04x-%04x-%04x-%012llx", (unsigned)(a >> 32),
+		 (unsigned)(a >> 16 & 0xffff), (unsigned)(a & 0xffff),
+		 (unsigned)(b >> 48), (unsigned long long)(b & 0xffffffffffff));
+	session->ttl = ttl;
+	session->expires = now + ttl;
+	return session;
+}
+
+/**
+ * fake_session_find() - look up a lease
+ * @kv: table
+ * @id: its name
+ *
+ * Return: the lease, or NULL if it has ended.
+ */
+fake_session_t *fake_session_find(fake_kv_t *kv, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < kv->sessions_len; i++) {
+		if (!strcmp(kv->sessions[i].id, id))
+			return &kv->sessions[i];
+	}
+	return NULL;
+}
+
+static void release_locks(fake_kv_t *kv, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < kv->len; i++) {
+		if (strcmp(kv->items[i].session, id) != 0)
+			continue;
+		kv->items[i].session[0] = '\0';
+		kv->items[i].modified = ++kv->index;
+	}
+}
+
+/**
+ * fake_session_destroy() - end a lease and release its locks
+ * @kv: table
+ * @id: its name
+ */
+void fake_session_destroy(fake_kv_t *kv, const char *id)
+{
+	fake_session_t *session = fake_session_find(kv, id);
+
+	if (!session)
+		return;
+	release_locks(kv, session->id);
+	*session = kv->sessions[--kv->sessions_len];
+}
+
+/**
+ * fake_session_expire() - end the leases that have lapsed
+ * @kv: table
+ * @now: current time, microseconds
+ */
+void fake_session_expire(fake_kv_t *kv, medlar_time_t now)
+{
+	size_t i = kv->sessions_len;
+
+	while (i-- > 0) {
+		if (kv->sessions[i].expires <= now)
+			fake_session_destroy(kv, kv->sessions[i].id);
+	}
+}
