--- /dev/null
+++ b/medlard/answer.c
@@ -0,0 +1,189 @@
+/**
+ * DOC: the JSON bodies that callers get, see docs/API.md
+ */
+#include <inttypes.h>
+
+#include <microhttpd.h>
+
+#include "medlard/answer.h"
+
+static const char *const outcome_names[] = {
+	[MEDLAR_OUTCOME_PENDING] = "pending",
+	[MEDLAR_OUTCOME_COMPLETE] = "complete",
+	[MEDLAR_OUTCOME_PARTIAL] = "partial",
+	[MEDLAR_OUTCOME_NOT_RUN] = "not_run",
+	[MEDLAR_OUTCOME_FAILED] = "failed",
+	[MEDLAR_OUTCOME_UNKNOWN] = "unknown",
+	[MEDLAR_OUTCOME_CANCELLED] = "cancelled",
+};
+
+static const struct {
+	int error;
+	unsigned status;
+} statuses[] = {
+	{ MEDLAR_ERR_SYNTAX, MHD_HTTP_BAD_REQUEST },
+	{ MEDLAR_ERR_FIELD, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_TYPE, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_RANGE, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_MISSING, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_EXPIRED, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_CONVICTED, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_CONFLICT, MHD_HTTP_CONFLICT },
+	{ MEDLAR_ERR_AUTH, MHD_HTTP_UNAUTHORIZED },
+	{ MEDLAR_ERR_NOT_FOUND, MHD_HTTP_NOT_FOUND },
+	{ MEDLAR_ERR_TOO_LARGE, MHD_HTTP_CONTENT_TOO_LARGE },
+	{ MEDLAR_ERR_OVERLOAD, MHD_HTTP_TOO_MANY_REQUESTS },
+	{ MEDLAR_ERR_FULL, MHD_HTTP_TOO_MANY_REQUESTS },
+	{ MEDLAR_ERR_DEADLINE, MHD_HTTP_GATEWAY_TIMEOUT },
+};
+
+/**
+ * answer_outcome_name() - name of an outcome in answers and logs
+ * @outcome: outcome
+ *
+ * Return: a constant identifier.
+ */
+const char *answer_outcome_name(medlar_outcome_t outcome)
+{
+	return outcome_names[outcome];
+}
+
+/**
+ * answer_error_status() - HTTP status for a request that was not run
+ * @error: why
+ *
+ * Return: status; 503 for errors without one of their own.
+ */
+unsigned answer_error_status(int error)
+{
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++)
+		if (statuses[i].error == error)
+			return statuses[i].status;
+	return MHD_HTTP_SERVICE_UNAVAILABLE;
+}
+
+/**
+ * answer_status() - HTTP status for the answer of a query
+ * @answer: answer
+ *
+ * Return: status.
+ */
+unsigned answer_status(const medlar_answer_t *answer)
+{
+	if (answer->outcome == MEDLAR_OUTCOME_COMPLETE ||
+	    answer->outcome == MEDLAR_OUTCOME_PARTIAL)
+		return MHD_HTTP_OK;
+	if (answer->outcome == MEDLAR_OUTCOME_FAILED)
+		return answer->error == MEDLAR_ERR_DEADLINE ?
+			       MHD_HTTP_GATEWAY_TIMEOUT :
+			       MHD_HTTP_BAD_GATEWAY;
+	if (answer->error == MEDLAR_ERR_DEADLINE)
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	return answer_error_status(answer->error);
+}
+
+static void add_error(medlar_buf_t *out, int error, const char *field)
+{
+	medlar_buf_add(out, MEDLAR_STR("{\"code\":"));
+	medlar_buf_json_string(out, medlar_str_from(medlar_error_name(error)));
+	medlar_buf_add(out, MEDLAR_STR(",\"text\":"));
+	medlar_buf_json_string(out, medlar_str_from(medlar_error_text(error)));
+	if (field) {
+		medlar_buf_add(out, MEDLAR_STR(",\"field\":"));
+		medlar_buf_json_string(out, medlar_str_from(field));
+	}
+	medlar_buf_add(out, MEDLAR_STR("}"));
+}
+
+/**
+ * answer_refusal() - body for a request that was not run
+ * @out: the body is appended to it
+ * @error: why
+ * @field: field at fault, or an empty string
+ */
+void answer_refusal(medlar_buf_t *out, int error, const char *field)
+{
+	medlar_buf_add(out, MEDLAR_STR("{\"outcome\":\"not_run\",\"error\":"));
+	add_error(out, error, field);
+	medlar_buf_add(out, MEDLAR_STR("}\n"));
+}
+
+static void add_range(medlar_buf_t *out, medlar_range_t range)
+{
+	medlar_buf_printf(out, "[%" PRIu64 ",%" PRIu64 "]", range.lo, range.hi);
+}
+
+static void add_ranges(medlar_buf_t *out, const char *name,
+		       const medlar_ranges_t *ranges)
+{
+	medlar_buf_printf(out, ",\"%s\":[", name);
+	for (size_t i = 0; ranges && i < ranges->len; i++) {
+		if (i > 0)
+			medlar_buf_add(out, MEDLAR_STR(","));
+		add_range(out, ranges->items[i]);
+	}
+	medlar_buf_add(out, MEDLAR_STR("]"));
+}
+
+static void add_parts(medlar_buf_t *out, const medlar_query_t *query)
+{
+	size_t len = medlar_query_parts(query);
+	const char *separator = "";
+
+	medlar_buf_add(out, MEDLAR_STR(",\"parts\":["));
+	for (size_t i = 0; i < len; i++) {
+		medlar_str_t body = medlar_query_part_body(query, i);
+
+		if (body.len == 0)
+			continue;
+		medlar_buf_printf(out, "%s{\"range\":", separator);
+		add_range(out, medlar_query_part_range(query, i));
+		medlar_buf_add(out, MEDLAR_STR(",\"result\":"));
+		medlar_buf_add(out, body);
+		medlar_buf_add(out, MEDLAR_STR("}"));
+		separator = ",";
+	}
+	medlar_buf_add(out, MEDLAR_STR("]"));
+}
+
+static bool has_parts(const medlar_answer_t *answer)
+{
+	return answer->outcome == MEDLAR_OUTCOME_COMPLETE ||
+	       answer->outcome == MEDLAR_OUTCOME_PARTIAL;
+}
+
+/**
+ * answer_query() - body for the answer of a query
+ * @out: the body is appended to it
+ * @query: a query that has ended
+ * @now: current time
+ */
+void answer_query(medlar_buf_t *out, const medlar_query_t *query,
+		  medlar_time_t now)
+{
+	const medlar_answer_t *answer = medlar_query_answer(query);
+	medlar_time_t left = medlar_query_params(query)->deadline - now;
+
+	medlar_buf_printf(out,
+			  "{\"outcome\":\"%s\",\"version\":%" PRIu32
+			  ",\"epoch\":%" PRIu64 ",\"coverage\":%.9g",
+			  answer_outcome_name(answer->outcome), answer->version,
+			  answer->epoch, answer->coverage);
+	add_ranges(out, "covered", answer->covered);
+	add_ranges(out, "missing", answer->missing);
+	medlar_buf_printf(out,
+			  ",\"elapsed_ms\":%" PRId64 ",\"remaining_ms\":%" PRId64
+			  ",\"sends\":%" PRIu32,
+			  now - answer->started, left > 0 ? left : 0,
+			  answer->sends);
+	if (has_parts(answer))
+		add_parts(out, query);
+	else
+		medlar_buf_add(out, MEDLAR_STR(",\"parts\":[]"));
+	medlar_buf_add(out, MEDLAR_STR(",\"error\":"));
+	if (answer->error)
+		add_error(out, answer->error, NULL);
+	else
+		medlar_buf_add(out, MEDLAR_STR("null"));
+	medlar_buf_add(out, MEDLAR_STR("}\n"));
+}
--- /dev/null
+++ b/medlard/control.c
@@ -0,0 +1,295 @@
+/**
+ * DOC: the control thread
+ */
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "medlard/control.h"
+#include "medlard/stop.h"
+
+/**
+ * control_worker() - a worker by its number
+ * @control: control thread
+ * @index: number
+ *
+ * Return: the worker, or NULL if there are fewer.
+ */
+worker_t *control_worker(control_t *control, size_t index)
+{
+	return index < control->workers_len ? &control->workers[index] : NULL;
+}
+
+/**
+ * struct note - a call of a worker that frees itself
+ * @call: for handing it over
+ * @worker: worker
+ * @fn: function
+ * @data: its argument
+ */
+typedef struct note {
+	handoff_call_t call;
+	worker_t *worker;
+	void (*fn)(worker_t *worker, void *data);
+	void *data;
+} note_t;
+
+static void run_note(handoff_call_t *call, void *data)
+{
+	note_t *note = data;
+
+	(void)call;
+	note->fn(note->worker, note->data);
+	free(note);
+}
+
+/**
+ * control_post() - run a function in the thread of a worker
+ * @control: control thread; the caller is in it
+ * @worker: number of the worker
+ * @fn: function
+ * @data: passed to @fn
+ */
+void control_post(control_t *control, size_t worker,
+		  void (*fn)(worker_t *worker, void *data), void *data)
+{
+	note_t *note = malloc(sizeof(*note));
+
+	/* Without memory for a few bytes nothing can be kept up to date. */
+	if (!note)
+		abort();
+	note->worker = &control->workers[worker];
+	note->fn = fn;
+	note->data = data;
+	handoff_post(&note->worker->inbox, &note->call, run_note, note);
+}
+
+static void set_level(worker_t *worker, void *data)
+{
+	worker->log.level = (log_level_t)(uintptr_t)data;
+}
+
+static void reload(control_t *control)
+{
+	settings_t settings;
+	const char *fixed;
+
+	if (settings_read(&settings, &control->client,
+			  control->settings_path)) {
+		LOG_LINE(&control->log, LOG_LEVEL_ERROR, "reload",
+			 MEDLAR_TEXT("result", MEDLAR_STR("refused")));
+		return;
+	}
+	fixed = settings_fixed_change(&control->settings, &settings);
+	if (fixed)
+		LOG_LINE(&control->log, LOG_LEVEL_WARNING, "reload",
+			 MEDLAR_TEXT("needs_restart", medlar_str_from(fixed)));
+	control->settings.stop_ms = settings.stop_ms;
+	control->log.level = (log_level_t)settings.log_level;
+	for (size_t i = 0; i < control->workers_len; i++)
+		control_post(control, i, set_level,
+			     (void *)(uintptr_t)settings.log_level);
+	LOG_LINE(&control->log, LOG_LEVEL_NOTICE, "reload",
+		 MEDLAR_NUM("log_level", settings.log_level),
+		 MEDLAR_NUM("stop_ms", settings.stop_ms));
+	settings_finish(&settings);
+}
+
+static void on_signal(uint32_t events, void *data)
+{
+	control_t *control = data;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	while (read(control->signals, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGHUP)
+			reload(control);
+		else if (control->stop == STOP_NONE)
+			stop_begin(control);
+		else
+			stop_hasten(control);
+	}
+}
+
+static int watch_signals(control_t *control)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	if (pthread_sigmask(SIG_BLOCK, &set, NULL) != 0)
+		return MEDLAR_ERR_IO;
+	control->signals = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (control->signals < 0)
+		return MEDLAR_ERR_IO;
+	return loop_watch(&control->loop, control->signals, EPOLLIN, on_signal,
+			  control);
+}
+
+static int init_loop(control_t *control)
+{
+	const settings_t *settings = &control->settings;
+	uint64_t seed;
+	int error;
+
+	randombytes_buf(&seed, sizeof(seed));
+	medlar_client_init(&control->client, medlar_str_from(settings->name), 1,
+			   seed);
+	log_init(&control->log, STDERR_FILENO, -1,
+		 (log_level_t)settings->log_level);
+	medlar_client_on_trace(&control->client, log_trace, &control->log);
+	medlar_client_on_error(&control->client, log_report, &control->log);
+	error = loop_init(&control->loop, &control->client);
+	if (!error)
+		error = loop_hook(&control->loop, log_flush, &control->log);
+	if (!error)
+		error = handoff_init(&control->inbox, &control->loop);
+	if (!error)
+		error = watch_signals(control);
+	if (!error)
+		error = http_init(&control->http, &control->loop,
+				  &control->metrics);
+	return error;
+}
+
+static void report_start(control_t *control, const char *what, int error)
+{
+	LOG_LINE(&control->log, error ? LOG_LEVEL_ERROR : LOG_LEVEL_NOTICE,
+		 "start", MEDLAR_TEXT("step", medlar_str_from(what)),
+		 MEDLAR_TEXT("result",
+			     medlar_str_from(medlar_error_name(error))));
+	log_flush(&control->log);
+}
+
+static int init_workers(control_t *control)
+{
+	size_t len = (size_t)control->settings.threads;
+	int error = MEDLAR_OK;
+
+	control->workers = calloc(len, sizeof(*control->workers));
+	if (!control->workers)
+		return MEDLAR_ERR_NOMEM;
+	for (size_t i = 0; !error && i < len; i++) {
+		error = worker_init(&control->workers[i], control, (unsigned)i);
+		control->workers_len = i + 1;
+	}
+	return error;
+}
+
+static int start(control_t *control)
+{
+	int error;
+
+	error = init_loop(control);
+	report_start(control, "loop", error);
+	if (error)
+		return error;
+	error = init_workers(control);
+	report_start(control, "listen", error);
+	if (error)
+		return error;
+	error = store_init(&control->store, &control->http, &control->log,
+			   &control->settings.platform);
+	if (!error)
+		error = directory_init(&control->directory, control);
+	for (size_t i = 0; !error && i < control->workers_len; i++)
+		error = worker_start(&control->workers[i]);
+	report_start(control, "workers", error);
+	return error;
+}
+
+static void finish(control_t *control)
+{
+	for (size_t i = 0; i < control->workers_len; i++)
+		worker_join(&control->workers[i]);
+	directory_finish(&control->directory);
+	store_finish(&control->store);
+	for (size_t i = 0; i < control->workers_len; i++)
+		worker_finish(&control->workers[i]);
+	free(control->workers);
+	http_finish(&control->http);
+	handoff_finish(&control->inbox);
+	close(control->signals);
+	loop_finish(&control->loop);
+	medlar_client_finish(&control->client);
+	log_finish(&control->log);
+}
+
+static void report_fault(const medlar_fault_report_t *report, void *data)
+{
+	logger_t *log = data;
+
+	medlar_buf_printf(&log->lines, "%.*s:%u: %.*s: %s; %.*s\n",
+			  (int)report->file.len, report->file.ptr, report->line,
+			  (int)report->field.len, report->field.ptr,
+			  medlar_error_text(report->error),
+			  (int)report->advice.len, report->advice.ptr);
+}
+
+static int read_settings(settings_t *settings, const char *path)
+{
+	medlar_client_t client;
+	logger_t log;
+	int error;
+
+	medlar_client_init(&client, MEDLAR_STR("settings"), 0, 0);
+	log_init(&log, STDERR_FILENO, -1, LOG_LEVEL_ERROR);
+	medlar_client_on_error(&client, report_fault, &log);
+	error = settings_read(settings, &client, path);
+	log_finish(&log);
+	medlar_client_finish(&client);
+	return error;
+}
+
+/**
+ * control_check() - check a settings file and print every error in it
+ * @settings_path: file
+ *
+ * Return: %MEDLAR_OK, or the first error.
+ */
+int control_check(const char *settings_path)
+{
+	settings_t settings;
+	int error;
+
+	error = read_settings(&settings, settings_path);
+	if (!error)
+		settings_finish(&settings);
+	return error;
+}
+
+/**
+ * control_run() - run the daemon until it is told to stop
+ * @settings_path: settings file
+ *
+ * Return: %MEDLAR_OK after a shutdown, or the error that prevented the start.
+ */
+int control_run(const char *settings_path)
+{
+	control_t *control = calloc(1, sizeof(*control));
+	int error;
+
+	if (!control)
+		return MEDLAR_ERR_NOMEM;
+	error = read_settings(&control->settings, settings_path);
+	if (error) {
+		free(control);
+		return error;
+	}
+	control->settings_path = settings_path;
+	error = start(control);
+	if (!error) {
+		loop_run(&control->loop);
+		finish(control);
+	}
+	settings_finish(&control->settings);
+	free(control);
+	return error;
+}
--- /dev/null
+++ b/medlard/directory.c
@@ -0,0 +1,389 @@
+/**
+ * DOC: what the platform says: instance lists, partition maps, configuration
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/args.h"
+#include "medlard/clock.h"
+#include "medlard/control.h"
+#include "medlard/wire.h"
+
+#define MAPS_PREFIX "medlar/maps/"
+#define CONFIG_FILE "medlar/config"
+
+/**
+ * struct text_note - a text on its way to the workers
+ * @text: the text
+ * @number: number of the service; unused for a configuration
+ */
+typedef struct text_note {
+	medlar_buf_t text;
+	size_t number;
+} text_note_t;
+
+static text_note_t *new_note(medlar_str_t text, size_t number)
+{
+	text_note_t *note = calloc(1, sizeof(*note));
+
+	if (!note)
+		return NULL;
+	medlar_buf_init(&note->text);
+	medlar_buf_add(&note->text, text);
+	note->number = number;
+	return note;
+}
+
+static void free_note(text_note_t *note)
+{
+	medlar_buf_finish(&note->text);
+	free(note);
+}
+
+static void use_config(worker_t *worker, void *data)
+{
+	text_note_t *note = data;
+	medlar_config_t config;
+
+	if (!medlar_config_parse(&worker->client, &config,
+				 MEDLAR_STR(CONFIG_FILE),
+				 medlar_buf_str(&note->text))) {
+		medlar_config_finish(&worker->config);
+		worker->config = config;
+		worker->configured = true;
+		(void)service_configure(worker, &config);
+		worker_apply_peers(worker);
+	}
+	free_note(note);
+}
+
+static void use_map(worker_t *worker, void *data)
+{
+	text_note_t *note = data;
+	medlar_map_t map;
+	int error;
+
+	error = medlar_map_parse(&map, medlar_buf_str(&note->text));
+	if (!error) {
+		error = medlar_service_set_map(
+			&worker->client, &worker->services[note->number]->core,
+			&map);
+		medlar_map_finish(&map);
+	}
+	if (error)
+		LOG_LINE(&worker->log, LOG_LEVEL_WARNING, "map",
+			 MEDLAR_TEXT("service",
+				     medlar_str_from(
+					     worker->services[note->number]
+						     ->name)),
+			 MEDLAR_TEXT("error",
+				     medlar_str_from(medlar_error_name(error))));
+	free_note(note);
+}
+
+/**
+ * struct list_note - an instance list on its way to the owner of a service
+ * @number: number of the service
+ * @infos: its replicas
+ * @len: how many
+ */
+typedef struct list_note {
+	size_t number;
+	medlar_replica_info_t *infos;
+	size_t len;
+} list_note_t;
+
+static void use_list(worker_t *worker, void *data)
+{
+	list_note_t *note = data;
+
+	service_set_list(worker->services[note->number], note->infos,
+			 note->len);
+	free(note->infos);
+	free(note);
+}
+
+static unsigned owner_of(const control_t *control, size_t number)
+{
+	return (unsigned)(number % control->workers_len);
+}
+
+static void post_list(listed_service_t *service, medlar_replica_info_t *infos,
+		      size_t len)
+{
+	list_note_t *note = malloc(sizeof(*note));
+
+	if (!note) {
+		free(infos);
+		return;
+	}
+	*note = (list_note_t){ service->number, infos, len };
+	control_post(service->control,
+		     owner_of(service->control, service->number), use_list,
+		     note);
+}
+
+/**
+ * directory_period() - pause before the next reading of an instance list
+ * @control: control thread
+ * @failures: readings that failed in a row
+ *
+ * Return: a time in milliseconds, with jitter.
+ */
+medlar_time_t directory_period(control_t *control, uint32_t failures)
+{
+	medlar_time_t period = control->settings.platform.list_ms;
+	medlar_time_t jitter = (medlar_time_t)medlar_rand_below(
+		&control->client.rand, (uint64_t)period / 4 + 1);
+
+	if (failures > 0)
+		period += store_backoff(&control->client, failures);
+	return period + jitter - period / 8;
+}
+
+static void on_list(const store_result_t *result, void *data)
+{
+	listed_service_t *service = data;
+	control_t *control = service->control;
+	directory_t *directory = &control->directory;
+	medlar_replica_info_t *infos = NULL;
+	size_t len = 0;
+	int error = MEDLAR_ERR_IO;
+
+	if (result->status == MEDLAR_STORE_OK)
+		error = listing_parse_replicas(result->body, &directory->zones,
+					       &service->policy, &infos, &len);
+	service->failures = error ? service->failures + 1 : 0;
+	if (!error && len > 0)
+		post_list(service, infos, len);
+	else
+		free(infos);
+	if (!error && len == 0)
+		LOG_LINE(&control->log, LOG_LEVEL_WARNING, "list_empty",
+			 MEDLAR_TEXT("service",
+				     medlar_str_from(service->policy.name)));
+	(void)medlar_timer_set(&control->client, &service->timer,
+			       control->loop.now +
+				       directory_period(control, service->failures));
+}
+
+static void read_list(medlar_client_t *client, medlar_timer_t *timer,
+		      medlar_time_t now, void *data)
+{
+	listed_service_t *service = data;
+	char path[STORE_PATH_MAX];
+	const store_request_t request = {
+		.method = "GET",
+		.path = path,
+		.done = on_list,
+		.data = service,
+	};
+
+	snprintf(path, sizeof(path), "/v1/health/service/%s",
+		 service->policy.name);
+	if (store_send(&service->control->store, &request))
+		(void)medlar_timer_set(
+			client, timer,
+			now + directory_period(service->control,
+					  ++service->failures));
+}
+
+static listed_service_t *find_listed(directory_t *directory, medlar_str_t name)
+{
+	for (size_t i = 0; i < directory->services_len; i++)
+		if (medlar_str_equal(
+			    medlar_str_from(directory->services[i]->policy.name),
+			    name))
+			return directory->services[i];
+	return NULL;
+}
+
+static void add_listed(directory_t *directory, const medlar_policy_t *policy)
+{
+	control_t *control = directory->control;
+	listed_service_t *service = calloc(1, sizeof(*service));
+	listed_service_t **services;
+
+	services = realloc(directory->services,
+			   (directory->services_len + 1) *
+				   sizeof(listed_service_t *));
+	if (services)
+		directory->services = services;
+	if (!service || !services) {
+		free(service);
+		return;
+	}
+	service->control = control;
+	service->policy = *policy;
+	service->number = directory->services_len;
+	services[directory->services_len++] = service;
+	/* Maps read before the service was known are read again. */
+	directory->maps_watch.index = 0;
+	medlar_timer_init(&service->timer, read_list, service);
+	(void)medlar_timer_set(&control->client, &service->timer,
+			       control->loop.now);
+}
+
+static void list_services(directory_t *directory, const medlar_config_t *config)
+{
+	for (size_t i = 0; i < config->len; i++) {
+		const medlar_policy_t *policy = &config->services[i];
+		listed_service_t *service =
+			find_listed(directory, medlar_str_from(policy->name));
+
+		if (service)
+			service->policy = *policy;
+		else
+			add_listed(directory, policy);
+	}
+}
+
+static void post_config(directory_t *directory, medlar_str_t config)
+{
+	for (size_t i = 0; i < directory->control->workers_len; i++) {
+		text_note_t *note = new_note(config, 0);
+
+		if (note)
+			control_post(directory->control, i, use_config, note);
+	}
+}
+
+static void trace_config(directory_t *directory, uint64_t revision,
+			 medlar_str_t source, int error)
+{
+	LOG_LINE(&directory->control->log,
+		 error ? LOG_LEVEL_ERROR : LOG_LEVEL_NOTICE, "config",
+		 MEDLAR_NUM("revision", revision),
+		 MEDLAR_NUM("in_force", directory->revision),
+		 MEDLAR_TEXT("source", source),
+		 MEDLAR_TEXT("result",
+			     medlar_str_from(medlar_error_name(error))));
+}
+
+static void on_map(medlar_str_t key, medlar_str_t value, uint64_t index,
+		   void *data)
+{
+	directory_t *directory = data;
+	size_t prefix = strlen(MAPS_PREFIX);
+	const listed_service_t *service;
+	text_note_t *note;
+
+	(void)index;
+	if (key.len <= prefix)
+		return;
+	service = find_listed(directory, (medlar_str_t){ key.ptr + prefix,
+							 key.len - prefix });
+	note = service ? new_note(value, service->number) : NULL;
+	if (note)
+		control_post(directory->control,
+			     owner_of(directory->control, note->number),
+			     use_map, note);
+}
+
+/**
+ * directory_offer_config() - use a configuration if it is newer
+ * @directory: directory
+ * @revision: its revision
+ * @config: its text
+ * @source: where it comes from, for the log
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_STALE if one at least as new is in force, or
+ * the error of a text that does not parse.
+ */
+int directory_offer_config(directory_t *directory, uint64_t revision,
+			   medlar_str_t config, medlar_str_t source)
+{
+	medlar_config_t parsed;
+	int error;
+
+	if (revision <= directory->revision)
+		return MEDLAR_ERR_STALE;
+	error = medlar_config_parse(&directory->control->client, &parsed,
+				    MEDLAR_STR(CONFIG_FILE), config);
+	if (!error && parsed.revision != revision) {
+		medlar_config_finish(&parsed);
+		error = MEDLAR_ERR_CONFLICT;
+	}
+	if (error) {
+		trace_config(directory, revision, source, error);
+		return error;
+	}
+	if (directory->revision == 0)
+		(void)store_watch_start(&directory->maps_watch,
+					&directory->control->store,
+					"/v1/kv/" MAPS_PREFIX "?recurse",
+					on_map, directory);
+	directory->revision = revision;
+	directory->address_ttl = parsed.address_ttl;
+	medlar_buf_reset(&directory->config);
+	medlar_buf_add(&directory->config, config);
+	list_services(directory, &parsed);
+	post_config(directory, config);
+	trace_config(directory, revision, source, MEDLAR_OK);
+	medlar_config_finish(&parsed);
+	return MEDLAR_OK;
+}
+
+static void on_config(medlar_str_t key, medlar_str_t value, uint64_t index,
+		      void *data)
+{
+	directory_t *directory = data;
+	medlar_str_t revision = args_member(value, MEDLAR_STR("revision"));
+	medlar_str_t config = args_member(value, MEDLAR_STR("config"));
+	uint64_t number;
+
+	(void)key;
+	(void)index;
+	if (!wire_parse_number(revision, INT64_MAX, &number) ||
+	    config.len == 0) {
+		trace_config(directory, 0, MEDLAR_STR("store"),
+			     MEDLAR_ERR_SYNTAX);
+		return;
+	}
+	(void)directory_offer_config(directory, number, config,
+				     MEDLAR_STR("store"));
+}
+
+/**
+ * directory_init() - start to read what the platform says
+ * @directory: memory of the caller
+ * @control: control thread whose store is started
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int directory_init(directory_t *directory, control_t *control)
+{
+	*directory = (directory_t){
+		.control = control,
+		.incarnation = clock_wall(),
+	};
+	medlar_buf_init(&directory->config);
+	(void)zones_number(&directory->zones,
+			   medlar_str_from(control->settings.zone));
+	if (instances_init(directory))
+		return MEDLAR_ERR_NOMEM;
+	return store_watch_start(&directory->config_watch, &control->store,
+				 "/v1/kv/medlar/config", on_config, directory);
+}
+
+/**
+ * directory_finish() - stop reading
+ * @directory: directory; calls of the store may be under way no longer
+ */
+void directory_finish(directory_t *directory)
+{
+	medlar_client_t *client = &directory->control->client;
+
+	instances_finish(directory);
+	store_watch_stop(&directory->config_watch);
+	if (directory->revision > 0)
+		store_watch_stop(&directory->maps_watch);
+	for (size_t i = 0; i < directory->services_len; i++) {
+		medlar_timer_clear(client, &directory->services[i]->timer);
+		free(directory->services[i]);
+	}
+	free(directory->services);
+	medlar_buf_finish(&directory->config);
+}
--- a/medlard/http.c
+++ b/medlard/http.c
@@ -194,13 +194,13 @@
 {
 	const http_peer_t *peer = call->peer;
 	bool is_get = strcmp(request->method, "GET") == 0;
-	const char *format = strchr(peer->host, ':') ? "http://[%s]:%u%s" :
-						       "http://%s:%u%s";
+	bool is_v6 = strchr(peer->host, ':') != NULL;
 	char url[URL_MAX];
 	int len;
 
-	len = snprintf(url, sizeof(url), format, peer->host, peer->port,
-		       request->path);
+	len = snprintf(url, sizeof(url), "http://%s%s%s:%u%s",
+		       is_v6 ? "[" : "", peer->host, is_v6 ? "]" : "",
+		       peer->port, request->path);
 	if (len < 0 || (size_t)len >= sizeof(url))
 		return MEDLAR_ERR_TOO_LARGE;
 	medlar_buf_reset(&call->body);
--- /dev/null
+++ b/medlard/instances.c
@@ -0,0 +1,311 @@
+/**
+ * DOC: the list of entry instances, and this instance's place in it
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/control.h"
+
+#define REGISTER_PERIOD (10 * MEDLAR_SECOND)
+#define REGISTER_RETRY (MEDLAR_SECOND / 2)
+#define SERVICE_NAME "medlard"
+
+/**
+ * struct instances_note - the list on its way to a worker
+ * @items: instances
+ * @len: how many
+ */
+typedef struct instances_note {
+	instance_t *items;
+	size_t len;
+} instances_note_t;
+
+static void use_instances(worker_t *worker, void *data)
+{
+	instances_note_t *note = data;
+
+	(void)worker_set_instances(worker, note->items, note->len);
+	worker_apply_peers(worker);
+	free(note->items);
+	free(note);
+}
+
+static void post_instances(const directory_t *directory, size_t worker)
+{
+	size_t size = directory->instances_len * sizeof(instance_t);
+	instances_note_t *note = malloc(sizeof(*note));
+
+	if (!note)
+		return;
+	note->len = directory->instances_len;
+	note->items = malloc(size + 1);
+	if (!note->items) {
+		free(note);
+		return;
+	}
+	memcpy(note->items, directory->instances, size);
+	control_post(directory->control, worker, use_instances, note);
+}
+
+static void post_all(const directory_t *directory)
+{
+	for (size_t i = 0; i < directory->control->workers_len; i++)
+		post_instances(directory, i);
+}
+
+static void describe_self(const directory_t *directory, instance_t *self)
+{
+	const settings_t *settings = &directory->control->settings;
+	const endpoint_t *address = settings_address(settings);
+
+	*self = (instance_t){
+		.port = (uint16_t)address->port,
+		.peer_port = (uint16_t)settings->peer_port,
+		.incarnation = directory->incarnation,
+		.leaving = directory->leaving,
+	};
+	memcpy(self->name, settings->name, sizeof(self->name));
+	memcpy(self->host, address->host, sizeof(self->host));
+	memcpy(self->zone, settings->zone, sizeof(self->zone));
+}
+
+static instance_t *find(instance_t *items, size_t len, const char *name)
+{
+	for (size_t i = 0; i < len; i++)
+		if (strcmp(items[i].name, name) == 0)
+			return &items[i];
+	return NULL;
+}
+
+/* A listing that is older than what is known does not undo a shutdown. */
+static void keep_known(const directory_t *directory, instance_t *items,
+		       size_t len)
+{
+	for (size_t i = 0; i < directory->instances_len; i++) {
+		const instance_t *known = &directory->instances[i];
+		instance_t *listed = find(items, len, known->name);
+
+		if (!listed || listed->incarnation > known->incarnation)
+			continue;
+		listed->incarnation = known->incarnation;
+		listed->leaving = listed->leaving || known->leaving;
+	}
+}
+
+static void set_instances(directory_t *directory, instance_t *items, size_t len)
+{
+	const char *name = directory->control->settings.name;
+	instance_t *self;
+
+	keep_known(directory, items, len);
+	self = find(items, len, name);
+	if (!self)
+		self = &items[len++];
+	describe_self(directory, self);
+	free(directory->instances);
+	directory->instances = items;
+	directory->instances_len = len;
+	post_all(directory);
+}
+
+static void on_list(const store_result_t *result, void *data)
+{
+	directory_t *directory = data;
+	control_t *control = directory->control;
+	instance_t *items = NULL;
+	size_t len = 0;
+	int error = MEDLAR_ERR_IO;
+
+	if (result->status == MEDLAR_STORE_OK)
+		error = listing_parse_instances(result->body, &items, &len);
+	if (error) {
+		directory->instances_failures++;
+	} else {
+		directory->instances_failures = 0;
+		/* The list is allocated with room for one more. */
+		set_instances(directory, items, len);
+	}
+	(void)medlar_timer_set(
+		&control->client, &directory->instances_timer,
+		control->loop.now +
+			directory_period(control,
+					 directory->instances_failures));
+}
+
+static void read_list(medlar_client_t *client, medlar_timer_t *timer,
+		      medlar_time_t now, void *data)
+{
+	directory_t *directory = data;
+	const store_request_t request = {
+		.method = "GET",
+		.path = "/v1/health/service/" SERVICE_NAME,
+		.done = on_list,
+		.data = directory,
+	};
+
+	if (store_send(&directory->control->store, &request))
+		(void)medlar_timer_set(
+			client, timer,
+			now + directory_period(
+				      directory->control,
+				      ++directory->instances_failures));
+}
+
+static void on_registered(const store_result_t *result, void *data)
+{
+	directory_t *directory = data;
+	const loop_t *loop = &directory->control->loop;
+	medlar_time_t wait = result->status == MEDLAR_STORE_OK ?
+				     REGISTER_PERIOD :
+				     REGISTER_RETRY;
+
+	(void)medlar_timer_set(loop->client, &directory->register_timer,
+			       loop->now + wait);
+}
+
+static void write_entry(const directory_t *directory, medlar_buf_t *out)
+{
+	const settings_t *settings = &directory->control->settings;
+	const endpoint_t *address = settings_address(settings);
+	medlar_str_t name = medlar_str_from(settings->name);
+
+	medlar_buf_add(out, MEDLAR_STR("{\"ID\":"));
+	medlar_buf_json_string(out, name);
+	medlar_buf_printf(out,
+			  ",\"Name\":\"%s\",\"Address\":\"%s\",\"Port\":%" PRId64
+			  ",\"Meta\":{\"zone\":",
+			  SERVICE_NAME, address->host, address->port);
+	medlar_buf_json_string(out, medlar_str_from(settings->zone));
+	medlar_buf_printf(out,
+			  ",\"incarnation\":\"%" PRId64
+			  "\",\"state\":\"%s\",\"peer_port\":\"%" PRId64 "\"}}",
+			  directory->incarnation,
+			  directory->leaving ? "leaving" : "live",
+			  settings->peer_port);
+}
+
+static void announce(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	directory_t *directory = data;
+	store_request_t request = {
+		.method = "PUT",
+		.path = "/v1/agent/service/register",
+		.writes = true,
+		.done = on_registered,
+		.data = directory,
+	};
+	medlar_buf_t entry;
+
+	medlar_buf_init(&entry);
+	write_entry(directory, &entry);
+	request.body = medlar_buf_str(&entry);
+	if (store_send(&directory->control->store, &request))
+		(void)medlar_timer_set(client, timer, now + REGISTER_RETRY);
+	medlar_buf_finish(&entry);
+}
+
+static instance_t *known_from_settings(const directory_t *directory)
+{
+	const settings_t *settings = &directory->control->settings;
+	const peer_setting_t *peers = settings->peers.items;
+	instance_t *items = calloc(settings->peers.len + 1, sizeof(*items));
+
+	if (!items)
+		return NULL;
+	for (size_t i = 0; i < settings->peers.len; i++) {
+		items[i].port = (uint16_t)peers[i].port;
+		items[i].peer_port = (uint16_t)peers[i].peer_port;
+		memcpy(items[i].name, peers[i].name, sizeof(items[i].name));
+		memcpy(items[i].host, peers[i].host, sizeof(items[i].host));
+		memcpy(items[i].zone, peers[i].zone, sizeof(items[i].zone));
+	}
+	return items;
+}
+
+/**
+ * instances_init() - announce this instance and read the list of all
+ * @directory: directory
+ *
+ * Until the list has been read, the peers in the settings count as live.
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int instances_init(directory_t *directory)
+{
+	control_t *control = directory->control;
+	instance_t *items = known_from_settings(directory);
+
+	if (!items)
+		return MEDLAR_ERR_NOMEM;
+	set_instances(directory, items, control->settings.peers.len);
+	medlar_timer_init(&directory->instances_timer, read_list, directory);
+	medlar_timer_init(&directory->register_timer, announce, directory);
+	if (medlar_timer_set(&control->client, &directory->instances_timer,
+			     control->loop.now))
+		return MEDLAR_ERR_NOMEM;
+	return medlar_timer_set(&control->client, &directory->register_timer,
+				control->loop.now);
+}
+
+/**
+ * instances_finish() - stop announcing and reading
+ * @directory: directory
+ */
+void instances_finish(directory_t *directory)
+{
+	medlar_client_t *client = &directory->control->client;
+
+	medlar_timer_clear(client, &directory->instances_timer);
+	medlar_timer_clear(client, &directory->register_timer);
+	free(directory->instances);
+	directory->instances = NULL;
+	directory->instances_len = 0;
+}
+
+/**
+ * instances_leave() - announce that this instance is shutting down
+ * @directory: directory
+ */
+void instances_leave(directory_t *directory)
+{
+	control_t *control = directory->control;
+	instance_t *self = find(directory->instances, directory->instances_len,
+				control->settings.name);
+
+	directory->leaving = true;
+	if (self)
+		describe_self(directory, self);
+	post_all(directory);
+	(void)medlar_timer_set(&control->client, &directory->register_timer,
+			       control->loop.now);
+}
+
+/**
+ * instances_deregister() - remove this instance from the list
+ * @directory: directory
+ * @done: called once the platform has answered or failed to
+ * @data: passed to @done
+ */
+void instances_deregister(directory_t *directory, store_done_fn_t done,
+			  void *data)
+{
+	control_t *control = directory->control;
+	char path[STORE_PATH_MAX];
+	const store_request_t request = {
+		.method = "PUT",
+		.path = path,
+		.writes = true,
+		.done = done,
+		.data = data,
+	};
+	const store_result_t failed = { .status = MEDLAR_STORE_DOWN };
+
+	medlar_timer_clear(&control->client, &directory->register_timer);
+	snprintf(path, sizeof(path), "/v1/agent/service/deregister/%s",
+		 control->settings.name);
+	if (store_send(&control->store, &request))
+		done(&failed, data);
+}
--- /dev/null
+++ b/medlard/listing.c
@@ -0,0 +1,230 @@
+/**
+ * DOC: the instance list of the platform, see docs/PLATFORM.md
+ */
+#include <json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/listing.h"
+#include "medlard/wire.h"
+
+#define PORT_MAX 65535
+
+/**
+ * zones_number() - number of an availability zone, new if need be
+ * @zones: numbers given so far
+ * @name: name of the zone
+ *
+ * Return: a number from 1; 0 for an empty name or when there is no room.
+ */
+uint16_t zones_number(zones_t *zones, medlar_str_t name)
+{
+	if (name.len == 0 || name.len > MEDLAR_NAME_MAX)
+		return 0;
+	for (size_t i = 0; i < zones->len; i++)
+		if (medlar_str_equal(medlar_str_from(zones->names[i]), name))
+			return (uint16_t)(i + 1);
+	if (zones->len == LISTING_ZONES_MAX)
+		return 0;
+	memcpy(zones->names[zones->len], name.ptr, name.len);
+	zones->names[zones->len][name.len] = '\0';
+	return (uint16_t)++zones->len;
+}
+
+static medlar_str_t text_of(struct json_object *object, const char *name)
+{
+	struct json_object *value = NULL;
+
+	if (!json_object_object_get_ex(object, name, &value) ||
+	    !json_object_is_type(value, json_type_string))
+		return (medlar_str_t){ 0 };
+	return (medlar_str_t){ json_object_get_string(value),
+			       (size_t)json_object_get_string_len(value) };
+}
+
+static uint64_t number_of(struct json_object *object, const char *name,
+			  uint64_t max, uint64_t otherwise)
+{
+	uint64_t number;
+
+	if (!wire_parse_number(text_of(object, name), max, &number))
+		return otherwise;
+	return number;
+}
+
+static bool copy_text(char *to, size_t size, medlar_str_t text)
+{
+	if (text.len == 0 || text.len >= size)
+		return false;
+	memcpy(to, text.ptr, text.len);
+	to[text.len] = '\0';
+	return true;
+}
+
+static uint16_t port_of(struct json_object *service)
+{
+	struct json_object *value = NULL;
+	int64_t port;
+
+	if (!json_object_object_get_ex(service, "Port", &value) ||
+	    !json_object_is_type(value, json_type_int))
+		return 0;
+	port = json_object_get_int64(value);
+	return port > 0 && port <= PORT_MAX ? (uint16_t)port : 0;
+}
+
+static bool is_leaving(struct json_object *meta)
+{
+	return medlar_str_equal(text_of(meta, "state"), MEDLAR_STR("leaving"));
+}
+
+static void read_versions(medlar_str_t list, uint32_t *versions)
+{
+	size_t len = 0;
+
+	while (list.len > 0 && len < MEDLAR_VERSIONS_MAX) {
+		const char *comma = memchr(list.ptr, ',', list.len);
+		size_t item = comma ? (size_t)(comma - list.ptr) : list.len;
+		uint64_t version = 0;
+
+		if (wire_parse_number((medlar_str_t){ list.ptr, item },
+				      UINT32_MAX, &version))
+			versions[len++] = (uint32_t)version;
+		list.ptr += item + (comma != NULL);
+		list.len -= item + (comma != NULL);
+	}
+}
+
+static bool read_replica(struct json_object *service, struct json_object *meta,
+			 zones_t *zones, const medlar_policy_t *policy,
+			 medlar_replica_info_t *out)
+{
+	*out = (medlar_replica_info_t){
+		.port = port_of(service),
+		.shard = (uint32_t)number_of(meta, "shard", UINT32_MAX - 1,
+					     UINT32_MAX),
+		.zone = zones_number(zones, text_of(meta, "zone")),
+		.slots = (uint16_t)number_of(meta, "slots", UINT16_MAX,
+					     policy->slots),
+		.connections = (uint16_t)number_of(
+			meta, "connections", UINT16_MAX, policy->connections),
+		.incarnation = (medlar_time_t)number_of(meta, "incarnation",
+							INT64_MAX, 0),
+		.leaving = is_leaving(meta),
+	};
+	read_versions(text_of(meta, "versions"), out->versions);
+	return out->port > 0 && out->shard != UINT32_MAX &&
+	       copy_text(out->name, sizeof(out->name),
+			 text_of(service, "ID")) &&
+	       copy_text(out->host, sizeof(out->host),
+			 text_of(service, "Address"));
+}
+
+static bool read_instance(struct json_object *service,
+			  struct json_object *meta, instance_t *out)
+{
+	*out = (instance_t){
+		.port = port_of(service),
+		.peer_port =
+			(uint16_t)number_of(meta, "peer_port", PORT_MAX, 0),
+		.incarnation = (medlar_time_t)number_of(meta, "incarnation",
+							INT64_MAX, 0),
+		.leaving = is_leaving(meta),
+	};
+	return out->port > 0 &&
+	       copy_text(out->name, sizeof(out->name),
+			 text_of(service, "ID")) &&
+	       copy_text(out->host, sizeof(out->host),
+			 text_of(service, "Address")) &&
+	       copy_text(out->zone, sizeof(out->zone), text_of(meta, "zone"));
+}
+
+static struct json_object *parse(medlar_str_t json)
+{
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *list = NULL;
+
+	if (tokener && json.len <= INT32_MAX)
+		list = json_tokener_parse_ex(tokener, json.ptr, (int)json.len);
+	json_tokener_free(tokener);
+	if (json_object_is_type(list, json_type_array))
+		return list;
+	json_object_put(list);
+	return NULL;
+}
+
+static bool get_parts(struct json_object *entry, struct json_object **service,
+		      struct json_object **meta)
+{
+	return json_object_is_type(entry, json_type_object) &&
+	       json_object_object_get_ex(entry, "Service", service) &&
+	       json_object_is_type(*service, json_type_object) &&
+	       json_object_object_get_ex(*service, "Meta", meta) &&
+	       json_object_is_type(*meta, json_type_object);
+}
+
+/**
+ * listing_parse_replicas() - read the instance list of a service
+ * @json: reply of the platform
+ * @zones: numbers of the zones
+ * @policy: gives the capacity that an entry does not tell
+ * @out: the well-formed entries, allocated
+ * @len: how many
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_SYNTAX or %MEDLAR_ERR_NOMEM.
+ */
+int listing_parse_replicas(medlar_str_t json, zones_t *zones,
+			   const medlar_policy_t *policy,
+			   medlar_replica_info_t **out, size_t *len)
+{
+	struct json_object *list = parse(json);
+	size_t count;
+
+	if (!list)
+		return MEDLAR_ERR_SYNTAX;
+	count = json_object_array_length(list);
+	*len = 0;
+	*out = calloc(count + 1, sizeof(**out));
+	for (size_t i = 0; *out && i < count; i++) {
+		struct json_object *service = NULL;
+		struct json_object *meta = NULL;
+
+		if (get_parts(json_object_array_get_idx(list, i), &service,
+			      &meta) &&
+		    read_replica(service, meta, zones, policy, &(*out)[*len]))
+			(*len)++;
+	}
+	json_object_put(list);
+	return *out ? MEDLAR_OK : MEDLAR_ERR_NOMEM;
+}
+
+/**
+ * listing_parse_instances() - read the list of entry instances
+ * @json: reply of the platform
+ * @out: the well-formed entries, allocated
+ * @len: how many
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_SYNTAX or %MEDLAR_ERR_NOMEM.
+ */
+int listing_parse_instances(medlar_str_t json, instance_t **out, size_t *len)
+{
+	struct json_object *list = parse(json);
+	size_t count;
+
+	if (!list)
+		return MEDLAR_ERR_SYNTAX;
+	count = json_object_array_length(list);
+	*len = 0;
+	*out = calloc(count + 1, sizeof(**out));
+	for (size_t i = 0; *out && i < count; i++) {
+		struct json_object *service = NULL;
+		struct json_object *meta = NULL;
+
+		if (get_parts(json_object_array_get_idx(list, i), &service,
+			      &meta) &&
+		    read_instance(service, meta, &(*out)[*len]))
+			(*len)++;
+	}
+	json_object_put(list);
+	return *out ? MEDLAR_OK : MEDLAR_ERR_NOMEM;
+}
--- /dev/null
+++ b/medlard/request.c
@@ -0,0 +1,228 @@
+/**
+ * DOC: a caller's request on its way through the daemon
+ */
+#include <sys/epoll.h>
+
+#include "medlard/answer.h"
+#include "medlard/caller.h"
+#include "medlard/control.h"
+#include "medlard/worker.h"
+
+static void send_answer(request_t *request)
+{
+	worker_t *worker = request->home;
+	struct MHD_Response *response;
+
+	response = MHD_create_response_from_buffer(request->answer.len,
+						   request->answer.ptr,
+						   MHD_RESPMEM_MUST_FREE);
+	if (!response) {
+		caller_abort(request);
+		return;
+	}
+	medlar_buf_init(&request->answer);
+	(void)MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
+				      request->type);
+	if (worker->stopping)
+		(void)MHD_add_response_header(response,
+					      MHD_HTTP_HEADER_CONNECTION,
+					      "close");
+	(void)MHD_queue_response(request->connection, request->status,
+				 response);
+	MHD_destroy_response(response);
+}
+
+static void on_close(uint32_t events, void *data)
+{
+	(void)events;
+	request_gone(data);
+}
+
+/**
+ * request_start() - follow the route of a request
+ * @request: request at its home whose body is there
+ */
+void request_start(request_t *request)
+{
+	worker_t *worker = request->home;
+
+	request->dispatched = true;
+	request->at = request->owner = worker;
+	request->next = worker->in_flight;
+	if (request->next)
+		request->next->prev = request;
+	worker->in_flight = request;
+	worker->in_flight_len++;
+	MHD_suspend_connection(request->connection);
+	request->suspended = true;
+	(void)loop_watch(&worker->loop, request->fd, EPOLLRDHUP, on_close,
+			 request);
+	request->route->handle(request);
+}
+
+static void leave_list(request_t *request)
+{
+	worker_t *worker = request->home;
+
+	if (request->prev)
+		request->prev->next = request->next;
+	else
+		worker->in_flight = request->next;
+	if (request->next)
+		request->next->prev = request->prev;
+	worker->in_flight_len--;
+}
+
+/* Runs at home once the answer is there and no other worker refers to it. */
+static void complete(request_t *request)
+{
+	worker_t *worker = request->home;
+
+	leave_list(request);
+	send_answer(request);
+	if (!request->suspended)
+		return;
+	loop_unwatch(&worker->loop, request->fd);
+	request->suspended = false;
+	worker->port_ready = true;
+	MHD_resume_connection(request->connection);
+}
+
+static void come_home(handoff_call_t *call, void *data)
+{
+	request_t *request = data;
+
+	(void)call;
+	request->at = request->home;
+	request->answered = true;
+	if (!request->cancelling)
+		complete(request);
+}
+
+/**
+ * request_reply() - end a request whose answer is written
+ * @request: request at the calling worker; must not be used afterwards
+ * @status: HTTP status
+ */
+void request_reply(request_t *request, unsigned status)
+{
+	if (request->answer.error) {
+		medlar_buf_reset(&request->answer);
+		status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	}
+	request->status = status;
+	if (request->at == request->home)
+		come_home(&request->call, request);
+	else
+		handoff_post(&request->home->inbox, &request->call, come_home,
+			     request);
+}
+
+/**
+ * request_refuse() - end a request that was not run
+ * @request: request at the calling worker; must not be used afterwards
+ * @status: HTTP status
+ * @error: why
+ * @field: field at fault, or an empty string
+ */
+void request_refuse(request_t *request, unsigned status, int error,
+		    const char *field)
+{
+	medlar_buf_reset(&request->answer);
+	answer_refusal(&request->answer, error, field);
+	request_reply(request, status);
+}
+
+/**
+ * request_lend() - run a function of a request in a worker
+ * @request: request at its home
+ * @to: worker; may be the home itself
+ * @run: function; the request is its data
+ */
+void request_lend(request_t *request, worker_t *to, handoff_fn_t run)
+{
+	request->at = to;
+	request->owner = to;
+	if (to == request->home) {
+		run(&request->call, request);
+		return;
+	}
+	metrics_add(&request->home->metrics, METRIC_HANDOVERS, 1);
+	handoff_post(&to->inbox, &request->call, run, request);
+}
+
+static void next_stop(handoff_call_t *call, void *data)
+{
+	request_t *request = data;
+	worker_t *here = request->at;
+	worker_t *next;
+
+	(void)call;
+	request->visit(here, request);
+	request->step++;
+	next = control_worker(here->control, request->step);
+	if (!next) {
+		request->visit(NULL, request);
+		return;
+	}
+	request->at = next;
+	handoff_post(&next->inbox, &request->call, next_stop, request);
+}
+
+/**
+ * request_tour() - let every worker add to an answer
+ * @request: request at its home
+ * @visit: called in each worker's thread in the order of their numbers, and
+ *	with NULL at the end, when it must call request_reply()
+ */
+void request_tour(request_t *request,
+		  void (*visit)(worker_t *worker, request_t *request))
+{
+	request->step = 0;
+	request->visit = visit;
+	request_lend(request, control_worker(request->home->control, 0),
+		     next_stop);
+}
+
+static void cancel_known(handoff_call_t *call, void *data)
+{
+	request_t *request = data;
+
+	(void)call;
+	request->cancelling = false;
+	if (request->answered)
+		complete(request);
+}
+
+static void cancel_there(handoff_call_t *call, void *data)
+{
+	request_t *request = data;
+	worker_t *home = request->home;
+
+	service_cancel(request);
+	handoff_post(&home->inbox, call, cancel_known, request);
+}
+
+/**
+ * request_gone() - the caller has closed its connection
+ * @request: request at its home or lent
+ */
+void request_gone(request_t *request)
+{
+	worker_t *worker = request->home;
+
+	loop_unwatch(&worker->loop, request->fd);
+	if (request->gone)
+		return;
+	request->gone = true;
+	metrics_add(&worker->metrics, METRIC_CALLER_CANCELS, 1);
+	if (request->visit)
+		return;
+	if (request->owner == worker) {
+		service_cancel(request);
+		return;
+	}
+	request->cancelling = true;
+	handoff_post(&request->owner->inbox, &request->cancel, cancel_there,
+		     request);
+}
--- /dev/null
+++ b/medlard/service.c
@@ -0,0 +1,455 @@
+/**
+ * DOC: the services of a worker
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/answer.h"
+#include "medlard/control.h"
+#include "medlard/worker.h"
+
+static void on_send(medlar_attempt_t *attempt, void *data)
+{
+	upstream_send(attempt, data);
+}
+
+static void on_cancel(medlar_attempt_t *attempt, void *data)
+{
+	upstream_cancel(attempt, data);
+}
+
+static void on_answer(medlar_query_t *query, void *data);
+
+static const medlar_service_ops_t ops = {
+	.send = on_send,
+	.cancel = on_cancel,
+	.answer = on_answer,
+};
+
+static bool is_owner(const service_t *service)
+{
+	return service->owner == service->worker->index;
+}
+
+/**
+ * service_find() - find a service by its name
+ * @worker: worker that asks
+ * @name: name
+ *
+ * Return: a service of the configuration in force, or NULL.
+ */
+service_t *service_find(worker_t *worker, medlar_str_t name)
+{
+	for (size_t i = 0; i < worker->services_len; i++) {
+		service_t *service = worker->services[i];
+
+		if (service->enabled &&
+		    medlar_str_equal(name, medlar_str_from(service->name)))
+			return service;
+	}
+	return NULL;
+}
+
+static service_t *find_known(const worker_t *worker, const char *name)
+{
+	for (size_t i = 0; i < worker->services_len; i++)
+		if (strcmp(worker->services[i]->name, name) == 0)
+			return worker->services[i];
+	return NULL;
+}
+
+static int init_core(worker_t *worker, service_t *service)
+{
+	int error;
+
+	error = medlar_service_init(&worker->client, &service->core,
+				    &service->policy, &ops, &service->link,
+				    worker->loop.now);
+	if (error)
+		return error;
+	medlar_service_set_suspects(&service->core, &worker->suspects);
+	service->metrics = metrics_service(&worker->metrics, service->name);
+	return MEDLAR_OK;
+}
+
+static service_t *add(worker_t *worker, const medlar_policy_t *policy)
+{
+	service_t *service = calloc(1, sizeof(*service));
+	service_t **services;
+
+	if (!service)
+		return NULL;
+	services = realloc(worker->services,
+			   (worker->services_len + 1) * sizeof(service_t *));
+	if (!services) {
+		free(service);
+		return NULL;
+	}
+	worker->services = services;
+	service->worker = worker;
+	service->owner =
+		(unsigned)worker->services_len % worker->settings->threads;
+	service->policy = *policy;
+	memcpy(service->name, policy->name, sizeof(service->name));
+	service->link = (upstream_link_t){ &worker->upstream, &service->core,
+					   &service->policy };
+	service->number = worker->services_len;
+	if (is_owner(service) && init_core(worker, service)) {
+		free(service);
+		return NULL;
+	}
+	services[worker->services_len++] = service;
+	return service;
+}
+
+static int update(worker_t *worker, const medlar_policy_t *policy)
+{
+	service_t *service = find_known(worker, policy->name);
+
+	if (!service)
+		service = add(worker, policy);
+	if (!service)
+		return MEDLAR_ERR_NOMEM;
+	service->enabled = true;
+	service->policy = *policy;
+	if (!is_owner(service))
+		return MEDLAR_OK;
+	return medlar_service_set_policy(&worker->client, &service->core,
+					 policy);
+}
+
+/**
+ * service_configure() - bring the services in line with a configuration
+ * @worker: worker
+ * @config: configuration now in force
+ *
+ * All workers are given the same configurations in the same order, so that
+ * they agree on the numbers and owners.
+ *
+ * Return: %MEDLAR_OK, or the last error; the other services are configured.
+ */
+int service_configure(worker_t *worker, const medlar_config_t *config)
+{
+	int error = MEDLAR_OK;
+
+	for (size_t i = 0; i < worker->services_len; i++)
+		worker->services[i]->enabled = false;
+	for (size_t i = 0; i < config->len; i++) {
+		int failed = update(worker, &config->services[i]);
+
+		if (failed)
+			error = failed;
+	}
+	return error;
+}
+
+static void each_replica(service_t *service,
+			 void (*fn)(service_t *service,
+				    medlar_replica_t *replica))
+{
+	for (size_t i = 0; i < medlar_service_shards(&service->core); i++) {
+		medlar_shard_t *shard =
+			medlar_service_shard(&service->core, (uint32_t)i);
+
+		for (size_t j = medlar_shard_replicas(shard); j > 0; j--)
+			fn(service, medlar_shard_replica(shard, j - 1));
+	}
+}
+
+static void forget(service_t *service, medlar_replica_t *replica)
+{
+	(void)service;
+	upstream_forget(replica);
+}
+
+/**
+ * service_finish_all() - release the services of a worker
+ * @worker: worker without requests in flight
+ */
+void service_finish_all(worker_t *worker)
+{
+	for (size_t i = 0; i < worker->services_len; i++) {
+		service_t *service = worker->services[i];
+
+		if (is_owner(service)) {
+			each_replica(service, forget);
+			medlar_service_finish(&worker->client, &service->core);
+		}
+		free(service);
+	}
+	free(worker->services);
+	worker->services = NULL;
+	worker->services_len = 0;
+}
+
+static int compare_ids(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static bool has_id(const uint64_t *ids, size_t len, uint64_t id)
+{
+	return bsearch(&id, ids, len, sizeof(*ids), compare_ids) != NULL;
+}
+
+static void drop_unlisted(service_t *service, const uint64_t *ids, size_t len)
+{
+	worker_t *worker = service->worker;
+
+	for (size_t i = 0; i < medlar_service_shards(&service->core); i++) {
+		medlar_shard_t *shard =
+			medlar_service_shard(&service->core, (uint32_t)i);
+
+		for (size_t j = medlar_shard_replicas(shard); j > 0; j--) {
+			medlar_replica_t *replica =
+				medlar_shard_replica(shard, j - 1);
+			uint64_t id = medlar_replica_id(replica);
+
+			if (has_id(ids, len, id))
+				continue;
+			upstream_forget(replica);
+			(void)medlar_service_remove_replica(&worker->client,
+							    &service->core, id,
+							    worker->loop.now);
+		}
+	}
+}
+
+static void put(service_t *service, const medlar_replica_info_t *info)
+{
+	worker_t *worker = service->worker;
+	medlar_str_t name = medlar_str_from(info->name);
+	medlar_replica_t *replica;
+	int error;
+
+	error = medlar_service_put_replica(&worker->client, &service->core,
+					   info, worker->loop.now);
+	if (error) {
+		LOG_LINE(&worker->log, LOG_LEVEL_WARNING, "replica",
+			 MEDLAR_TEXT("replica", name),
+			 MEDLAR_TEXT("error",
+				     medlar_str_from(medlar_error_name(error))));
+		return;
+	}
+	replica = medlar_service_find_replica(&service->core,
+					      medlar_str_hash(name, 0));
+	if (replica)
+		upstream_adjust(&service->link, replica);
+}
+
+/**
+ * service_set_list() - apply a reading of the instance list
+ * @service: service that this worker owns
+ * @infos: its replicas
+ * @len: how many; never 0
+ */
+void service_set_list(service_t *service, const medlar_replica_info_t *infos,
+		      size_t len)
+{
+	uint64_t *ids = calloc(len, sizeof(*ids));
+
+	if (!ids)
+		return;
+	for (size_t i = 0; i < len; i++) {
+		ids[i] = medlar_str_hash(medlar_str_from(infos[i].name), 0);
+		put(service, &infos[i]);
+	}
+	qsort(ids, len, sizeof(*ids), compare_ids);
+	drop_unlisted(service, ids, len);
+	service->listed = true;
+	free(ids);
+}
+
+static const service_metric_t outcome_metrics[] = {
+	[MEDLAR_OUTCOME_PENDING] = SERVICE_METRIC_FAILED,
+	[MEDLAR_OUTCOME_COMPLETE] = SERVICE_METRIC_COMPLETE,
+	[MEDLAR_OUTCOME_PARTIAL] = SERVICE_METRIC_PARTIAL,
+	[MEDLAR_OUTCOME_NOT_RUN] = SERVICE_METRIC_NOT_RUN,
+	[MEDLAR_OUTCOME_FAILED] = SERVICE_METRIC_FAILED,
+	[MEDLAR_OUTCOME_UNKNOWN] = SERVICE_METRIC_UNKNOWN,
+	[MEDLAR_OUTCOME_CANCELLED] = SERVICE_METRIC_CANCELLED,
+};
+
+static void count_answer(const service_t *service, const medlar_query_t *query,
+			 medlar_time_t now)
+{
+	const medlar_answer_t *answer = medlar_query_answer(query);
+	service_metrics_t *metrics = service->metrics;
+
+	metrics_service_add(metrics, outcome_metrics[answer->outcome], 1);
+	metrics_service_add(metrics, SERVICE_METRIC_SENDS, answer->sends);
+	metrics_service_add(metrics, SERVICE_METRIC_NEEDED,
+			    medlar_query_parts(query));
+	metrics_service_took(metrics, now - answer->started);
+}
+
+static void on_answer(medlar_query_t *query, void *data)
+{
+	upstream_link_t *link = data;
+	request_t *request = medlar_query_data(query);
+	worker_t *worker = request->at;
+	medlar_time_t now = worker->loop.now;
+	unsigned status = answer_status(medlar_query_answer(query));
+
+	count_answer(find_known(worker, link->policy->name), query, now);
+	answer_query(&request->answer, query, now);
+	request->query = NULL;
+	if (worker->busy_with == request)
+		worker->busy_with = NULL;
+	medlar_query_finish(&worker->client, query);
+	request_reply(request, status);
+}
+
+static medlar_time_t deadline_of(const request_t *request,
+				 const medlar_policy_t *policy)
+{
+	medlar_time_t asked = request->args.deadline;
+
+	if (asked == 0 || asked > policy->deadline)
+		asked = policy->deadline;
+	return request->arrived + asked;
+}
+
+static medlar_str_t kind_name(medlar_kind_t kind)
+{
+	return kind == MEDLAR_KIND_SEARCH ? MEDLAR_STR("search") :
+					    MEDLAR_STR("lookup");
+}
+
+static void start_query(request_t *request, service_t *service)
+{
+	worker_t *worker = request->at;
+	const args_t *args = &request->args;
+	const medlar_query_params_t params = {
+		.kind = request->kind,
+		.body = args->query,
+		.caller = request->caller,
+		.fingerprint = medlar_fingerprint(
+			medlar_str_from(service->name),
+			kind_name(request->kind), args->query),
+		.deadline = deadline_of(request, &service->policy),
+		.target = request->arrived + service->policy.target,
+		.at_least = args->at_least,
+		.keys = args->keys,
+		.keys_len = args->keys_len,
+	};
+	medlar_query_t *query = NULL;
+	int error;
+
+	/* The answer may come within the call and end the request. */
+	worker->busy_with = request;
+	error = medlar_query_start(&worker->client, &service->core, &params,
+				   request, worker->loop.now, &query);
+	if (worker->busy_with != request)
+		return;
+	worker->busy_with = NULL;
+	request->query = query;
+	if (!error)
+		return;
+	request->query = NULL;
+	metrics_service_add(service->metrics, SERVICE_METRIC_NOT_RUN, 1);
+	request_refuse(request, answer_error_status(error), error, "");
+}
+
+static void run(handoff_call_t *call, void *data)
+{
+	request_t *request = data;
+	worker_t *worker = request->at;
+
+	(void)call;
+	if (request->service < worker->services_len)
+		start_query(request, worker->services[request->service]);
+	else
+		request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+			       MEDLAR_ERR_UNAVAILABLE, "");
+}
+
+/**
+ * service_cancel() - end the query of a request whose caller has closed
+ * @request: request that is at the calling worker
+ */
+void service_cancel(request_t *request)
+{
+	worker_t *worker = request->owner;
+	medlar_query_t *query = request->query;
+
+	if (!query)
+		return;
+	worker->busy_with = request;
+	medlar_query_cancel(&worker->client, query, worker->loop.now);
+	if (worker->busy_with != request)
+		return;
+	worker->busy_with = NULL;
+	request->query = NULL;
+	medlar_query_finish(&worker->client, query);
+	request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+		       MEDLAR_ERR_CANCELLED, "");
+}
+
+static bool parse_args(request_t *request)
+{
+	args_fault_t fault;
+
+	if (!args_parse(&request->args, request->kind,
+			medlar_buf_str(&request->body), &fault))
+		return true;
+	request_refuse(request, answer_error_status(fault.error), fault.error,
+		       fault.field);
+	return false;
+}
+
+static bool split_path(const request_t *request, medlar_str_t *name,
+		       medlar_kind_t *kind)
+{
+	static const char *const kinds[] = {
+		[MEDLAR_KIND_SEARCH] = "search",
+		[MEDLAR_KIND_LOOKUP] = "lookup",
+		[MEDLAR_KIND_WRITE] = "write",
+	};
+	const char *rest = request->path + strlen(request->route->path);
+	const char *slash = strchr(rest, '/');
+
+	if (!slash)
+		return false;
+	*name = (medlar_str_t){ rest, (size_t)(slash - rest) };
+	for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		if (strcmp(slash + 1, kinds[i]) == 0) {
+			*kind = (medlar_kind_t)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/**
+ * service_handle() - run a search, lookup or write; see &struct route
+ * @request: request whose body is there
+ */
+void service_handle(request_t *request)
+{
+	worker_t *worker = request->home;
+	const service_t *service = NULL;
+	medlar_str_t name;
+
+	if (!worker->configured) {
+		request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+			       MEDLAR_ERR_UNAVAILABLE, "");
+		return;
+	}
+	if (split_path(request, &name, &request->kind))
+		service = service_find(worker, name);
+	if (!service || (request->kind == MEDLAR_KIND_WRITE) !=
+				service->policy.writes) {
+		request_refuse(request, MHD_HTTP_NOT_FOUND,
+			       MEDLAR_ERR_NOT_FOUND, "");
+		return;
+	}
+	if (!parse_args(request))
+		return;
+	request->service = service->number;
+	request_lend(request, control_worker(worker->control, service->owner),
+		     run);
+}
--- /dev/null
+++ b/medlard/service.h
@@ -0,0 +1,47 @@
+/**
+ * DOC: the services of a worker
+ *
+ * Every worker knows every service of the configuration by a number that
+ * never changes. One worker owns the service and runs its requests.
+ */
+#ifndef MEDLARD_SERVICE_H
+#define MEDLARD_SERVICE_H
+
+#include "medlard/request.h"
+#include "medlard/upstream.h"
+
+/**
+ * struct service - a service as one worker knows it
+ * @worker: the worker that knows it
+ * @name: its name, terminated
+ * @number: its number, an index into the services of each worker
+ * @owner: number of the worker that runs its requests
+ * @enabled: it is part of the configuration in force
+ * @listed: its instance list has been read
+ * @policy: its policy in force
+ * @link: data of the core's actions
+ * @metrics: its counters, or NULL
+ * @core: its state; used by the owner only
+ */
+struct service {
+	worker_t *worker;
+	char name[MEDLAR_NAME_MAX + 1];
+	size_t number;
+	unsigned owner;
+	bool enabled;
+	bool listed;
+	medlar_policy_t policy;
+	upstream_link_t link;
+	service_metrics_t *metrics;
+	medlar_service_t core;
+};
+
+int service_configure(worker_t *worker, const medlar_config_t *config);
+service_t *service_find(worker_t *worker, medlar_str_t name);
+void service_finish_all(worker_t *worker);
+void service_handle(request_t *request);
+void service_cancel(request_t *request);
+void service_set_list(service_t *service, const medlar_replica_info_t *infos,
+		      size_t len);
+
+#endif /* MEDLARD_SERVICE_H */
--- /dev/null
+++ b/medlard/status.c
@@ -0,0 +1,274 @@
+/**
+ * DOC: what operators can look at: health, metrics and state
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "medlard/answer.h"
+#include "medlard/control.h"
+#include "medlard/status.h"
+
+typedef void (*replica_fn_t)(const service_t *service,
+			     medlar_replica_t *replica, void *data);
+
+/**
+ * status_healthz() - answer /healthz; see &struct route
+ * @request: request
+ */
+void status_healthz(request_t *request)
+{
+	request->type = "text/plain";
+	medlar_buf_add(&request->answer, MEDLAR_STR("ok\n"));
+	request_reply(request, MHD_HTTP_OK);
+}
+
+static bool owns(const worker_t *worker, const service_t *service)
+{
+	return service->owner == worker->index && service->enabled;
+}
+
+static void visit_ready(worker_t *worker, request_t *request)
+{
+	medlar_buf_t *out = &request->answer;
+
+	if (!worker && out->len == 0) {
+		medlar_buf_add(out, MEDLAR_STR("ready\n"));
+		request_reply(request, MHD_HTTP_OK);
+		return;
+	}
+	if (!worker) {
+		request_reply(request, MHD_HTTP_SERVICE_UNAVAILABLE);
+		return;
+	}
+	if (worker->stopping || worker->leaving)
+		medlar_buf_add(out, MEDLAR_STR("not ready: leaving\n"));
+	if (!worker->configured)
+		medlar_buf_add(out, MEDLAR_STR("not ready: no configuration\n"));
+	for (size_t i = 0; i < worker->services_len; i++)
+		if (owns(worker, worker->services[i]) &&
+		    !worker->services[i]->listed)
+			medlar_buf_printf(
+				out, "not ready: no instance list of %s\n",
+				worker->services[i]->name);
+}
+
+/**
+ * status_readyz() - answer /readyz; see &struct route
+ * @request: request
+ */
+void status_readyz(request_t *request)
+{
+	request->type = "text/plain";
+	request_tour(request, visit_ready);
+}
+
+/**
+ * status_metrics() - answer /metrics; see &struct route
+ * @request: request
+ */
+void status_metrics(request_t *request)
+{
+	control_t *control = request->home->control;
+	const metrics_t *sets[WORKERS_MAX + 1];
+
+	for (size_t i = 0; i < control->workers_len; i++)
+		sets[i] = &control->workers[i].metrics;
+	sets[control->workers_len] = &control->metrics;
+	request->type = "text/plain; version=0.0.4";
+	metrics_write(sets, control->workers_len + 1, &request->answer);
+	request_reply(request, MHD_HTTP_OK);
+}
+
+static void separate(medlar_buf_t *out)
+{
+	if (out->len > 0 && out->ptr[out->len - 1] != '[')
+		medlar_buf_add(out, MEDLAR_STR(","));
+}
+
+static void close_list(request_t *request)
+{
+	medlar_buf_add(&request->answer, MEDLAR_STR("]}\n"));
+	request_reply(request, MHD_HTTP_OK);
+}
+
+static void each_replica(service_t *service, replica_fn_t fn, void *data)
+{
+	for (size_t i = 0; i < medlar_service_shards(&service->core); i++) {
+		const medlar_shard_t *shard =
+			medlar_service_shard(&service->core, (uint32_t)i);
+
+		for (size_t j = 0; j < medlar_shard_replicas(shard); j++)
+			fn(service, medlar_shard_replica(shard, j), data);
+	}
+}
+
+/**
+ * struct service_sums - totals over the replicas of a service
+ * @replicas: how many
+ * @usable: how many may get requests
+ * @in_flight: requests in flight
+ * @slots: slots of this instance
+ * @open: open connections
+ */
+typedef struct service_sums {
+	size_t replicas;
+	size_t usable;
+	uint64_t in_flight;
+	uint64_t slots;
+	uint64_t open;
+} service_sums_t;
+
+static void add_up(const service_t *service, medlar_replica_t *replica,
+		   void *data)
+{
+	const http_peer_t *peer = medlar_replica_data(replica);
+	service_sums_t *sums = data;
+
+	sums->replicas++;
+	sums->usable +=
+		medlar_replica_usable(replica, service->worker->loop.now);
+	sums->in_flight += medlar_replica_in_flight(replica);
+	sums->slots += medlar_replica_share(replica).slots;
+	sums->open += peer ? peer->open : 0;
+}
+
+static void show_service(service_t *service, medlar_buf_t *out)
+{
+	const medlar_map_t *map = medlar_service_map(&service->core);
+	service_sums_t sums = { 0 };
+
+	each_replica(service, add_up, &sums);
+	separate(out);
+	medlar_buf_printf(out,
+			  "{\"name\":\"%s\",\"worker\":%u,\"epoch\":%" PRIu64
+			  ",\"shards\":%zu,\"replicas\":%zu,\"usable\":%zu,"
+			  "\"in_flight\":%" PRIu64 ",\"slots\":%" PRIu64
+			  ",\"connections\":%" PRIu64 "}",
+			  service->name, service->owner, map->epoch,
+			  medlar_service_shards(&service->core), sums.replicas,
+			  sums.usable, sums.in_flight, sums.slots, sums.open);
+}
+
+static void visit_services(worker_t *worker, request_t *request)
+{
+	if (!worker) {
+		close_list(request);
+		return;
+	}
+	for (size_t i = 0; i < worker->services_len; i++)
+		if (owns(worker, worker->services[i]))
+			show_service(worker->services[i], &request->answer);
+}
+
+/**
+ * status_services() - answer /v1/status; see &struct route
+ * @request: request
+ */
+void status_services(request_t *request)
+{
+	const worker_t *worker = request->home;
+	medlar_buf_t *out = &request->answer;
+
+	medlar_buf_printf(out,
+			  "{\"instance\":\"%s\",\"zone\":\"%s\","
+			  "\"version\":\"" MEDLAR_VERSION
+			  "\",\"revision\":%" PRIu64
+			  ",\"leaving\":%s,\"instances\":%zu,\"uptime_ms\":%" PRId64
+			  ",\"services\":[",
+			  worker->settings->name, worker->settings->zone,
+			  worker->config.revision,
+			  worker->leaving ? "true" : "false", worker->peers_len,
+			  worker->loop.now - worker->started);
+	request_tour(request, visit_services);
+}
+
+static void show_replica(const service_t *service, medlar_replica_t *replica,
+			 void *data)
+{
+	const medlar_replica_info_t *info = medlar_replica_info(replica);
+	medlar_share_t share = medlar_replica_share(replica);
+	const http_peer_t *peer = medlar_replica_data(replica);
+	medlar_buf_t *out = data;
+
+	separate(out);
+	medlar_buf_printf(out, "{\"service\":\"%s\",\"name\":", service->name);
+	medlar_buf_json_string(out, medlar_str_from(info->name));
+	medlar_buf_printf(
+		out,
+		",\"host\":\"%s\",\"port\":%u,\"shard\":%" PRIu32
+		",\"leaving\":%s,\"usable\":%s,\"in_flight\":%" PRIu32
+		",\"slots\":%u,\"connections\":%u,\"open\":%" PRIu32
+		",\"versions\":[",
+		info->host, info->port, info->shard,
+		info->leaving ? "true" : "false",
+		medlar_replica_usable(replica, service->worker->loop.now) ?
+			"true" :
+			"false",
+		medlar_replica_in_flight(replica), share.slots,
+		share.connections, peer ? peer->open : 0);
+	for (size_t i = 0; i < MEDLAR_VERSIONS_MAX && info->versions[i]; i++) {
+		separate(out);
+		medlar_buf_printf(out, "%" PRIu32, info->versions[i]);
+	}
+	medlar_buf_add(out, MEDLAR_STR("]}"));
+}
+
+static void visit_upstreams(worker_t *worker, request_t *request)
+{
+	if (!worker) {
+		close_list(request);
+		return;
+	}
+	for (size_t i = 0; i < worker->services_len; i++)
+		if (owns(worker, worker->services[i]))
+			each_replica(worker->services[i], show_replica,
+				     &request->answer);
+}
+
+/**
+ * status_upstreams() - answer /v1/upstreams; see &struct route
+ * @request: request
+ */
+void status_upstreams(request_t *request)
+{
+	medlar_buf_add(&request->answer, MEDLAR_STR("{\"upstreams\":["));
+	request_tour(request, visit_upstreams);
+}
+
+static void visit_suspects(worker_t *worker, request_t *request)
+{
+	static const char *const verdicts[] = {
+		[MEDLAR_VERDICT_CLEAR] = "clear",
+		[MEDLAR_VERDICT_SUSPECT] = "suspect",
+		[MEDLAR_VERDICT_CONVICTED] = "convicted",
+	};
+	medlar_buf_t *out = &request->answer;
+	medlar_suspect_entry_t entry;
+	size_t cursor = 0;
+
+	if (!worker) {
+		close_list(request);
+		return;
+	}
+	while (medlar_suspects_next(&worker->suspects, &cursor,
+				    worker->loop.now, &entry)) {
+		separate(out);
+		medlar_buf_printf(out,
+				  "{\"fingerprint\":\"%016" PRIx64
+				  "\",\"verdict\":\"%s\",\"deaths\":%" PRIu32
+				  ",\"expires_ms\":%" PRId64 "}",
+				  entry.fingerprint, verdicts[entry.verdict],
+				  entry.deaths,
+				  entry.until - worker->loop.now);
+	}
+}
+
+/**
+ * status_suspects() - answer /v1/suspects; see &struct route
+ * @request: request
+ */
+void status_suspects(request_t *request)
+{
+	medlar_buf_add(&request->answer, MEDLAR_STR("{\"suspects\":["));
+	request_tour(request, visit_suspects);
+}
--- /dev/null
+++ b/medlard/stop.h
@@ -0,0 +1,12 @@
+/**
+ * DOC: graceful shutdown
+ */
+#ifndef MEDLARD_STOP_H
+#define MEDLARD_STOP_H
+
+typedef struct control control_t;
+
+void stop_begin(control_t *control);
+void stop_hasten(control_t *control);
+
+#endif /* MEDLARD_STOP_H */
--- /dev/null
+++ b/medlard/store.c
@@ -0,0 +1,340 @@
+/**
+ * DOC: client of the platform: budget, circuit breaker and single calls
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "medlard/store.h"
+#include "medlard/wire.h"
+
+#define CONNECTIONS_MAX 16
+#define IDLE_MAX (30 * MEDLAR_SECOND)
+#define REPLY_MAX ((size_t)64 << 20)
+#define WAITING_MAX 10000
+#define BURST_SECONDS 0.5
+#define BREAK_AFTER 5
+#define BACKOFF_MIN ((medlar_time_t)50)
+#define BACKOFF_MAX (2 * MEDLAR_SECOND)
+#define BACKOFF_SHIFT_MAX 10
+#define WAIT_SLACK ((medlar_time_t)1500)
+
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+#define STATUS_TOO_MANY 429
+
+/**
+ * struct store_call - a call that waits or is under way
+ * @store: the client
+ * @next: next waiting call
+ * @method: HTTP method
+ * @path: path with query
+ * @body: body
+ * @writes: see &struct store_request
+ * @until: when a waiting call is given up, ms
+ * @wait: see &struct store_request
+ * @index: value of X-Consul-Index
+ * @done: see &struct store_request
+ * @data: likewise
+ */
+struct store_call {
+	store_t *store;
+	store_call_t *next;
+	const char *method;
+	char path[STORE_PATH_MAX];
+	medlar_buf_t body;
+	bool writes;
+	medlar_time_t until;
+	medlar_time_t wait;
+	uint64_t index;
+	store_done_fn_t done;
+	void *data;
+};
+
+/**
+ * store_backoff() - how long to wait after failures in a row
+ * @client: its generator gives the jitter
+ * @failures: how many, at least 1
+ *
+ * Return: a time in milliseconds, between half and all of a bound that
+ * doubles with each failure.
+ */
+medlar_time_t store_backoff(medlar_client_t *client, uint32_t failures)
+{
+	uint32_t shift = failures > 0 ? failures - 1 : 0;
+	medlar_time_t bound;
+
+	if (shift > BACKOFF_SHIFT_MAX)
+		shift = BACKOFF_SHIFT_MAX;
+	bound = BACKOFF_MIN << shift;
+	if (bound > BACKOFF_MAX)
+		bound = BACKOFF_MAX;
+	return bound / 2 + (medlar_time_t)medlar_rand_below(
+				   &client->rand, (uint64_t)bound / 2 + 1);
+}
+
+/**
+ * store_classify() - tell a lost reply from a refusal
+ * @reply: end of the HTTP call
+ * @writes: the call may have had an effect
+ *
+ * Return: status of the call.
+ */
+medlar_store_status_t store_classify(const http_reply_t *reply, bool writes)
+{
+	medlar_store_status_t lost =
+		writes ? MEDLAR_STORE_UNKNOWN : MEDLAR_STORE_DOWN;
+
+	if (reply->end == HTTP_REFUSED || reply->end == HTTP_UNSENT)
+		return MEDLAR_STORE_DOWN;
+	if (reply->end != HTTP_REPLY)
+		return lost;
+	if (reply->status == STATUS_OK)
+		return MEDLAR_STORE_OK;
+	if (reply->status == STATUS_NOT_FOUND && !writes)
+		return MEDLAR_STORE_MISSING;
+	if (reply->status == STATUS_TOO_MANY)
+		return MEDLAR_STORE_DOWN;
+	return lost;
+}
+
+static void free_call(store_call_t *call)
+{
+	medlar_buf_finish(&call->body);
+	free(call);
+}
+
+static void count_result(store_t *store, medlar_store_status_t status)
+{
+	medlar_client_t *client = store->loop->client;
+	bool failed = status == MEDLAR_STORE_DOWN ||
+		      status == MEDLAR_STORE_UNKNOWN;
+
+	store->probing = false;
+	if (!failed) {
+		if (store->closed_until > 0)
+			LOG_LINE(store->log, LOG_LEVEL_NOTICE, "store",
+				 MEDLAR_TEXT("state", MEDLAR_STR("up")));
+		store->failures = 0;
+		store->closed_until = 0;
+		return;
+	}
+	metrics_add(store->metrics,
+		    status == MEDLAR_STORE_DOWN ? METRIC_STORE_FAILURES :
+						  METRIC_STORE_UNKNOWN,
+		    1);
+	store->failures++;
+	if (store->failures < BREAK_AFTER)
+		return;
+	if (store->closed_until == 0)
+		LOG_LINE(store->log, LOG_LEVEL_WARNING, "store",
+			 MEDLAR_TEXT("state", MEDLAR_STR("down")),
+			 MEDLAR_NUM("failures", store->failures));
+	store->closed_until =
+		store->loop->now +
+		store_backoff(client, store->failures - BREAK_AFTER + 1);
+}
+
+static void on_header(medlar_str_t name, medlar_str_t value, void *data)
+{
+	static const medlar_str_t index = MEDLAR_STR("X-Consul-Index");
+	store_call_t *call = data;
+
+	if (name.len == index.len &&
+	    strncasecmp(name.ptr, index.ptr, name.len) == 0)
+		(void)wire_parse_number(value, INT64_MAX, &call->index);
+}
+
+static void on_reply(http_call_t *http_call, const http_reply_t *reply,
+		     void *data)
+{
+	store_call_t *call = data;
+	const store_result_t result = {
+		.status = store_classify(reply, call->writes),
+		.http_status = reply->status,
+		.index = call->index,
+		.body = reply->body,
+	};
+
+	(void)http_call;
+	count_result(call->store, result.status);
+	call->done(&result, call->data);
+	free_call(call);
+}
+
+static void end_unsent(store_call_t *call)
+{
+	const store_result_t result = { .status = MEDLAR_STORE_DOWN };
+
+	metrics_add(call->store->metrics, METRIC_STORE_FAILURES, 1);
+	call->done(&result, call->data);
+	free_call(call);
+}
+
+static void send_now(store_call_t *call)
+{
+	store_t *store = call->store;
+	const http_request_t request = {
+		.method = call->method,
+		.path = call->path,
+		.body = medlar_buf_str(&call->body),
+		.until = store->loop->now + store->timeout + call->wait,
+		.silence = store->timeout + call->wait,
+		.reply_max = REPLY_MAX,
+		.on_header = on_header,
+		.done = on_reply,
+		.data = call,
+	};
+
+	metrics_add(store->metrics, METRIC_STORE_CALLS, 1);
+	if (http_start(store->peer, &request, NULL)) {
+		store->probing = false;
+		end_unsent(call);
+	}
+}
+
+static void refill(store_t *store)
+{
+	medlar_time_t now = store->loop->now;
+	double most = store->rate * BURST_SECONDS + 1;
+
+	store->tokens += (double)(now - store->refilled) * store->rate /
+			 (double)MEDLAR_SECOND;
+	if (store->tokens > most)
+		store->tokens = most;
+	store->refilled = now;
+}
+
+static store_call_t *take_first(store_t *store)
+{
+	store_call_t *call = store->first;
+
+	store->first = call->next;
+	if (!store->first)
+		store->last = NULL;
+	store->waiting--;
+	return call;
+}
+
+static bool is_closed(const store_t *store)
+{
+	return store->closed_until > 0 &&
+	       (store->probing || store->loop->now < store->closed_until);
+}
+
+static void pump(store_t *store);
+
+static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	(void)client;
+	(void)timer;
+	(void)now;
+	pump(data);
+}
+
+static void pump(store_t *store)
+{
+	double wait;
+
+	refill(store);
+	while (store->first) {
+		if (is_closed(store) ||
+		    store->loop->now >= store->first->until) {
+			end_unsent(take_first(store));
+			continue;
+		}
+		if (store->tokens < 1)
+			break;
+		store->tokens -= 1;
+		store->probing = store->closed_until > 0;
+		send_now(take_first(store));
+	}
+	if (!store->first)
+		return;
+	wait = (1 - store->tokens) * (double)MEDLAR_SECOND / store->rate;
+	(void)medlar_timer_set(store->loop->client, &store->timer,
+			       store->loop->now + (medlar_time_t)wait + 1);
+}
+
+/**
+ * store_send() - make a call once the budget allows
+ * @store: client
+ * @request: the call
+ *
+ * Return: %MEDLAR_OK, or an error after which the callback is not called.
+ */
+int store_send(store_t *store, const store_request_t *request)
+{
+	store_call_t *call;
+
+	if (store->waiting >= WAITING_MAX)
+		return MEDLAR_ERR_OVERLOAD;
+	if (strlen(request->path) >= STORE_PATH_MAX)
+		return MEDLAR_ERR_TOO_LARGE;
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return MEDLAR_ERR_NOMEM;
+	medlar_buf_init(&call->body);
+	medlar_buf_add(&call->body, request->body);
+	if (call->body.error) {
+		free_call(call);
+		return MEDLAR_ERR_NOMEM;
+	}
+	call->store = store;
+	call->method = request->method;
+	snprintf(call->path, sizeof(call->path), "%s", request->path);
+	call->writes = request->writes;
+	call->wait = request->wait > 0 ? request->wait + WAIT_SLACK : 0;
+	call->until = store->loop->now + store->timeout;
+	call->done = request->done;
+	call->data = request->data;
+	if (store->last)
+		store->last->next = call;
+	else
+		store->first = call;
+	store->last = call;
+	store->waiting++;
+	return medlar_timer_set(store->loop->client, &store->timer,
+				store->loop->now);
+}
+
+/**
+ * store_init() - start a client
+ * @store: memory of the caller
+ * @http: HTTP client of the control thread
+ * @log: log of the control thread
+ * @settings: where the platform is
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int store_init(store_t *store, http_t *http, logger_t *log,
+	       const platform_settings_t *settings)
+{
+	*store = (store_t){
+		.loop = http->loop,
+		.log = log,
+		.metrics = http->metrics,
+		.timeout = settings->timeout_ms,
+		.rate = (double)settings->rate,
+		.tokens = 1,
+		.refilled = http->loop->now,
+	};
+	medlar_timer_init(&store->timer, on_timer, store);
+	store->peer = http_peer_new(http, settings->host,
+				    (uint16_t)settings->port, CONNECTIONS_MAX,
+				    IDLE_MAX);
+	return store->peer ? MEDLAR_OK : MEDLAR_ERR_NOMEM;
+}
+
+/**
+ * store_finish() - stop a client; waiting calls end as not applied
+ * @store: client
+ */
+void store_finish(store_t *store)
+{
+	medlar_timer_clear(store->loop->client, &store->timer);
+	while (store->first)
+		end_unsent(take_first(store));
+}
--- /dev/null
+++ b/medlard/store.h
@@ -0,0 +1,130 @@
+/**
+ * DOC: client of the platform's key-value service and instance list
+ *
+ * All calls of the process go through one client with a rate budget and a
+ * circuit breaker. See docs/PLATFORM.md for the calls.
+ */
+#ifndef MEDLARD_STORE_H
+#define MEDLARD_STORE_H
+
+#include "medlard/http.h"
+#include "medlard/log.h"
+#include "medlard/settings.h"
+
+#define STORE_PATH_MAX 256
+
+typedef struct store_call store_call_t;
+typedef struct store_watch store_watch_t;
+
+/**
+ * struct store - the client
+ * @loop: loop of the control thread
+ * @log: log of the control thread
+ * @metrics: counters of the control thread
+ * @peer: the platform
+ * @timeout: bound of a call that is not a watch, ms
+ * @rate: calls a second
+ * @tokens: calls that may start now
+ * @refilled: when @tokens was last brought up to date, ms
+ * @failures: calls that failed in a row
+ * @closed_until: no call starts before, ms; 0 while the service answers
+ * @probing: one call is under way to see whether the service is back
+ * @first: calls waiting for the budget, oldest first
+ * @last: newest of them
+ * @waiting: how many
+ * @timer: starts waiting calls
+ */
+typedef struct store {
+	loop_t *loop;
+	logger_t *log;
+	metrics_t *metrics;
+	http_peer_t *peer;
+	medlar_time_t timeout;
+	double rate;
+	double tokens;
+	medlar_time_t refilled;
+	uint32_t failures;
+	medlar_time_t closed_until;
+	bool probing;
+	store_call_t *first;
+	store_call_t *last;
+	size_t waiting;
+	medlar_timer_t timer;
+} store_t;
+
+/**
+ * struct store_result - the end of a call
+ * @status: how it ended; %MEDLAR_STORE_MISSING for 404
+ * @http_status: HTTP status code; 0 without a reply
+ * @index: value of X-Consul-Index; 0 when not told
+ * @body: body of the reply, valid during the callback
+ */
+typedef struct store_result {
+	medlar_store_status_t status;
+	int http_status;
+	uint64_t index;
+	medlar_str_t body;
+} store_result_t;
+
+typedef void (*store_done_fn_t)(const store_result_t *result, void *data);
+
+/**
+ * struct store_request - a call
+ * @method: HTTP method
+ * @path: path with query, terminated
+ * @body: body; copied
+ * @writes: it may have an effect, so that a lost reply leaves it unknown
+ * @wait: longest time that the service holds the reply back, ms
+ * @done: called once, never from within store_send()
+ * @data: passed to @done
+ */
+typedef struct store_request {
+	const char *method;
+	const char *path;
+	medlar_str_t body;
+	bool writes;
+	medlar_time_t wait;
+	store_done_fn_t done;
+	void *data;
+} store_request_t;
+
+typedef void (*store_changed_fn_t)(medlar_str_t key, medlar_str_t value,
+				   uint64_t index, void *data);
+
+/**
+ * struct store_watch - a watch of a key or prefix
+ * @store: the client
+ * @path: path of the call, without index
+ * @index: newest X-Consul-Index
+ * @failures: calls that failed in a row
+ * @timer: starts the next call
+ * @changed: called for each key found, on each change of any
+ * @data: passed to @changed
+ */
+struct store_watch {
+	store_t *store;
+	char path[STORE_PATH_MAX / 2];
+	uint64_t index;
+	uint32_t failures;
+	medlar_timer_t timer;
+	store_changed_fn_t changed;
+	void *data;
+};
+
+int store_init(store_t *store, http_t *http, logger_t *log,
+	       const platform_settings_t *settings);
+void store_finish(store_t *store);
+int store_send(store_t *store, const store_request_t *request);
+medlar_store_status_t store_classify(const http_reply_t *reply, bool writes);
+int store_get(store_t *store, medlar_str_t key, medlar_store_fn_t done,
+	      void *data);
+int store_cas(store_t *store, medlar_str_t key, medlar_str_t value,
+	      uint64_t index, medlar_store_fn_t done, void *data);
+int store_watch_start(store_watch_t *watch, store_t *store, const char *path,
+		      store_changed_fn_t changed, void *data);
+void store_watch_stop(store_watch_t *watch);
+void store_parse_values(medlar_str_t body, store_changed_fn_t found,
+			void *data);
+medlar_time_t store_backoff(medlar_client_t *client, uint32_t failures);
+
+#endif /* MEDLARD_STORE_H */
--- /dev/null
+++ b/medlard/store_kv.c
@@ -0,0 +1,317 @@
+/**
+ * DOC: client of the platform: keys and watches
+ */
+#include <inttypes.h>
+#include <json.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/store.h"
+
+#define WATCH_WAIT_S 5
+#define WATCH_PAUSE ((medlar_time_t)20)
+
+/* Failures that the pause after a reply without an index stands for. */
+#define BACKOFF_NO_INDEX 6
+
+/**
+ * struct key_call - a read or compare-and-swap under way
+ * @done: see &struct medlar_store
+ * @data: likewise
+ */
+typedef struct key_call {
+	medlar_store_fn_t done;
+	void *data;
+} key_call_t;
+
+static bool decode(struct json_object *text, medlar_buf_t *out)
+{
+	size_t len = (size_t)json_object_get_string_len(text);
+	size_t got;
+
+	medlar_buf_reset(out);
+	out->ptr = realloc(out->ptr, len + 1);
+	if (!out->ptr)
+		return false;
+	out->cap = len + 1;
+	if (sodium_base642bin((unsigned char *)out->ptr, len,
+			      json_object_get_string(text), len, "\r\n", &got,
+			      NULL, sodium_base64_VARIANT_ORIGINAL))
+		return false;
+	out->ptr[got] = '\0';
+	out->len = got;
+	return true;
+}
+
+static void parse_entry(struct json_object *entry, medlar_buf_t *value,
+			store_changed_fn_t found, void *data)
+{
+	struct json_object *key = NULL;
+	struct json_object *text = NULL;
+	struct json_object *index = NULL;
+
+	if (!json_object_is_type(entry, json_type_object) ||
+	    !json_object_object_get_ex(entry, "Key", &key) ||
+	    !json_object_object_get_ex(entry, "ModifyIndex", &index) ||
+	    !json_object_is_type(key, json_type_string) ||
+	    !json_object_is_type(index, json_type_int))
+		return;
+	medlar_buf_reset(value);
+	if (json_object_object_get_ex(entry, "Value", &text) &&
+	    json_object_is_type(text, json_type_string) && !decode(text, value))
+		return;
+	found((medlar_str_t){ json_object_get_string(key),
+			      (size_t)json_object_get_string_len(key) },
+	      medlar_buf_str(value), (uint64_t)json_object_get_int64(index),
+	      data);
+}
+
+/**
+ * store_parse_values() - read the keys in a reply
+ * @body: body of the reply
+ * @found: called for each well-formed entry
+ * @data: passed to @found
+ */
+void store_parse_values(medlar_str_t body, store_changed_fn_t found,
+			void *data)
+{
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *list = NULL;
+	medlar_buf_t value;
+
+	medlar_buf_init(&value);
+	if (tokener && body.len <= INT32_MAX)
+		list = json_tokener_parse_ex(tokener, body.ptr, (int)body.len);
+	if (json_object_is_type(list, json_type_array))
+		for (size_t i = 0; i < json_object_array_length(list); i++)
+			parse_entry(json_object_array_get_idx(list, i), &value,
+				    found, data);
+	json_object_put(list);
+	json_tokener_free(tokener);
+	medlar_buf_finish(&value);
+}
+
+/**
+ * struct first_value - the first entry of a reply
+ * @reply: for the core
+ * @value: the value; copied
+ * @found: there is one
+ */
+typedef struct first_value {
+	medlar_store_reply_t reply;
+	medlar_buf_t value;
+	bool found;
+} first_value_t;
+
+static void keep_first(medlar_str_t key, medlar_str_t value, uint64_t index,
+		       void *data)
+{
+	first_value_t *first = data;
+
+	(void)key;
+	if (first->found)
+		return;
+	first->found = true;
+	medlar_buf_add(&first->value, value);
+	first->reply.index = index;
+}
+
+static void on_get(const store_result_t *result, void *data)
+{
+	key_call_t *call = data;
+	first_value_t first = { .reply.status = result->status };
+
+	medlar_buf_init(&first.value);
+	if (result->status == MEDLAR_STORE_OK) {
+		store_parse_values(result->body, keep_first, &first);
+		if (!first.found || first.value.error)
+			first.reply.status = MEDLAR_STORE_DOWN;
+	}
+	first.reply.value = medlar_buf_str(&first.value);
+	call->done(&first.reply, call->data);
+	medlar_buf_finish(&first.value);
+	free(call);
+}
+
+static bool begins(medlar_str_t text, const char *prefix)
+{
+	size_t len = strlen(prefix);
+
+	return text.len >= len && memcmp(text.ptr, prefix, len) == 0;
+}
+
+static void on_cas(const store_result_t *result, void *data)
+{
+	key_call_t *call = data;
+	medlar_store_reply_t reply = { .status = result->status };
+
+	if (reply.status == MEDLAR_STORE_OK && !begins(result->body, "true"))
+		reply.status = begins(result->body, "false") ?
+				       MEDLAR_STORE_CONFLICT :
+				       MEDLAR_STORE_UNKNOWN;
+	call->done(&reply, call->data);
+	free(call);
+}
+
+static int send_key_call(store_t *store, store_request_t *request,
+			 medlar_store_fn_t done, void *data)
+{
+	key_call_t *call = malloc(sizeof(*call));
+	int error;
+
+	if (!call)
+		return MEDLAR_ERR_NOMEM;
+	*call = (key_call_t){ done, data };
+	request->data = call;
+	error = store_send(store, request);
+	if (error)
+		free(call);
+	return error;
+}
+
+/**
+ * store_get() - read a key; see &struct medlar_store
+ * @store: client
+ * @key: key, of characters that a URL path may hold
+ * @done: called once
+ * @data: passed to @done
+ *
+ * Return: %MEDLAR_OK, or an error after which @done is not called.
+ */
+int store_get(store_t *store, medlar_str_t key, medlar_store_fn_t done,
+	      void *data)
+{
+	char path[STORE_PATH_MAX];
+	store_request_t request = {
+		.method = "GET",
+		.path = path,
+		.done = on_get,
+	};
+
+	if (key.len > STORE_PATH_MAX / 2)
+		return MEDLAR_ERR_TOO_LARGE;
+	snprintf(path, sizeof(path), "/v1/kv/%.*s", (int)key.len, key.ptr);
+	return send_key_call(store, &request, done, data);
+}
+
+/**
+ * store_cas() - compare-and-swap a key; see &struct medlar_store
+ * @store: client
+ * @key: key, of characters that a URL path may hold
+ * @value: new value; copied
+ * @index: modification index that the key must have; 0 for no such key
+ * @done: called once
+ * @data: passed to @done
+ *
+ * Return: %MEDLAR_OK, or an error after which @done is not called.
+ */
+int store_cas(store_t *store, medlar_str_t key, medlar_str_t value,
+	      uint64_t index, medlar_store_fn_t done, void *data)
+{
+	char path[STORE_PATH_MAX];
+	store_request_t request = {
+		.method = "PUT",
+		.path = path,
+		.body = value,
+		.writes = true,
+		.done = on_cas,
+	};
+
+	if (key.len > STORE_PATH_MAX / 2)
+		return MEDLAR_ERR_TOO_LARGE;
+	snprintf(path, sizeof(path), "/v1/kv/%.*s?cas=%" PRIu64, (int)key.len,
+		 key.ptr, index);
+	return send_key_call(store, &request, done, data);
+}
+
+static void schedule(store_watch_t *watch, medlar_time_t wait)
+{
+	const loop_t *loop = watch->store->loop;
+
+	(void)medlar_timer_set(loop->client, &watch->timer, loop->now + wait);
+}
+
+static void on_watch(const store_result_t *result, void *data)
+{
+	store_watch_t *watch = data;
+	medlar_client_t *client = watch->store->loop->client;
+
+	if (result->status != MEDLAR_STORE_OK &&
+	    result->status != MEDLAR_STORE_MISSING) {
+		watch->failures++;
+		schedule(watch, store_backoff(client, watch->failures));
+		return;
+	}
+	watch->failures = 0;
+	if (result->index != watch->index)
+		store_parse_values(result->body, watch->changed, watch->data);
+	/* An index that went back means that the service was rebuilt. */
+	watch->index = result->index < watch->index ? 0 : result->index;
+	schedule(watch, result->index == 0 ?
+				store_backoff(client, BACKOFF_NO_INDEX) :
+				WATCH_PAUSE);
+}
+
+static void run_watch(medlar_client_t *client, medlar_timer_t *timer,
+		      medlar_time_t now, void *data)
+{
+	store_watch_t *watch = data;
+	/* A service that was down is asked for an answer at once. */
+	bool blocks = watch->index > 0 && watch->store->closed_until == 0;
+	char path[STORE_PATH_MAX];
+	const store_request_t request = {
+		.method = "GET",
+		.path = path,
+		.wait = blocks ? WATCH_WAIT_S * MEDLAR_SECOND : 0,
+		.done = on_watch,
+		.data = watch,
+	};
+	char separator = strchr(watch->path, '?') ? '&' : '?';
+
+	(void)timer;
+	(void)now;
+	if (blocks)
+		snprintf(path, sizeof(path), "%s%cindex=%" PRIu64 "&wait=%ds",
+			 watch->path, separator, watch->index, WATCH_WAIT_S);
+	else
+		snprintf(path, sizeof(path), "%s", watch->path);
+	if (store_send(watch->store, &request))
+		schedule(watch, store_backoff(client, ++watch->failures));
+}
+
+/**
+ * store_watch_start() - watch a key or prefix until store_watch_stop()
+ * @watch: memory of the caller
+ * @store: client
+ * @path: path such as ``/v1/kv/KEY`` or ``/v1/kv/PREFIX?recurse``
+ * @changed: called for each key found, at first and on each change of any
+ * @data: passed to @changed
+ *
+ * One call is under way at any time.
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int store_watch_start(store_watch_t *watch, store_t *store, const char *path,
+		      store_changed_fn_t changed, void *data)
+{
+	*watch = (store_watch_t){
+		.store = store,
+		.changed = changed,
+		.data = data,
+	};
+	snprintf(watch->path, sizeof(watch->path), "%s", path);
+	medlar_timer_init(&watch->timer, run_watch, watch);
+	return medlar_timer_set(store->loop->client, &watch->timer,
+				store->loop->now);
+}
+
+/**
+ * store_watch_stop() - start no further call
+ * @watch: a started watch
+ */
+void store_watch_stop(store_watch_t *watch)
+{
+	medlar_timer_clear(watch->store->loop->client, &watch->timer);
+}
--- /dev/null
+++ b/medlard/store_proxy.c
@@ -0,0 +1,134 @@
+/**
+ * DOC: the key-value service as a worker sees it
+ *
+ * The client of the platform lives in the control thread. Calls of a worker
+ * are handed to it and their replies are handed back.
+ */
+#include <stdlib.h>
+
+#include "medlard/control.h"
+#include "medlard/store_proxy.h"
+
+/**
+ * struct proxy_call - a call on its way
+ * @worker: worker that made it
+ * @call: for handing it over
+ * @key: key
+ * @value: value to write, then the value read
+ * @writes: it is a compare-and-swap
+ * @index: index to compare with
+ * @reply: the reply
+ * @done: see &struct medlar_store
+ * @data: likewise
+ */
+typedef struct proxy_call {
+	worker_t *worker;
+	handoff_call_t call;
+	medlar_buf_t key;
+	medlar_buf_t value;
+	bool writes;
+	uint64_t index;
+	medlar_store_reply_t reply;
+	medlar_store_fn_t done;
+	void *data;
+} proxy_call_t;
+
+static void free_call(proxy_call_t *call)
+{
+	medlar_buf_finish(&call->key);
+	medlar_buf_finish(&call->value);
+	free(call);
+}
+
+static void deliver(handoff_call_t *handoff, void *data)
+{
+	proxy_call_t *call = data;
+
+	(void)handoff;
+	call->reply.value = medlar_buf_str(&call->value);
+	call->done(&call->reply, call->data);
+	free_call(call);
+}
+
+static void on_reply(const medlar_store_reply_t *reply, void *data)
+{
+	proxy_call_t *call = data;
+
+	call->reply = *reply;
+	medlar_buf_reset(&call->value);
+	medlar_buf_add(&call->value, reply->value);
+	/* A value that does not fit into memory has not been read. */
+	if (call->value.error)
+		call->reply.status = MEDLAR_STORE_DOWN;
+	handoff_post(&call->worker->inbox, &call->call, deliver, call);
+}
+
+static void forward(handoff_call_t *handoff, void *data)
+{
+	proxy_call_t *call = data;
+	store_t *store = &call->worker->control->store;
+	medlar_str_t key = medlar_buf_str(&call->key);
+	const medlar_store_reply_t failed = { .status = MEDLAR_STORE_DOWN };
+	int error;
+
+	(void)handoff;
+	if (call->writes)
+		error = store_cas(store, key, medlar_buf_str(&call->value),
+				  call->index, on_reply, call);
+	else
+		error = store_get(store, key, on_reply, call);
+	if (error)
+		on_reply(&failed, call);
+}
+
+static int post(worker_t *worker, const proxy_call_t *wanted, medlar_str_t key,
+		medlar_str_t value)
+{
+	proxy_call_t *call = malloc(sizeof(*call));
+
+	if (!call)
+		return MEDLAR_ERR_NOMEM;
+	*call = *wanted;
+	call->worker = worker;
+	medlar_buf_init(&call->key);
+	medlar_buf_init(&call->value);
+	medlar_buf_add(&call->key, key);
+	medlar_buf_add(&call->value, value);
+	if (call->key.error || call->value.error) {
+		free_call(call);
+		return MEDLAR_ERR_NOMEM;
+	}
+	handoff_post(&worker->control->inbox, &call->call, forward, call);
+	return MEDLAR_OK;
+}
+
+static int get(void *data, medlar_str_t key, medlar_store_fn_t done,
+	       void *done_data)
+{
+	const proxy_call_t call = { .done = done, .data = done_data };
+
+	return post(data, &call, key, (medlar_str_t){ 0 });
+}
+
+static int cas(void *data, medlar_str_t key, medlar_str_t value, uint64_t index,
+	       medlar_store_fn_t done, void *done_data)
+{
+	const proxy_call_t call = {
+		.writes = true,
+		.index = index,
+		.done = done,
+		.data = done_data,
+	};
+
+	return post(data, &call, key, value);
+}
+
+/**
+ * store_proxy_init() - give a worker access to the key-value service
+ * @store: the callbacks of the core; filled in
+ * @worker: worker
+ */
+void store_proxy_init(medlar_store_t *store, worker_t *worker)
+{
+	*store = (medlar_store_t){ .get = get, .cas = cas, .data = worker };
+}
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -133,18 +133,13 @@
 	       pending->cancelled || is_json(reply->body);
 }
 
-/* The core drops a reply that answers something else. */
+/* A connection that carries replies to something else is out of step. */
 static bool is_echo(const pending_t *pending)
 {
 	const medlar_reply_t *reply = &pending->wire.reply;
-	medlar_range_t range = medlar_attempt_range(pending->attempt);
 
-	if (memcmp(reply->id, medlar_attempt_id(pending->attempt),
-		   sizeof(reply->id)) != 0)
-		return false;
-	return reply->status != MEDLAR_REPLY_OK ||
-	       (reply->version == medlar_attempt_version(pending->attempt) &&
-		reply->range.lo == range.lo && reply->range.hi == range.hi);
+	return memcmp(reply->id, medlar_attempt_id(pending->attempt),
+		      sizeof(reply->id)) == 0;
 }
 
 static medlar_fault_t fault_of(const pending_t *pending, http_end_t end)
@@ -173,8 +168,9 @@
 		metrics_add(upstream->metrics, METRIC_UPSTREAM_REPLIES, 1);
 		if (!is_echo(pending))
 			http_close_connection(call);
-		medlar_attempt_reply(upstream->client, pending->attempt,
-				     &pending->wire.reply, now);
+		if (medlar_attempt_reply(upstream->client, pending->attempt,
+					 &pending->wire.reply, now))
+			http_close_connection(call);
 	} else {
 		metrics_add(upstream->metrics, METRIC_UPSTREAM_FAULTS, 1);
 		if (reply->end == HTTP_SILENT)
--- /dev/null
+++ b/medlard/worker.c
@@ -0,0 +1,198 @@
+/**
+ * DOC: worker threads
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "medlard/caller.h"
+#include "medlard/control.h"
+#include "medlard/store_proxy.h"
+
+#define SUSPECTS_MAX 1024
+#define SUSPECTS_EXPIRY MEDLAR_HOUR
+
+/* Times within which a change of the instance list is known everywhere. */
+#define LIST_PERIODS 3
+
+static void count_dropped(void *data)
+{
+	worker_t *worker = data;
+
+	log_flush(&worker->log);
+	if (worker->log.dropped == 0)
+		return;
+	metrics_add(&worker->metrics, METRIC_LOG_DROPPED, worker->log.dropped);
+	worker->log.dropped = 0;
+}
+
+/**
+ * worker_init() - prepare a worker before its thread starts
+ * @worker: memory of the caller
+ * @control: control thread
+ * @index: number of the worker
+ *
+ * Return: %MEDLAR_OK, or an error after which worker_finish() is not called.
+ */
+int worker_init(worker_t *worker, control_t *control, unsigned index)
+{
+	const settings_t *settings = &control->settings;
+	uint64_t seed;
+	int error;
+
+	randombytes_buf(&seed, sizeof(seed));
+	memset(worker, 0, sizeof(*worker));
+	worker->control = control;
+	worker->settings = settings;
+	worker->index = index;
+	worker->started = control->loop.now;
+	medlar_client_init(&worker->client, medlar_str_from(settings->name), 1,
+			   seed);
+	log_init(&worker->log, STDERR_FILENO, (int)index,
+		 (log_level_t)settings->log_level);
+	medlar_client_on_trace(&worker->client, log_trace, &worker->log);
+	medlar_client_on_error(&worker->client, log_report, &worker->log);
+	error = loop_init(&worker->loop, &worker->client);
+	if (!error)
+		error = handoff_init(&worker->inbox, &worker->loop);
+	if (!error)
+		error = http_init(&worker->http, &worker->loop,
+				  &worker->metrics);
+	if (!error)
+		error = medlar_suspects_init(&worker->suspects, SUSPECTS_MAX,
+					     SUSPECTS_EXPIRY);
+	if (error)
+		return error;
+	worker->upstream = (upstream_t){
+		.http = &worker->http,
+		.client = &worker->client,
+		.metrics = &worker->metrics,
+		.reply_max = (size_t)settings->reply_max,
+	};
+	store_proxy_init(&worker->store, worker);
+	error = caller_init(worker);
+	if (!error)
+		error = loop_hook(&worker->loop, count_dropped, worker);
+	return error;
+}
+
+static void *thread_main(void *data)
+{
+	worker_t *worker = data;
+
+	loop_run(&worker->loop);
+	return NULL;
+}
+
+/**
+ * worker_start() - start the thread of a worker
+ * @worker: prepared worker
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int worker_start(worker_t *worker)
+{
+	if (pthread_create(&worker->thread, NULL, thread_main, worker) != 0)
+		return MEDLAR_ERR_NOMEM;
+	return MEDLAR_OK;
+}
+
+/**
+ * worker_join() - wait for the end of the thread of a worker
+ * @worker: worker whose loop has been told to stop
+ */
+void worker_join(worker_t *worker)
+{
+	pthread_join(worker->thread, NULL);
+}
+
+/**
+ * worker_finish() - release what a worker holds
+ * @worker: worker whose thread has ended
+ */
+void worker_finish(worker_t *worker)
+{
+	caller_finish(worker);
+	http_finish(&worker->http);
+	service_finish_all(worker);
+	medlar_suspects_finish(&worker->suspects);
+	medlar_config_finish(&worker->config);
+	handoff_finish(&worker->inbox);
+	loop_finish(&worker->loop);
+	medlar_client_finish(&worker->client);
+	log_finish(&worker->log);
+	free(worker->instances);
+	free(worker->peers);
+}
+
+static int compare_ids(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/**
+ * worker_set_instances() - replace the list of entry instances
+ * @worker: worker
+ * @instances: the list; copied
+ * @len: how many
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM with the list as before.
+ */
+int worker_set_instances(worker_t *worker, const instance_t *instances,
+			 size_t len)
+{
+	instance_t *kept = calloc(len + 1, sizeof(*kept));
+	uint64_t *ids = calloc(len + 1, sizeof(*ids));
+
+	if (!kept || !ids) {
+		free(kept);
+		free(ids);
+		return MEDLAR_ERR_NOMEM;
+	}
+	free(worker->instances);
+	free(worker->peers);
+	worker->instances = kept;
+	worker->peers = ids;
+	worker->instances_len = 0;
+	worker->peers_len = len;
+	for (size_t i = 0; i < len; i++) {
+		ids[i] = medlar_str_hash(medlar_str_from(instances[i].name), 0);
+		if (!instances[i].leaving)
+			kept[worker->instances_len++] = instances[i];
+	}
+	qsort(ids, len, sizeof(*ids), compare_ids);
+	return MEDLAR_OK;
+}
+
+/**
+ * worker_apply_peers() - share the upstreams among the known instances
+ * @worker: worker
+ *
+ * An instance that is leaving still has requests in flight and keeps its
+ * share until it is gone from the list.
+ */
+void worker_apply_peers(worker_t *worker)
+{
+	const medlar_peers_t peers = {
+		.ids = worker->peers,
+		.len = worker->peers_len,
+		.hold = LIST_PERIODS * worker->settings->platform.list_ms,
+		.since = worker->started,
+	};
+
+	if (!worker->peers)
+		return;
+	for (size_t i = 0; i < worker->services_len; i++) {
+		service_t *service = worker->services[i];
+
+		if (service->owner == worker->index)
+			medlar_service_set_peers(&worker->client,
+						 &service->core, &peers,
+						 worker->loop.now);
+	}
+}
