--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 # Targets: all demo check lint bench install clean soak plots
 # Variables: SAN=asan|tsan builds with sanitizers, QUICK=1 shortens bench
 
-VERSION := 0.1.0
 SAN ?= plain
 BUILD := build/$(SAN)
 PREFIX ?= /usr/local
@@ -18,7 +17,7 @@
 SAN_tsan := -fsanitize=thread
 SANFLAGS := $(SAN_$(SAN))
 
-CPPFLAGS += -I. -D_GNU_SOURCE -DMEDLAR_VERSION='"$(VERSION)"'
+CPPFLAGS += -I. -D_GNU_SOURCE
 BASEFLAGS := -O2 -g -fno-omit-frame-pointer $(SANFLAGS) $(PKG_CFLAGS) -pthread
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wvla -Wformat=2
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -16,6 +16,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/** Version of the product. */
+#define MEDLAR_VERSION "0.1.0"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
