--- a/libmedlar/pick.c
+++ b/libmedlar/pick.c
@@ -176,13 +176,17 @@
 	choice->score[fit] = score;
 }
 
-/* Starts anywhere, so that equal scores are not always won by the first. */
+/*
+ * Starts anywhere, so that equal scores are not always won by the first, and
+ * stops when there is enough to choose from.
+ */
 static void consider_all(choice_t *choice, const medlar_shard_t *shard)
 {
 	size_t at = medlar_rand_below(&choice->client->rand, shard->active);
 	size_t i;
 
-	for (i = 0; i < shard->active; i++) {
+	for (i = 0; i < shard->active && choice->seen[FIT_FREE] < ALL_MAX;
+	     i++) {
 		consider(choice, shard->replicas[at]);
 		if (++at == shard->active)
 			at = 0;
