--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 LOAD_SRC := $(wildcard cli/load_*.c)
 FAKE_SRC := $(wildcard tests/fakes/common_*.c)
 
-obj = $(patsubst %,$(BUILD)/%.o,$(1))
+obj = $(patsubst %,$(BUILD)/obj/%.o,$(1))
 LIB := $(BUILD)/libmedlar.a
 DAEMON_LIB := $(BUILD)/libmedlard.a
 
@@ -66,28 +66,31 @@
 $(BUILD)/medlarload: $(call obj,cli/medlarload.c $(LOAD_SRC)) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/fake-%: $(BUILD)/tests/fakes/fake-%.c.o $(call obj,$(FAKE_SRC)) $(LIB)
+$(BUILD)/fake-%: $(BUILD)/obj/tests/fakes/fake-%.c.o $(call obj,$(FAKE_SRC)) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.c.o $(DAEMON_LIB) $(LIB)
+$(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.c.o $(DAEMON_LIB) $(LIB)
+	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
-$(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.cc.o $(DAEMON_LIB) $(LIB)
+$(BUILD)/tests/prop_%: $(BUILD)/obj/tests/prop_%.cc.o $(DAEMON_LIB) $(LIB)
+	@mkdir -p $(@D)
 	$(CXX) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lrapidcheck
 
-$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.c.o $(DAEMON_LIB) $(LIB)
+$(BUILD)/bench/bench_%: $(BUILD)/obj/bench/bench_%.c.o $(DAEMON_LIB) $(LIB)
+	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
 # Generated code is compiled without the warnings of our own.
-$(BUILD)/proto/%.c.o: proto/%.c
+$(BUILD)/obj/proto/%.c.o: proto/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -std=gnu11 $(BASEFLAGS) -w -MMD -c -o $@ $<
 
-$(BUILD)/%.c.o: %.c
+$(BUILD)/obj/%.c.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
 
-$(BUILD)/%.cc.o: %.cc
+$(BUILD)/obj/%.cc.o: %.cc
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
 
--- a/medlard/addresses.c
+++ b/medlard/addresses.c
@@ -96,12 +96,12 @@
 		  const addresses_choice_t *choice)
 {
 	for (size_t i = 0; i < choice->len; i++)
-		MEDLAR_TRACE(&worker->client, MEDLAR_EVENT_ADDRESS,
-			     MEDLAR_TEXT("zone", zone),
-			     MEDLAR_TEXT("instance",
-					 medlar_str_from(
-						 choice->items[i]->name)),
-			     MEDLAR_NUM("weight", choice->weights[i]));
+		MEDLAR_TRACE(
+			&worker->client, MEDLAR_EVENT_ADDRESS,
+			MEDLAR_TEXT("zone", zone),
+			MEDLAR_TEXT("instance",
+				    medlar_str_from(choice->items[i]->name)),
+			MEDLAR_NUM("weight", choice->weights[i]));
 }
 
 /**
@@ -121,8 +121,8 @@
 			 zone, &worker->client.rand);
 	trace(worker, zone, &choice);
 	medlar_buf_printf(out, "{\"ttl_ms\":%" PRId64 ",\"addresses\":[",
-			  worker->configured ? worker->config.address_ttl :
-					       TTL_DEFAULT);
+			  worker->configured ? worker->config.address_ttl
+					     : TTL_DEFAULT);
 	for (size_t i = 0; i < choice.len; i++) {
 		if (i > 0)
 			medlar_buf_add(out, MEDLAR_STR(","));
--- a/medlard/answer.c
+++ b/medlard/answer.c
@@ -74,9 +74,9 @@
 	    answer->outcome == MEDLAR_OUTCOME_PARTIAL)
 		return MHD_HTTP_OK;
 	if (answer->outcome == MEDLAR_OUTCOME_FAILED)
-		return answer->error == MEDLAR_ERR_DEADLINE ?
-			       MHD_HTTP_GATEWAY_TIMEOUT :
-			       MHD_HTTP_BAD_GATEWAY;
+		return answer->error == MEDLAR_ERR_DEADLINE
+			       ? MHD_HTTP_GATEWAY_TIMEOUT
+			       : MHD_HTTP_BAD_GATEWAY;
 	if (answer->error == MEDLAR_ERR_DEADLINE)
 		return MHD_HTTP_SERVICE_UNAVAILABLE;
 	return answer_error_status(answer->error);
@@ -172,8 +172,8 @@
 	add_ranges(out, "covered", answer->covered);
 	add_ranges(out, "missing", answer->missing);
 	medlar_buf_printf(out,
-			  ",\"elapsed_ms\":%" PRId64 ",\"remaining_ms\":%" PRId64
-			  ",\"sends\":%" PRIu32,
+			  ",\"elapsed_ms\":%" PRId64
+			  ",\"remaining_ms\":%" PRId64 ",\"sends\":%" PRIu32,
 			  now - answer->started, left > 0 ? left : 0,
 			  answer->sends);
 	if (has_parts(answer))
--- a/medlard/caller.c
+++ b/medlard/caller.c
@@ -30,7 +30,10 @@
 	{ "GET", "/v1/suspects", status_suspects },
 };
 
-#define TABLE(routes) { (routes), sizeof(routes) / sizeof((routes)[0]) }
+#define TABLE(routes)                                          \
+	{                                                      \
+		(routes), sizeof(routes) / sizeof((routes)[0]) \
+	}
 
 static const struct {
 	const route_t *routes;
@@ -285,16 +288,17 @@
 }
 
 static void on_connection(void *data, struct MHD_Connection *connection,
-			  void **state, enum MHD_ConnectionNotificationCode code)
+			  void **state,
+			  enum MHD_ConnectionNotificationCode code)
 {
 	worker_t *worker = data;
 
 	(void)connection;
 	(void)state;
 	metrics_add(&worker->metrics,
-		    code == MHD_CONNECTION_NOTIFY_STARTED ?
-			    METRIC_CALLER_CONNECTIONS :
-			    METRIC_CALLER_CLOSED,
+		    code == MHD_CONNECTION_NOTIFY_STARTED
+			    ? METRIC_CALLER_CONNECTIONS
+			    : METRIC_CALLER_CLOSED,
 		    1);
 }
 
@@ -365,8 +369,9 @@
 	const settings_t *settings = worker->settings;
 	struct sockaddr_storage address;
 	int flags = fill_address(endpoint, &address);
-	unsigned connections =
-		(unsigned)(settings->connections_max / settings->threads) + 1;
+	unsigned connections = (unsigned)(settings->connections_max /
+					  settings->threads) +
+			       1;
 
 	if (flags < 0)
 		return NULL;
@@ -387,8 +392,8 @@
 
 static int watch_daemon(worker_t *worker, struct MHD_Daemon *daemon)
 {
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+		daemon, MHD_DAEMON_INFO_EPOLL_FD);
 
 	if (!info)
 		return MEDLAR_ERR_IO;
--- a/medlard/directory.c
+++ b/medlard/directory.c
@@ -74,12 +74,12 @@
 	}
 	if (error)
 		LOG_LINE(&worker->log, LOG_LEVEL_WARNING, "map",
-			 MEDLAR_TEXT("service",
-				     medlar_str_from(
-					     worker->services[note->number]
-						     ->name)),
-			 MEDLAR_TEXT("error",
-				     medlar_str_from(medlar_error_name(error))));
+			 MEDLAR_TEXT(
+				 "service",
+				 medlar_str_from(
+					 worker->services[note->number]->name)),
+			 MEDLAR_TEXT("error", medlar_str_from(medlar_error_name(
+						      error))));
 	free_note(note);
 }
 
@@ -164,9 +164,10 @@
 		LOG_LINE(&control->log, LOG_LEVEL_WARNING, "list_empty",
 			 MEDLAR_TEXT("service",
 				     medlar_str_from(service->policy.name)));
-	(void)medlar_timer_set(&control->client, &service->timer,
-			       control->loop.now +
-				       directory_period(control, service->failures));
+	(void)medlar_timer_set(
+		&control->client, &service->timer,
+		control->loop.now +
+			directory_period(control, service->failures));
 }
 
 static void read_list(medlar_client_t *client, medlar_timer_t *timer,
@@ -187,14 +188,15 @@
 		(void)medlar_timer_set(
 			client, timer,
 			now + directory_period(service->control,
-					  ++service->failures));
+					       ++service->failures));
 }
 
 static listed_service_t *find_listed(directory_t *directory, medlar_str_t name)
 {
 	for (size_t i = 0; i < directory->services_len; i++)
 		if (medlar_str_equal(
-			    medlar_str_from(directory->services[i]->policy.name),
+			    medlar_str_from(
+				    directory->services[i]->policy.name),
 			    name))
 			return directory->services[i];
 	return NULL;
@@ -230,8 +232,8 @@
 {
 	for (size_t i = 0; i < config->len; i++) {
 		const medlar_policy_t *policy = &config->services[i];
-		listed_service_t *service =
-			find_listed(directory, medlar_str_from(policy->name));
+		listed_service_t *service = find_listed(
+			directory, medlar_str_from(policy->name));
 
 		if (service)
 			service->policy = *policy;
@@ -311,10 +313,9 @@
 		return error;
 	}
 	if (directory->revision == 0)
-		(void)store_watch_start(&directory->maps_watch,
-					&directory->control->store,
-					"/v1/kv/" MAPS_PREFIX "?recurse",
-					on_map, directory);
+		(void)store_watch_start(
+			&directory->maps_watch, &directory->control->store,
+			"/v1/kv/" MAPS_PREFIX "?recurse", on_map, directory);
 	directory->revision = revision;
 	directory->address_ttl = parsed.address_ttl;
 	medlar_buf_reset(&directory->config);
--- a/medlard/http.c
+++ b/medlard/http.c
@@ -198,9 +198,8 @@
 	char url[URL_MAX];
 	int len;
 
-	len = snprintf(url, sizeof(url), "http://%s%s%s:%u%s",
-		       is_v6 ? "[" : "", peer->host, is_v6 ? "]" : "",
-		       peer->port, request->path);
+	len = snprintf(url, sizeof(url), "http://%s%s%s:%u%s", is_v6 ? "[" : "",
+		       peer->host, is_v6 ? "]" : "", peer->port, request->path);
 	if (len < 0 || (size_t)len >= sizeof(url))
 		return MEDLAR_ERR_TOO_LARGE;
 	medlar_buf_reset(&call->body);
@@ -302,8 +301,8 @@
 	error = prepare(call, request);
 	if (!error)
 		error = medlar_timer_set(client, &call->timer,
-					 give_up < call->until ? give_up :
-								 call->until);
+					 give_up < call->until ? give_up
+							       : call->until);
 	if (error) {
 		keep_spare(call);
 		return error;
@@ -362,8 +361,8 @@
 	if (code == CURLE_OK)
 		return HTTP_REPLY;
 	if (!call->sent)
-		return code == CURLE_COULDNT_CONNECT ? HTTP_REFUSED :
-						       HTTP_UNSENT;
+		return code == CURLE_COULDNT_CONNECT ? HTTP_REFUSED
+						     : HTTP_UNSENT;
 	if (call->too_long || code == CURLE_WEIRD_SERVER_REPLY ||
 	    code == CURLE_UNSUPPORTED_PROTOCOL ||
 	    code == CURLE_BAD_CONTENT_ENCODING || code == CURLE_WRITE_ERROR)
--- a/medlard/instances.c
+++ b/medlard/instances.c
@@ -157,9 +157,8 @@
 {
 	directory_t *directory = data;
 	const loop_t *loop = &directory->control->loop;
-	medlar_time_t wait = result->status == MEDLAR_STORE_OK ?
-				     REGISTER_PERIOD :
-				     REGISTER_RETRY;
+	medlar_time_t wait = result->status == MEDLAR_STORE_OK ? REGISTER_PERIOD
+							       : REGISTER_RETRY;
 
 	(void)medlar_timer_set(loop->client, &directory->register_timer,
 			       loop->now + wait);
@@ -173,10 +172,11 @@
 
 	medlar_buf_add(out, MEDLAR_STR("{\"ID\":"));
 	medlar_buf_json_string(out, name);
-	medlar_buf_printf(out,
-			  ",\"Name\":\"%s\",\"Address\":\"%s\",\"Port\":%" PRId64
-			  ",\"Meta\":{\"zone\":",
-			  SERVICE_NAME, address->host, address->port);
+	medlar_buf_printf(
+		out,
+		",\"Name\":\"%s\",\"Address\":\"%s\",\"Port\":%" PRId64
+		",\"Meta\":{\"zone\":",
+		SERVICE_NAME, address->host, address->port);
 	medlar_buf_json_string(out, medlar_str_from(settings->zone));
 	medlar_buf_printf(out,
 			  ",\"incarnation\":\"%" PRId64
--- a/medlard/listing.c
+++ b/medlard/listing.c
@@ -120,13 +120,13 @@
 			 text_of(service, "Address"));
 }
 
-static bool read_instance(struct json_object *service,
-			  struct json_object *meta, instance_t *out)
+static bool read_instance(struct json_object *service, struct json_object *meta,
+			  instance_t *out)
 {
 	*out = (instance_t){
 		.port = port_of(service),
-		.peer_port =
-			(uint16_t)number_of(meta, "peer_port", PORT_MAX, 0),
+		.peer_port = (uint16_t)number_of(meta, "peer_port", PORT_MAX,
+						 0),
 		.incarnation = (medlar_time_t)number_of(meta, "incarnation",
 							INT64_MAX, 0),
 		.leaving = is_leaving(meta),
--- a/medlard/log.c
+++ b/medlard/log.c
@@ -132,8 +132,8 @@
 void log_report(const medlar_fault_report_t *report, void *data)
 {
 	LOG_LINE(data, LOG_LEVEL_ERROR, "error",
-		 MEDLAR_TEXT("code", medlar_str_from(medlar_error_name(
-					     report->error))),
+		 MEDLAR_TEXT("code",
+			     medlar_str_from(medlar_error_name(report->error))),
 		 MEDLAR_TEXT("file", report->file),
 		 MEDLAR_NUM("line", report->line),
 		 MEDLAR_TEXT("field", report->field),
--- a/medlard/log.h
+++ b/medlard/log.h
@@ -35,10 +35,10 @@
 	uint64_t dropped;
 } logger_t;
 
-#define LOG_LINE(logger, level, event, ...)                                  \
-	log_line((logger), (level), (event),                                 \
-		 (const medlar_field_t[]){ __VA_ARGS__ },                    \
-		 sizeof((const medlar_field_t[]){ __VA_ARGS__ }) /           \
+#define LOG_LINE(logger, level, event, ...)                        \
+	log_line((logger), (level), (event),                       \
+		 (const medlar_field_t[]){ __VA_ARGS__ },          \
+		 sizeof((const medlar_field_t[]){ __VA_ARGS__ }) / \
 			 sizeof(medlar_field_t))
 
 void log_init(logger_t *logger, int fd, int worker, log_level_t level);
--- a/medlard/metrics.c
+++ b/medlard/metrics.c
@@ -71,8 +71,7 @@
 
 /* Upper bounds of the latency buckets in milliseconds. */
 static const uint32_t bounds[METRICS_BUCKETS] = {
-	1,   2,	  4,   6,   10,	  16,	25,   40,
-	63, 100, 160, 250, 400, 1000, 2500, 10000
+	1, 2, 4, 6, 10, 16, 25, 40, 63, 100, 160, 250, 400, 1000, 2500, 10000
 };
 
 static void add(uint64_t *counter, uint64_t more)
@@ -183,14 +182,13 @@
 				  name, bounds[i], sum);
 	}
 	sum += ck_pr_load_64(&service->buckets[METRICS_BUCKETS]);
-	medlar_buf_printf(out,
-			  "medlard_answer_ms_bucket{service=\"%s\","
-			  "le=\"+Inf\"} %" PRIu64 "\n"
-			  "medlard_answer_ms_sum{service=\"%s\"} %" PRIu64 "\n"
-			  "medlard_answer_ms_count{service=\"%s\"} %" PRIu64
-			  "\n",
-			  name, sum, name, ck_pr_load_64(&service->total_ms),
-			  name, sum);
+	medlar_buf_printf(
+		out,
+		"medlard_answer_ms_bucket{service=\"%s\","
+		"le=\"+Inf\"} %" PRIu64 "\n"
+		"medlard_answer_ms_sum{service=\"%s\"} %" PRIu64 "\n"
+		"medlard_answer_ms_count{service=\"%s\"} %" PRIu64 "\n",
+		name, sum, name, ck_pr_load_64(&service->total_ms), name, sum);
 }
 
 static void each_service(const metrics_t *const *sets, size_t len,
--- a/medlard/request.c
+++ b/medlard/request.c
@@ -24,9 +24,8 @@
 	(void)MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				      request->type);
 	if (worker->stopping)
-		(void)MHD_add_response_header(response,
-					      MHD_HTTP_HEADER_CONNECTION,
-					      "close");
+		(void)MHD_add_response_header(
+			response, MHD_HTTP_HEADER_CONNECTION, "close");
 	(void)MHD_queue_response(request->connection, request->status,
 				 response);
 	MHD_destroy_response(response);
--- a/medlard/service.c
+++ b/medlard/service.c
@@ -87,8 +87,8 @@
 	}
 	worker->services = services;
 	service->worker = worker;
-	service->owner =
-		(unsigned)worker->services_len % worker->settings->threads;
+	service->owner = (unsigned)worker->services_len %
+			 worker->settings->threads;
 	service->policy = *policy;
 	memcpy(service->name, policy->name, sizeof(service->name));
 	service->link = (upstream_link_t){ &worker->upstream, &service->core,
@@ -148,8 +148,8 @@
 				    medlar_replica_t *replica))
 {
 	for (size_t i = 0; i < medlar_service_shards(&service->core); i++) {
-		medlar_shard_t *shard =
-			medlar_service_shard(&service->core, (uint32_t)i);
+		medlar_shard_t *shard = medlar_service_shard(&service->core,
+							     (uint32_t)i);
 
 		for (size_t j = medlar_shard_replicas(shard); j > 0; j--)
 			fn(service, medlar_shard_replica(shard, j - 1));
@@ -200,12 +200,12 @@
 	worker_t *worker = service->worker;
 
 	for (size_t i = 0; i < medlar_service_shards(&service->core); i++) {
-		medlar_shard_t *shard =
-			medlar_service_shard(&service->core, (uint32_t)i);
+		medlar_shard_t *shard = medlar_service_shard(&service->core,
+							     (uint32_t)i);
 
 		for (size_t j = medlar_shard_replicas(shard); j > 0; j--) {
-			medlar_replica_t *replica =
-				medlar_shard_replica(shard, j - 1);
+			medlar_replica_t *replica = medlar_shard_replica(shard,
+									 j - 1);
 			uint64_t id = medlar_replica_id(replica);
 
 			if (has_id(ids, len, id))
@@ -230,8 +230,8 @@
 	if (error) {
 		LOG_LINE(&worker->log, LOG_LEVEL_WARNING, "replica",
 			 MEDLAR_TEXT("replica", name),
-			 MEDLAR_TEXT("error",
-				     medlar_str_from(medlar_error_name(error))));
+			 MEDLAR_TEXT("error", medlar_str_from(medlar_error_name(
+						      error))));
 		return;
 	}
 	replica = medlar_service_find_replica(&service->core,
@@ -315,8 +315,8 @@
 
 static medlar_str_t kind_name(medlar_kind_t kind)
 {
-	return kind == MEDLAR_KIND_SEARCH ? MEDLAR_STR("search") :
-					    MEDLAR_STR("lookup");
+	return kind == MEDLAR_KIND_SEARCH ? MEDLAR_STR("search")
+					  : MEDLAR_STR("lookup");
 }
 
 static void start_query(request_t *request, service_t *service)
@@ -441,8 +441,8 @@
 	}
 	if (split_path(request, &name, &request->kind))
 		service = service_find(worker, name);
-	if (!service || (request->kind == MEDLAR_KIND_WRITE) !=
-				service->policy.writes) {
+	if (!service ||
+	    (request->kind == MEDLAR_KIND_WRITE) != service->policy.writes) {
 		request_refuse(request, MHD_HTTP_NOT_FOUND,
 			       MEDLAR_ERR_NOT_FOUND, "");
 		return;
--- a/medlard/settings.c
+++ b/medlard/settings.c
@@ -18,28 +18,28 @@
 #define BODY_MAX (64 << 20)
 #define CONNECTIONS_MAX 4096
 
-#define PORT_FIELD(struct_type, member, needed)                            \
-	{                                                                  \
-		.name = #member, .type = MEDLAR_DOC_INT,                   \
-		.offset = offsetof(struct_type, member), .min = 1,         \
-		.max = PORT_MAX, .required = (needed)                      \
+#define PORT_FIELD(struct_type, member, needed)                    \
+	{                                                          \
+		.name = #member, .type = MEDLAR_DOC_INT,           \
+		.offset = offsetof(struct_type, member), .min = 1, \
+		.max = PORT_MAX, .required = (needed)              \
 	}
-#define TEXT_FIELD(struct_type, member, needed)                            \
-	{                                                                  \
-		.name = #member, .type = MEDLAR_DOC_TEXT,                  \
-		.offset = offsetof(struct_type, member),                   \
-		.size = sizeof(((struct_type *)0)->member),                \
-		.required = (needed)                                       \
+#define TEXT_FIELD(struct_type, member, needed)             \
+	{                                                   \
+		.name = #member, .type = MEDLAR_DOC_TEXT,   \
+		.offset = offsetof(struct_type, member),    \
+		.size = sizeof(((struct_type *)0)->member), \
+		.required = (needed)                        \
 	}
-#define INT_FIELD(struct_type, member, least, most)                        \
-	{                                                                  \
-		.name = #member, .type = MEDLAR_DOC_INT,                   \
-		.offset = offsetof(struct_type, member), .min = (least),   \
-		.max = (most)                                              \
+#define INT_FIELD(struct_type, member, least, most)                      \
+	{                                                                \
+		.name = #member, .type = MEDLAR_DOC_INT,                 \
+		.offset = offsetof(struct_type, member), .min = (least), \
+		.max = (most)                                            \
 	}
 
-static const char *const level_names[] = { "error",  "warning", "notice",
-					   "info", "debug", NULL };
+static const char *const level_names[] = { "error", "warning", "notice",
+					   "info",  "debug",   NULL };
 
 static const medlar_doc_field_t listen_fields[] = {
 	TEXT_FIELD(endpoint_t, host, true),
@@ -214,10 +214,10 @@
 		  const char *path)
 {
 	medlar_str_t file = medlar_str_from(path);
-	medlar_fault_report_t report = {
-		.file = file, .advice = MEDLAR_STR("check the file's name and "
-						   "permissions")
-	};
+	medlar_fault_report_t report = { .file = file,
+					 .advice = MEDLAR_STR(
+						 "check the file's name and "
+						 "permissions") };
 	medlar_buf_t text;
 
 	medlar_buf_init(&text);
--- a/medlard/status.c
+++ b/medlard/status.c
@@ -43,13 +43,14 @@
 	if (worker->stopping || worker->leaving)
 		medlar_buf_add(out, MEDLAR_STR("not ready: leaving\n"));
 	if (!worker->configured)
-		medlar_buf_add(out, MEDLAR_STR("not ready: no configuration\n"));
+		medlar_buf_add(out,
+			       MEDLAR_STR("not ready: no configuration\n"));
 	for (size_t i = 0; i < worker->services_len; i++)
 		if (owns(worker, worker->services[i]) &&
 		    !worker->services[i]->listed)
-			medlar_buf_printf(
-				out, "not ready: no instance list of %s\n",
-				worker->services[i]->name);
+			medlar_buf_printf(out,
+					  "not ready: no instance list of %s\n",
+					  worker->services[i]->name);
 }
 
 /**
@@ -94,8 +95,8 @@
 static void each_replica(service_t *service, replica_fn_t fn, void *data)
 {
 	for (size_t i = 0; i < medlar_service_shards(&service->core); i++) {
-		const medlar_shard_t *shard =
-			medlar_service_shard(&service->core, (uint32_t)i);
+		const medlar_shard_t *shard = medlar_service_shard(
+			&service->core, (uint32_t)i);
 
 		for (size_t j = 0; j < medlar_shard_replicas(shard); j++)
 			fn(service, medlar_shard_replica(shard, j), data);
@@ -125,8 +126,8 @@
 	service_sums_t *sums = data;
 
 	sums->replicas++;
-	sums->usable +=
-		medlar_replica_usable(replica, service->worker->loop.now);
+	sums->usable += medlar_replica_usable(replica,
+					      service->worker->loop.now);
 	sums->in_flight += medlar_replica_in_flight(replica);
 	sums->slots += medlar_replica_share(replica).slots;
 	sums->open += peer ? peer->open : 0;
@@ -169,16 +170,15 @@
 	const worker_t *worker = request->home;
 	medlar_buf_t *out = &request->answer;
 
-	medlar_buf_printf(out,
-			  "{\"instance\":\"%s\",\"zone\":\"%s\","
-			  "\"version\":\"" MEDLAR_VERSION
-			  "\",\"revision\":%" PRIu64
-			  ",\"leaving\":%s,\"instances\":%zu,\"uptime_ms\":%" PRId64
-			  ",\"services\":[",
-			  worker->settings->name, worker->settings->zone,
-			  worker->config.revision,
-			  worker->leaving ? "true" : "false", worker->peers_len,
-			  worker->loop.now - worker->started);
+	medlar_buf_printf(
+		out,
+		"{\"instance\":\"%s\",\"zone\":\"%s\","
+		"\"version\":\"" MEDLAR_VERSION "\",\"revision\":%" PRIu64
+		",\"leaving\":%s,\"instances\":%zu,\"uptime_ms\":%" PRId64
+		",\"services\":[",
+		worker->settings->name, worker->settings->zone,
+		worker->config.revision, worker->leaving ? "true" : "false",
+		worker->peers_len, worker->loop.now - worker->started);
 	request_tour(request, visit_services);
 }
 
@@ -201,9 +201,9 @@
 		",\"versions\":[",
 		info->host, info->port, info->shard,
 		info->leaving ? "true" : "false",
-		medlar_replica_usable(replica, service->worker->loop.now) ?
-			"true" :
-			"false",
+		medlar_replica_usable(replica, service->worker->loop.now)
+			? "true"
+			: "false",
 		medlar_replica_in_flight(replica), share.slots,
 		share.connections, peer ? peer->open : 0);
 	for (size_t i = 0; i < MEDLAR_VERSIONS_MAX && info->versions[i]; i++) {
@@ -258,8 +258,7 @@
 				  "\",\"verdict\":\"%s\",\"deaths\":%" PRIu32
 				  ",\"expires_ms\":%" PRId64 "}",
 				  entry.fingerprint, verdicts[entry.verdict],
-				  entry.deaths,
-				  entry.until - worker->loop.now);
+				  entry.deaths, entry.until - worker->loop.now);
 	}
 }
 
--- a/medlard/store.c
+++ b/medlard/store.c
@@ -83,8 +83,8 @@
  */
 medlar_store_status_t store_classify(const http_reply_t *reply, bool writes)
 {
-	medlar_store_status_t lost =
-		writes ? MEDLAR_STORE_UNKNOWN : MEDLAR_STORE_DOWN;
+	medlar_store_status_t lost = writes ? MEDLAR_STORE_UNKNOWN
+					    : MEDLAR_STORE_DOWN;
 
 	if (reply->end == HTTP_REFUSED || reply->end == HTTP_UNSENT)
 		return MEDLAR_STORE_DOWN;
@@ -121,8 +121,8 @@
 		return;
 	}
 	metrics_add(store->metrics,
-		    status == MEDLAR_STORE_DOWN ? METRIC_STORE_FAILURES :
-						  METRIC_STORE_UNKNOWN,
+		    status == MEDLAR_STORE_DOWN ? METRIC_STORE_FAILURES
+						: METRIC_STORE_UNKNOWN,
 		    1);
 	store->failures++;
 	if (store->failures < BREAK_AFTER)
@@ -131,9 +131,9 @@
 		LOG_LINE(store->log, LOG_LEVEL_WARNING, "store",
 			 MEDLAR_TEXT("state", MEDLAR_STR("down")),
 			 MEDLAR_NUM("failures", store->failures));
-	store->closed_until =
-		store->loop->now +
-		store_backoff(client, store->failures - BREAK_AFTER + 1);
+	store->closed_until = store->loop->now +
+			      store_backoff(client,
+					    store->failures - BREAK_AFTER + 1);
 }
 
 static void on_header(medlar_str_t name, medlar_str_t value, void *data)
--- a/medlard/store_kv.c
+++ b/medlard/store_kv.c
@@ -74,8 +74,7 @@
  * @found: called for each well-formed entry
  * @data: passed to @found
  */
-void store_parse_values(medlar_str_t body, store_changed_fn_t found,
-			void *data)
+void store_parse_values(medlar_str_t body, store_changed_fn_t found, void *data)
 {
 	struct json_tokener *tokener = json_tokener_new();
 	struct json_object *list = NULL;
@@ -148,9 +147,9 @@
 	medlar_store_reply_t reply = { .status = result->status };
 
 	if (reply.status == MEDLAR_STORE_OK && !begins(result->body, "true"))
-		reply.status = begins(result->body, "false") ?
-				       MEDLAR_STORE_CONFLICT :
-				       MEDLAR_STORE_UNKNOWN;
+		reply.status = begins(result->body, "false")
+				       ? MEDLAR_STORE_CONFLICT
+				       : MEDLAR_STORE_UNKNOWN;
 	call->done(&reply, call->data);
 	free(call);
 }
@@ -249,9 +248,9 @@
 		store_parse_values(result->body, watch->changed, watch->data);
 	/* An index that went back means that the service was rebuilt. */
 	watch->index = result->index < watch->index ? 0 : result->index;
-	schedule(watch, result->index == 0 ?
-				store_backoff(client, BACKOFF_NO_INDEX) :
-				WATCH_PAUSE);
+	schedule(watch, result->index == 0
+				? store_backoff(client, BACKOFF_NO_INDEX)
+				: WATCH_PAUSE);
 }
 
 static void run_watch(medlar_client_t *client, medlar_timer_t *timer,
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -79,8 +79,8 @@
 	const medlar_replica_info_t *info = medlar_replica_info(replica);
 	http_peer_t *peer = medlar_replica_data(replica);
 
-	if (peer && (strcmp(peer->host, info->host) != 0 ||
-		     peer->port != info->port))
+	if (peer &&
+	    (strcmp(peer->host, info->host) != 0 || peer->port != info->port))
 		upstream_forget(replica);
 	else if (peer)
 		http_peer_set_limit(peer,
@@ -221,8 +221,8 @@
 		 range.lo, range.hi);
 	head->items[0] = (http_header_t){ "Medlar-Request-Id",
 					  medlar_str_from(head->id) };
-	head->items[1] =
-		(http_header_t){ "Medlar-Kind", medlar_str_from(kind) };
+	head->items[1] = (http_header_t){ "Medlar-Kind",
+					  medlar_str_from(kind) };
 	head->items[2] = (http_header_t){ "Medlar-Deadline-Ms",
 					  medlar_str_from(head->deadline) };
 	head->items[3] = (http_header_t){ "Medlar-Version",
@@ -334,8 +334,8 @@
 		.reply_max = upstream->reply_max,
 		.done = ignore_reply,
 	};
-	http_peer_t *peer =
-		upstream_peer(link, medlar_attempt_replica(attempt));
+	http_peer_t *peer = upstream_peer(link,
+					  medlar_attempt_replica(attempt));
 
 	wire_id_text(medlar_attempt_id(attempt), id);
 	if (!peer || http_start(peer, &request, NULL))
--- a/medlard/wire.c
+++ b/medlard/wire.c
@@ -151,8 +151,8 @@
 
 static void parse_incarnation(wire_t *wire, medlar_str_t value)
 {
-	wire->reply.incarnation =
-		(medlar_time_t)parse_bounded(wire, value, INT64_MAX);
+	wire->reply.incarnation = (medlar_time_t)parse_bounded(wire, value,
+							       INT64_MAX);
 }
 
 static medlar_str_t next_item(medlar_str_t *list)
