Release calls under way when the HTTP client closes

The address and thread sanitizers showed peers and timers used after the client had been closed at exit. Calls under way now end as dropped, and services are finished before the client.

--- a/medlard/handoff.c
+++ b/medlard/handoff.c
@@ -2,8 +2,9 @@
  * DOC: calls posted from one thread to the loop of another
  *
  * Concurrency Kit's ring is inline assembly, in which ThreadSanitizer sees no
- * ordering. The release before and the acquire after each passage through the
- * ring are therefore told to it here, and nowhere else.
+ * ordering. So the accesses to the ring's own slots are hidden from it, and
+ * the order that the ring gives to the calls that pass through it is told by a
+ * release before and an acquire after. Nothing else is hidden.
  */
 #include <sched.h>
 #include <sys/epoll.h>
@@ -16,13 +17,56 @@
 
 #ifdef __SANITIZE_THREAD__
 #include <sanitizer/tsan_interface.h>
-#define TSAN_RELEASE(address) __tsan_release(address)
-#define TSAN_ACQUIRE(address) __tsan_acquire(address)
+
+void AnnotateIgnoreReadsBegin(const char *file, int line);
+void AnnotateIgnoreReadsEnd(const char *file, int line);
+void AnnotateIgnoreWritesBegin(const char *file, int line);
+void AnnotateIgnoreWritesEnd(const char *file, int line);
+
+static void hide_slots(void)
+{
+	AnnotateIgnoreReadsBegin(__FILE__, __LINE__);
+	AnnotateIgnoreWritesBegin(__FILE__, __LINE__);
+}
+
+static void show_slots(void)
+{
+	AnnotateIgnoreWritesEnd(__FILE__, __LINE__);
+	AnnotateIgnoreReadsEnd(__FILE__, __LINE__);
+}
 #else
-#define TSAN_RELEASE(address) ((void)(address))
-#define TSAN_ACQUIRE(address) ((void)(address))
+#define __tsan_release(address) ((void)(address))
+#define __tsan_acquire(address) ((void)(address))
+#define hide_slots() ((void)0)
+#define show_slots() ((void)0)
 #endif
 
+static bool put(handoff_t *handoff, handoff_call_t *call)
+{
+	bool done;
+
+	__tsan_release(call);
+	hide_slots();
+	done = ck_ring_enqueue_mpsc(&handoff->ring, handoff->slots, call);
+	show_slots();
+	return done;
+}
+
+static handoff_call_t *take(handoff_t *handoff)
+{
+	void *call = NULL;
+	bool done;
+
+	hide_slots();
+	done = ck_ring_dequeue_mpsc(&handoff->ring, handoff->slots,
+				    (void *)&call);
+	show_slots();
+	if (!done)
+		return NULL;
+	__tsan_acquire(call);
+	return call;
+}
+
 static void run_calls(uint32_t events, void *data)
 {
 	handoff_t *handoff = data;
@@ -34,11 +78,8 @@
 		count = 0;
 	/* A call posted after this store signals anew. */
 	ck_pr_fas_32(&handoff->signalled, 0);
-	while (ck_ring_dequeue_mpsc(&handoff->ring, handoff->slots,
-				    (void *)&call)) {
-		TSAN_ACQUIRE(call);
+	while ((call = take(handoff)))
 		call->fn(call, call->data);
-	}
 }
 
 /**
@@ -88,8 +129,7 @@
 	const uint64_t one = 1;
 
 	*call = (handoff_call_t){ fn, data };
-	TSAN_RELEASE(call);
-	while (!ck_ring_enqueue_mpsc(&handoff->ring, handoff->slots, call))
+	while (!put(handoff, call))
 		sched_yield();
 	if (ck_pr_fas_32(&handoff->signalled, 1))
 		return;
--- a/medlard/http.c
+++ b/medlard/http.c
@@ -223,52 +223,6 @@
 	return MEDLAR_OK;
 }
 
-static void begin(http_call_t *call)
-{
-	http_peer_t *peer = call->peer;
-
-	peer->busy++;
-	call->started = true;
-	if (curl_multi_add_handle(peer->http->multi, call->easy) == CURLM_OK)
-		return;
-	/* The timer reports it: a call never ends within http_start(). */
-	(void)medlar_timer_set(peer->http->loop->client, &call->timer,
-			       peer->http->loop->now);
-}
-
-static void wait_in_line(http_call_t *call)
-{
-	http_peer_t *peer = call->peer;
-
-	call->next = NULL;
-	if (peer->last)
-		peer->last->next = call;
-	else
-		peer->first = call;
-	peer->last = call;
-	metrics_add(peer->http->metrics, METRIC_UPSTREAM_WAITS, 1);
-}
-
-static void leave_line(http_call_t *call)
-{
-	http_peer_t *peer = call->peer;
-	http_call_t *before = NULL;
-	http_call_t *at = peer->first;
-
-	while (at && at != call) {
-		before = at;
-		at = at->next;
-	}
-	if (!at)
-		return;
-	if (before)
-		before->next = call->next;
-	else
-		peer->first = call->next;
-	if (peer->last == call)
-		peer->last = before;
-}
-
 /**
  * http_start() - start a call
  * @peer: where it goes
@@ -309,25 +263,10 @@
 	}
 	if (out)
 		*out = call;
-	if (peer->busy < peer->limit)
-		begin(call);
-	else
-		wait_in_line(call);
+	http_peer_admit(call);
 	return MEDLAR_OK;
 }
 
-static void start_waiting(http_peer_t *peer)
-{
-	while (peer->first && peer->busy < peer->limit) {
-		http_call_t *call = peer->first;
-
-		peer->first = call->next;
-		if (!peer->first)
-			peer->last = NULL;
-		begin(call);
-	}
-}
-
 static void finish_call(http_call_t *call, http_end_t end)
 {
 	http_peer_t *peer = call->peer;
@@ -341,7 +280,7 @@
 		curl_multi_remove_handle(http->multi, call->easy);
 		peer->busy--;
 	} else {
-		leave_line(call);
+		http_peer_leave_line(call);
 	}
 	if (end == HTTP_REPLY) {
 		reply.status = (int)status;
@@ -351,7 +290,7 @@
 		reply.took = http->loop->now - call->sent_at;
 	call->done(call, &reply, call->data);
 	keep_spare(call);
-	start_waiting(peer);
+	http_peer_pump(peer);
 	http_conns_trim(peer);
 	http_peer_check(peer);
 }
@@ -425,83 +364,6 @@
 		http_conn_kill(conn);
 }
 
-/**
- * http_peer_new() - add a peer
- * @http: client
- * @host: IP address in text form
- * @port: TCP port
- * @limit: most connections open at once
- * @idle_max: longest time a connection may stay idle, ms
- *
- * Return: the peer, or NULL without memory.
- */
-http_peer_t *http_peer_new(http_t *http, const char *host, uint16_t port,
-			   uint32_t limit, medlar_time_t idle_max)
-{
-	http_peer_t *peer = calloc(1, sizeof(*peer));
-
-	if (!peer)
-		return NULL;
-	peer->http = http;
-	peer->port = port;
-	peer->limit = limit;
-	peer->idle_max = idle_max;
-	snprintf(peer->host, sizeof(peer->host), "%s", host);
-	peer->next = http->peers;
-	http->peers = peer;
-	return peer;
-}
-
-/**
- * http_peer_set_limit() - change the bounds of a peer
- * @peer: peer
- * @limit: most connections open at once; surplus idle ones are closed
- * @idle_max: longest time a connection may stay idle, ms
- */
-void http_peer_set_limit(http_peer_t *peer, uint32_t limit,
-			 medlar_time_t idle_max)
-{
-	peer->limit = limit;
-	peer->idle_max = idle_max;
-	http_conns_trim(peer);
-	start_waiting(peer);
-}
-
-/**
- * http_peer_check() - free a released peer that is not in use
- * @peer: peer
- */
-void http_peer_check(http_peer_t *peer)
-{
-	http_peer_t **at = &peer->http->peers;
-
-	if (!peer->released || peer->busy > 0 || peer->first)
-		return;
-	for (size_t i = 0; i < peer->http->conns_len; i++)
-		if (peer->http->conns[i] && peer->http->conns[i]->peer == peer)
-			return;
-	while (*at != peer)
-		at = &(*at)->next;
-	*at = peer->next;
-	free(peer);
-}
-
-/**
- * http_peer_release() - free a peer once its calls have ended
- * @peer: peer; must not be used for new calls
- */
-void http_peer_release(http_peer_t *peer)
-{
-	peer->released = true;
-	for (size_t i = 0; i < peer->http->conns_len; i++) {
-		http_conn_t *conn = peer->http->conns[i];
-
-		if (conn && conn->peer == peer && !conn->used)
-			http_conn_kill(conn);
-	}
-	http_peer_check(peer);
-}
-
 /**
  * http_init() - start an HTTP client
  * @http: memory of the caller
@@ -520,16 +382,20 @@
 }
 
 /**
- * http_finish() - close a client; calls under way end without a callback
+ * http_finish() - close a client; calls under way end as dropped
  * @http: client
  */
 void http_finish(http_t *http)
 {
+	const http_reply_t dropped = { .end = HTTP_DROPPED };
 	http_peer_t *peer;
 	http_call_t *call;
 
 	while ((call = http->newest)) {
 		http->newest = call->older;
+		if (call->peer)
+			call->done(call, &dropped, call->data);
+		medlar_timer_clear(http->loop->client, &call->timer);
 		curl_multi_remove_handle(http->multi, call->easy);
 		free_call(call);
 	}
--- a/medlard/http.h
+++ b/medlard/http.h
@@ -28,6 +28,7 @@
 	HTTP_RESET, /* the connection ended after sending began */
 	HTTP_SILENT, /* no byte came for too long */
 	HTTP_MALFORMED, /* the reply is not HTTP, or is too long */
+	HTTP_DROPPED, /* the client is closed: only memory is to be released */
 } http_end_t;
 
 /**
--- a/medlard/http_internal.h
+++ b/medlard/http_internal.h
@@ -72,13 +72,21 @@
 	bool abandoned;
 };
 
+/* http_peer.c */
+void http_peer_admit(http_call_t *call);
+void http_peer_leave_line(http_call_t *call);
+void http_peer_pump(http_peer_t *peer);
+void http_peer_check(http_peer_t *peer);
+
+/* http_conn.c */
 int http_conns_init(http_t *http);
 void http_conns_finish(http_t *http);
 void http_conns_setup(http_call_t *call);
 http_conn_t *http_conn_at(http_t *http, int fd);
 void http_conn_kill(http_conn_t *conn);
 void http_conns_trim(http_peer_t *peer);
+
+/* http.c */
 void http_reap(http_t *http);
-void http_peer_check(http_peer_t *peer);
 
 #endif /* MEDLARD_HTTP_INTERNAL_H */
--- a/medlard/store.c
+++ b/medlard/store.c
@@ -158,6 +158,10 @@
 	};
 
 	(void)http_call;
+	if (reply->end == HTTP_DROPPED) {
+		free_call(call);
+		return;
+	}
 	count_result(call->store, result.status);
 	call->done(&result, call->data);
 	free_call(call);
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -46,6 +46,7 @@
 	[HTTP_RESET] = MEDLAR_FAULT_RESET,
 	[HTTP_SILENT] = MEDLAR_FAULT_SILENT,
 	[HTTP_MALFORMED] = MEDLAR_FAULT_MALFORMED,
+	[HTTP_DROPPED] = MEDLAR_FAULT_RESET,
 };
 
 /**
@@ -162,6 +163,10 @@
 	upstream_t *upstream = pending->link->upstream;
 	medlar_time_t now = upstream->http->loop->now;
 
+	if (reply->end == HTTP_DROPPED) {
+		free(pending);
+		return;
+	}
 	if (reply->end == HTTP_REPLY)
 		wire_finish(&pending->wire, reply->status, reply->body);
 	if (is_usable(pending, reply)) {
--- a/medlard/worker.c
+++ b/medlard/worker.c
@@ -115,8 +115,8 @@
 void worker_finish(worker_t *worker)
 {
 	caller_finish(worker);
-	http_finish(&worker->http);
 	service_finish_all(worker);
+	http_finish(&worker->http);
 	medlar_suspects_finish(&worker->suspects);
 	medlar_config_finish(&worker->config);
 	handoff_finish(&worker->inbox);
