Add medlarload, an open-loop load generator with a naive client

Cause: tail latency, coverage and extra load can't be measured, nor a promise checked, without callers.

--- /dev/null
+++ b/cli/load_caller.c
@@ -0,0 +1,327 @@
+/**
+ * DOC: callers that ask for addresses, keep the answer, and resend
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli/load.h"
+
+#define ADDRESSES_MAX 64
+#define URL_MAX 256
+#define ASK_TIMEOUT_MS 1000L
+#define ASK_RETRY (50 * LOAD_MS)
+#define STATUS_OK 200
+#define STATUS_FAILED 502
+#define STATUS_UNAVAILABLE 503
+#define MS_ROUND_UP (LOAD_MS - 1)
+
+static const char *const kind_names[LOAD_KIND_COUNT] = {
+	[LOAD_SEARCH] = "search",
+	[LOAD_LOOKUP] = "lookup",
+	[LOAD_WRITE] = "write",
+};
+
+typedef struct address {
+	char host[LOAD_HOST_MAX + 1];
+	unsigned port;
+	unsigned weight;
+} address_t;
+
+typedef struct attempt {
+	struct attempt *next;
+	load_request_t *request;
+	struct load_caller *caller;
+	address_t to;
+	address_t failed;
+	unsigned resends;
+} attempt_t;
+
+struct load_caller {
+	load_t *load;
+	address_t addresses[ADDRESSES_MAX];
+	size_t len;
+	medlar_time_t expires;
+	bool asking;
+	attempt_t *waiting;
+	medlar_timer_t ask_again;
+};
+
+typedef struct load_caller load_caller_t;
+
+static void ask(load_caller_t *caller);
+static void dispatch(attempt_t *attempt);
+
+static bool same(const address_t *a, const address_t *b)
+{
+	return a->port == b->port && !strcmp(a->host, b->host);
+}
+
+/* Draws an address by weight, other than @avoid if there is another one. */
+static const address_t *draw(load_caller_t *caller, const address_t *avoid)
+{
+	uint64_t sum = 0;
+	uint64_t point;
+	size_t i;
+
+	for (i = 0; i < caller->len; i++) {
+		if (!same(&caller->addresses[i], avoid))
+			sum += caller->addresses[i].weight;
+	}
+	if (sum == 0)
+		return &caller->addresses[0];
+	point = medlar_rand_below(&caller->load->rand, sum);
+	for (i = 0; i < caller->len; i++) {
+		const address_t *address = &caller->addresses[i];
+
+		if (same(address, avoid))
+			continue;
+		if (point < address->weight)
+			return address;
+		point -= address->weight;
+	}
+	return &caller->addresses[0];
+}
+
+static void finish(attempt_t *attempt, const load_result_t *result)
+{
+	load_request_t *request = attempt->request;
+
+	free(attempt);
+	load_request_end(request, result);
+}
+
+static bool may_resend(const attempt_t *attempt, long status)
+{
+	const load_request_t *request = attempt->request;
+
+	if (status != 0 && status != STATUS_UNAVAILABLE &&
+	    status != STATUS_FAILED)
+		return false;
+	return attempt->resends < request->load->options->resends &&
+	       load_now() < request->deadline;
+}
+
+static void on_reply(const load_http_reply_t *reply, void *data)
+{
+	attempt_t *attempt = data;
+	load_request_t *request = attempt->request;
+	load_result_t result = { .outcome = LOAD_NO_ANSWER };
+
+	if (may_resend(attempt, reply->status)) {
+		attempt->resends++;
+		attempt->failed = attempt->to;
+		if (request->counted)
+			request->load->stats[request->kind].resent++;
+		dispatch(attempt);
+		return;
+	}
+	if (reply->status != 0)
+		load_check(request, reply->body, &result);
+	finish(attempt, &result);
+}
+
+static void send_to(attempt_t *attempt, const address_t *address)
+{
+	load_request_t *request = attempt->request;
+	medlar_time_t left = request->deadline - load_now();
+	char caller[32];
+	char key[LOAD_KEY_LEN + 32];
+	char url[URL_MAX];
+	const char *headers[] = { "Content-Type: application/json", caller,
+				  NULL, NULL };
+	const load_http_request_t http = {
+		.url = url,
+		.headers = headers,
+		.body = medlar_buf_str(&request->body),
+		.timeout_ms = (long)((left + MS_ROUND_UP) / LOAD_MS),
+	};
+
+	attempt->to = *address;
+	snprintf(url, sizeof(url), "http://%s:%u/v1/services/%s/%s",
+		 address->host, address->port, load_service(request),
+		 kind_names[request->kind]);
+	snprintf(caller, sizeof(caller), "Medlar-Caller: caller-%zu",
+		 request->caller);
+	snprintf(key, sizeof(key), "Idempotency-Key: %s", request->key);
+	if (request->kind == LOAD_WRITE)
+		headers[2] = key;
+	if (left <= 0 || load_http_send(&request->load->loop, &http, on_reply,
+					attempt) != MEDLAR_OK) {
+		const load_result_t result = { .outcome = LOAD_NO_ANSWER };
+
+		finish(attempt, &result);
+	}
+}
+
+/* Sends a request, after asking for addresses if the answer is too old. */
+static void dispatch(attempt_t *attempt)
+{
+	load_caller_t *caller = attempt->caller;
+
+	if (caller->len > 0 && load_now() < caller->expires) {
+		send_to(attempt, draw(caller, &attempt->failed));
+		return;
+	}
+	attempt->next = caller->waiting;
+	caller->waiting = attempt;
+	ask(caller);
+}
+
+static void read_address(load_caller_t *caller, struct json_object *json)
+{
+	struct json_object *host = json_object_object_get(json, "host");
+	struct json_object *port = json_object_object_get(json, "port");
+	struct json_object *weight = json_object_object_get(json, "weight");
+	address_t *address = &caller->addresses[caller->len];
+
+	if (!host || !port || caller->len == ADDRESSES_MAX)
+		return;
+	snprintf(address->host, sizeof(address->host), "%s",
+		 json_object_get_string(host));
+	address->port = (unsigned)json_object_get_int(port);
+	address->weight = weight ? (unsigned)json_object_get_int(weight) : 1;
+	caller->len++;
+}
+
+static bool read_addresses(load_caller_t *caller, medlar_str_t body)
+{
+	struct json_object *json = json_tokener_parse(body.ptr);
+	struct json_object *list = NULL;
+	struct json_object *ttl = NULL;
+	size_t count;
+	size_t i;
+
+	if (!json_object_object_get_ex(json, "addresses", &list) ||
+	    !json_object_object_get_ex(json, "ttl_ms", &ttl) ||
+	    json_object_array_length(list) == 0) {
+		json_object_put(json);
+		return false;
+	}
+	count = json_object_array_length(list);
+	caller->len = 0;
+	for (i = 0; i < count; i++)
+		read_address(caller, json_object_array_get_idx(list, i));
+	caller->expires = load_now() + json_object_get_int64(ttl) * LOAD_MS;
+	json_object_put(json);
+	return caller->len > 0;
+}
+
+static void send_waiting(load_caller_t *caller)
+{
+	attempt_t *attempt = caller->waiting;
+
+	caller->waiting = NULL;
+	while (attempt) {
+		attempt_t *next = attempt->next;
+
+		send_to(attempt, draw(caller, &attempt->failed));
+		attempt = next;
+	}
+}
+
+/* Ends the requests that have waited for addresses for too long. */
+static void drop_late(load_caller_t *caller)
+{
+	const load_result_t result = { .outcome = LOAD_NO_ANSWER };
+	attempt_t **link = &caller->waiting;
+
+	while (*link) {
+		attempt_t *attempt = *link;
+
+		if (attempt->request->deadline > load_now()) {
+			link = &attempt->next;
+			continue;
+		}
+		*link = attempt->next;
+		finish(attempt, &result);
+	}
+}
+
+static void on_addresses(const load_http_reply_t *reply, void *data)
+{
+	load_caller_t *caller = data;
+
+	caller->asking = false;
+	if (reply->status == STATUS_OK && read_addresses(caller, reply->body)) {
+		send_waiting(caller);
+		return;
+	}
+	drop_late(caller);
+	if (caller->waiting)
+		medlar_timer_set(&caller->load->loop.client, &caller->ask_again,
+				 load_now() + ASK_RETRY);
+}
+
+static void ask_due(medlar_client_t *client, medlar_timer_t *timer,
+		    medlar_time_t now, void *data)
+{
+	(void)client;
+	(void)timer;
+	(void)now;
+	ask(data);
+}
+
+static void ask(load_caller_t *caller)
+{
+	load_t *load = caller->load;
+	const load_options_t *options = load->options;
+	uint64_t entry = medlar_rand_below(&load->rand, options->entries_len);
+	char url[URL_MAX];
+	const load_http_request_t http = { .url = url,
+					   .timeout_ms = ASK_TIMEOUT_MS };
+
+	if (caller->asking || caller->ask_again.slot)
+		return;
+	snprintf(url, sizeof(url), "http://%s/v1/addresses%s%s",
+		 options->entries[entry], options->zone ? "?zone=" : "",
+		 options->zone ? options->zone : "");
+	caller->asking = load_http_send(&load->loop, &http, on_addresses,
+					caller) == MEDLAR_OK;
+}
+
+/**
+ * load_callers_init() - make the callers of a run
+ * @load: run
+ *
+ * Return: %MEDLAR_OK or %MEDLAR_ERR_NOMEM.
+ */
+int load_callers_init(load_t *load)
+{
+	size_t i;
+
+	load->callers = calloc(load->options->callers, sizeof(load_caller_t));
+	if (!load->callers)
+		return MEDLAR_ERR_NOMEM;
+	for (i = 0; i < load->options->callers; i++) {
+		load->callers[i].load = load;
+		medlar_timer_init(&load->callers[i].ask_again, ask_due,
+				  &load->callers[i]);
+	}
+	return MEDLAR_OK;
+}
+
+/**
+ * load_callers_finish() - release the callers
+ * @load: run without pending requests
+ */
+void load_callers_finish(load_t *load)
+{
+	free(load->callers);
+	load->callers = NULL;
+}
+
+/**
+ * load_caller_start() - let a caller send its request
+ * @request: request; ended by load_request_end()
+ */
+void load_caller_start(load_request_t *request)
+{
+	attempt_t *attempt = calloc(1, sizeof(*attempt));
+
+	if (!attempt)
+		abort();
+	attempt->request = request;
+	attempt->caller = &request->load->callers[request->caller];
+	dispatch(attempt);
+}
--- /dev/null
+++ b/cli/load_directory.h
@@ -0,0 +1,54 @@
+/**
+ * DOC: what the naive client knows of a service's upstreams
+ */
+#ifndef CLI_LOAD_DIRECTORY_H
+#define CLI_LOAD_DIRECTORY_H
+
+#include "cli/load_http.h"
+
+/**
+ * struct load_upstream - a replica of the instance list
+ * @host: IP address in text form
+ * @port: TCP port
+ * @shard: shard that it serves
+ * @version: newest index version that it announces
+ */
+typedef struct load_upstream {
+	char host[MEDLAR_HOST_MAX + 1];
+	unsigned port;
+	uint32_t shard;
+	uint32_t version;
+} load_upstream_t;
+
+/**
+ * struct load_directory - map and live replicas of a service
+ * @loop: event loop
+ * @platform: ``HOST:PORT`` of the platform
+ * @service: name of the service
+ * @map: partition map
+ * @has_map: @map is valid
+ * @upstreams: live replicas
+ * @len: how many
+ * @refresh: timer of the next reading
+ * @ready: called after each reading of the list
+ * @data: passed to @ready
+ */
+typedef struct load_directory {
+	load_loop_t *loop;
+	const char *platform;
+	const char *service;
+	medlar_map_t map;
+	bool has_map;
+	load_upstream_t *upstreams;
+	size_t len;
+	medlar_timer_t refresh;
+	void (*ready)(void *data);
+	void *data;
+} load_directory_t;
+
+void load_directory_init(load_directory_t *directory);
+void load_directory_finish(load_directory_t *directory);
+const load_upstream_t *load_directory_draw(const load_directory_t *directory,
+					   uint32_t shard, medlar_rand_t *rand);
+
+#endif
--- /dev/null
+++ b/cli/load_run.c
@@ -0,0 +1,268 @@
+/**
+ * DOC: arrivals of requests and collection of their results
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "cli/load.h"
+
+#define GIVE_UP_DEFAULT (10 * LOAD_SECOND)
+#define GIVE_UP_MARGIN LOAD_SECOND
+#define CALLER_KEYS 1000000
+
+/**
+ * load_service() - the service that a request goes to
+ * @request: request
+ *
+ * Return: its name.
+ */
+const char *load_service(const load_request_t *request)
+{
+	const load_options_t *options = request->load->options;
+
+	return request->kind == LOAD_WRITE ? options->write_service
+					   : options->service;
+}
+
+static load_kind_t draw_kind(load_t *load)
+{
+	const double *mix = load->options->mix;
+	double sum = mix[LOAD_SEARCH] + mix[LOAD_LOOKUP] + mix[LOAD_WRITE];
+	double point = medlar_rand_unit(&load->rand) * sum;
+	int kind;
+
+	for (kind = 0; kind < LOAD_KIND_COUNT - 1; kind++) {
+		point -= mix[kind];
+		if (point < 0)
+			break;
+	}
+	return (load_kind_t)kind;
+}
+
+/* Makes a UUID of version 7. */
+static void make_key(load_t *load, char *out, size_t size)
+{
+	uint64_t a = medlar_rand_next(&load->rand);
+	uint64_t b = medlar_rand_next(&load->rand);
+	struct timespec ts;
+	uint64_t ms;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	ms = (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+	snprintf(out, size, "%08llx-%04llx-7%03llx-%04llx-%04llx%08llx",
+		 (unsigned long long)(ms >> 16 & 0xffffffff),
+		 (unsigned long long)(ms & 0xffff),
+		 (unsigned long long)(a & 0xfff),
+		 (unsigned long long)(0x8000 | b >> 50),
+		 (unsigned long long)(b >> 32 & 0xffff),
+		 (unsigned long long)(b & 0xffffffff));
+}
+
+static void add_query(load_request_t *request)
+{
+	const load_options_t *options = request->load->options;
+	medlar_buf_t *body = &request->body;
+
+	medlar_buf_add(body, MEDLAR_STR("{\"text\":"));
+	medlar_buf_json_string(body, medlar_str_from(options->query));
+	medlar_buf_printf(body, ",\"nonce\":\"%s\"}", request->nonce);
+}
+
+static void add_keys(load_request_t *request)
+{
+	load_t *load = request->load;
+	unsigned i;
+
+	if (request->kind != LOAD_LOOKUP || load->options->keys == 0)
+		return;
+	medlar_buf_add(&request->body, MEDLAR_STR(",\"keys\":["));
+	for (i = 0; i < load->options->keys; i++)
+		medlar_buf_printf(&request->body, "%s\"key-%llu\"",
+				  i ? "," : "",
+				  (unsigned long long)medlar_rand_below(
+					  &load->rand, CALLER_KEYS));
+	medlar_buf_add(&request->body, MEDLAR_STR("]"));
+}
+
+static void make_body(load_request_t *request)
+{
+	const load_options_t *options = request->load->options;
+
+	medlar_buf_init(&request->body);
+	if (options->naive) {
+		add_query(request);
+		return;
+	}
+	medlar_buf_add(&request->body, MEDLAR_STR("{\"query\":"));
+	add_query(request);
+	if (options->deadline_ms)
+		medlar_buf_printf(&request->body, ",\"deadline_ms\":%u",
+				  options->deadline_ms);
+	add_keys(request);
+	medlar_buf_add(&request->body, MEDLAR_STR("}"));
+}
+
+static load_request_t *request_new(load_t *load, medlar_time_t planned)
+{
+	const load_options_t *options = load->options;
+	load_request_t *request = calloc(1, sizeof(*request));
+	medlar_time_t patience = options->deadline_ms * LOAD_MS;
+
+	if (!request)
+		abort();
+	request->load = load;
+	request->kind = draw_kind(load);
+	request->caller = medlar_rand_below(&load->rand, options->callers);
+	request->planned = planned;
+	request->counted = planned >= load->drops_until;
+	request->deadline = planned + (patience ? patience + GIVE_UP_MARGIN
+						: GIVE_UP_DEFAULT);
+	snprintf(request->nonce, sizeof(request->nonce), "%llu-%llu",
+		 (unsigned long long)options->seed,
+		 (unsigned long long)load->sequence++);
+	if (request->kind == LOAD_WRITE)
+		make_key(load, request->key, sizeof(request->key));
+	make_body(request);
+	load->pending++;
+	return request;
+}
+
+static void record_write(load_t *load, const load_request_t *request,
+			 load_outcome_t outcome)
+{
+	size_t len = load->writes_len;
+	load_write_t *write;
+
+	if ((len & (len - 1)) == 0) {
+		load->writes = realloc(load->writes,
+				       (len ? 2 * len : 1) * sizeof(*write));
+		if (!load->writes)
+			abort();
+	}
+	write = &load->writes[load->writes_len++];
+	memcpy(write->key, request->key, sizeof(write->key));
+	write->outcome = outcome;
+}
+
+static void count(load_t *load, const load_request_t *request,
+		  const load_result_t *result)
+{
+	load_stats_t *stats = &load->stats[request->kind];
+	double ms = (double)(load_now() - request->planned) / (double)LOAD_MS;
+	size_t *most = &load->parts_max[request->kind];
+	int i;
+
+	stats->outcomes[result->outcome]++;
+	if (result->outcome == LOAD_NOT_RUN)
+		load_series_add(&stats->refused, ms);
+	else if (result->outcome <= LOAD_RAN)
+		load_series_add(&stats->latency, ms);
+	if (request->kind != LOAD_WRITE)
+		stats->coverage += result->coverage;
+	stats->sends += result->sends;
+	stats->replayed += result->replayed;
+	if (result->parts > *most)
+		*most = result->parts;
+	if (result->outcome == LOAD_COMPLETE || result->outcome == LOAD_RAN)
+		stats->needed += result->parts;
+	else if (result->sends > 0)
+		stats->needed += *most > result->parts ? *most : result->parts;
+	for (i = 0; i < LOAD_FAULT_COUNT; i++)
+		stats->faults[i] += result->faults[i];
+}
+
+/**
+ * load_request_end() - take the result of a request
+ * @request: request; released by this call
+ * @result: its result
+ */
+void load_request_end(load_request_t *request, const load_result_t *result)
+{
+	load_t *load = request->load;
+
+	if (request->counted)
+		count(load, request, result);
+	if (request->kind == LOAD_WRITE)
+		record_write(load, request, result->outcome);
+	medlar_buf_finish(&request->body);
+	free(request);
+	load->pending--;
+	if (load->pending == 0 && load->arrival.slot == 0)
+		load->loop.stop = true;
+}
+
+static void on_arrival(medlar_client_t *client, medlar_timer_t *timer,
+		       medlar_time_t now, void *data)
+{
+	load_t *load = data;
+	medlar_time_t planned = timer->due;
+	double gap;
+
+	while (planned <= now && planned < load->ends) {
+		load_request_t *request = request_new(load, planned);
+
+		if (load->options->naive)
+			load_naive_start(request);
+		else
+			load_caller_start(request);
+		gap = -log(1 - medlar_rand_unit(&load->rand)) /
+		      load->options->rate;
+		planned += (medlar_time_t)(gap * (double)LOAD_SECOND);
+	}
+	load_progress(load);
+	if (planned < load->ends)
+		medlar_timer_set(client, timer, planned);
+	else if (load->pending == 0)
+		load->loop.stop = true;
+}
+
+/**
+ * load_run() - make the load of the options and wait for all answers
+ * @load: memory of the caller; load_finish() releases it
+ * @options: options
+ *
+ * Return: %MEDLAR_OK or a negative error.
+ */
+int load_run(load_t *load, const load_options_t *options)
+{
+	int err;
+
+	*load = (load_t){ .rand = { options->seed }, .options = options };
+	err = load_loop_init(&load->loop);
+	if (!err)
+		err = options->naive ? load_naive_init(load)
+				     : load_callers_init(load);
+	if (err)
+		return err;
+	load->started = load_now();
+	load->drops_until = load->started +
+			    (medlar_time_t)(options->warmup_s *
+					    (double)LOAD_SECOND);
+	load->ends = load->drops_until +
+		     (medlar_time_t)(options->duration_s * (double)LOAD_SECOND);
+	medlar_timer_init(&load->arrival, on_arrival, load);
+	medlar_timer_set(&load->loop.client, &load->arrival, load->started);
+	load_loop_run(&load->loop);
+	return MEDLAR_OK;
+}
+
+/**
+ * load_finish() - release a run
+ * @load: run, also one that failed to start
+ */
+void load_finish(load_t *load)
+{
+	int i;
+
+	load_naive_finish(load);
+	load_callers_finish(load);
+	load_loop_finish(&load->loop);
+	for (i = 0; i < LOAD_KIND_COUNT; i++) {
+		free(load->stats[i].latency.values);
+		free(load->stats[i].refused.values);
+	}
+	free(load->writes);
+}
