Clear the timers of calls that are dropped at the end

Cause: on SIGTERM every instance ended with status 139; the address sanitizer showed http_finish() freeing a call whose timer was still set.

Change: clear the timer first.

Conclusion: the instance no longer touches freed memory at its end. The leak sanitizer still reports the watch that was under way (store_send).

--- a/medlard/http.c
+++ b/medlard/http.c
@@ -531,6 +531,7 @@
 	while ((call = http->newest)) {
 		http->newest = call->older;
 		curl_multi_remove_handle(http->multi, call->easy);
+		medlar_timer_clear(http->loop->client, &call->timer);
 		free_call(call);
 	}
 	curl_multi_cleanup(http->multi);
