--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=sh disable=SC2034
 # Starts and stops a deployment on loopback: the stand-ins and the entry
 # instances of an example. Sourced by scripts/demo, bench/run and the
 # end-to-end tests.
