--- a/medlard/http.c
+++ b/medlard/http.c
@@ -397,6 +397,7 @@
 			call->done(call, &dropped, call->data);
 		medlar_timer_clear(http->loop->client, &call->timer);
 		curl_multi_remove_handle(http->multi, call->easy);
+		medlar_timer_clear(http->loop->client, &call->timer);
 		free_call(call);
 	}
 	curl_multi_cleanup(http->multi);
