--- a/medlard/answer.c
+++ b/medlard/answer.c
@@ -34,7 +34,6 @@
 	{ MEDLAR_ERR_TOO_LARGE, MHD_HTTP_CONTENT_TOO_LARGE },
 	{ MEDLAR_ERR_OVERLOAD, MHD_HTTP_TOO_MANY_REQUESTS },
 	{ MEDLAR_ERR_FULL, MHD_HTTP_TOO_MANY_REQUESTS },
-	{ MEDLAR_ERR_DEADLINE, MHD_HTTP_GATEWAY_TIMEOUT },
 };
 
 /**
@@ -77,8 +76,6 @@
 		return answer->error == MEDLAR_ERR_DEADLINE
 			       ? MHD_HTTP_GATEWAY_TIMEOUT
 			       : MHD_HTTP_BAD_GATEWAY;
-	if (answer->error == MEDLAR_ERR_DEADLINE)
-		return MHD_HTTP_SERVICE_UNAVAILABLE;
 	return answer_error_status(answer->error);
 }
 
--- a/medlard/service.c
+++ b/medlard/service.c
@@ -297,8 +297,6 @@
 	count_answer(find_known(worker, link->policy->name), query, now);
 	answer_query(&request->answer, query, now);
 	request->query = NULL;
-	if (worker->busy_with == request)
-		worker->busy_with = NULL;
 	medlar_query_finish(&worker->client, query);
 	request_reply(request, status);
 }
@@ -336,17 +334,10 @@
 		.keys = args->keys,
 		.keys_len = args->keys_len,
 	};
-	medlar_query_t *query = NULL;
 	int error;
 
-	/* The answer may come within the call and end the request. */
-	worker->busy_with = request;
 	error = medlar_query_start(&worker->client, &service->core, &params,
-				   request, worker->loop.now, &query);
-	if (worker->busy_with != request)
-		return;
-	worker->busy_with = NULL;
-	request->query = query;
+				   request, worker->loop.now, &request->query);
 	if (!error)
 		return;
 	request->query = NULL;
@@ -378,11 +369,9 @@
 
 	if (!query)
 		return;
-	worker->busy_with = request;
 	medlar_query_cancel(&worker->client, query, worker->loop.now);
-	if (worker->busy_with != request)
-		return;
-	worker->busy_with = NULL;
+	count_answer(worker->services[request->service], query,
+		     worker->loop.now);
 	request->query = NULL;
 	medlar_query_finish(&worker->client, query);
 	request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
--- a/medlard/worker.h
+++ b/medlard/worker.h
@@ -48,8 +48,6 @@
  * @started: when the process started, ms
  * @config: configuration in force
  * @configured: there is one
- * @busy_with: request whose query is being started or cancelled, until its
- *	answer comes
  * @in_flight: requests without an answer, newest first
  * @in_flight_len: how many
  * @leaving: the process is shutting down: new callers are sent elsewhere
@@ -82,7 +80,6 @@
 	medlar_time_t started;
 	medlar_config_t config;
 	bool configured;
-	request_t *busy_with;
 	request_t *in_flight;
 	size_t in_flight_len;
 	bool leaving;
