Follow the shares of replicas with their connection limits

A share that shrinks closes surplus idle connections at once, before the next reading of the instance list. /v1/instances shows the entry instances, and a shutdown also waits for the list to reach the others. Header lines and the JSON tokener are no longer allocated for each sub-request.

--- a/medlard/addresses.c
+++ b/medlard/addresses.c
@@ -35,7 +35,8 @@
 	uint64_t seen = 0;
 
 	for (size_t i = 0; i < len; i++) {
-		if (in_zone(&instances[i], zone) != near ||
+		if (instances[i].leaving ||
+		    in_zone(&instances[i], zone) != near ||
 		    is_chosen(choice, &instances[i]))
 			continue;
 		if (medlar_rand_below(rand, ++seen) == 0)
@@ -57,7 +58,7 @@
 /**
  * addresses_choose() - draw instances for a caller
  * @choice: filled in
- * @instances: instances that are not leaving
+ * @instances: instances; those that are leaving are passed over
  * @len: how many
  * @zone: availability zone of the caller, or an empty string
  * @rand: generator
--- a/medlard/caller.c
+++ b/medlard/caller.c
@@ -27,6 +27,7 @@
 	{ "GET", "/metrics", status_metrics },
 	{ "GET", "/v1/status", status_services },
 	{ "GET", "/v1/upstreams", status_upstreams },
+	{ "GET", "/v1/instances", status_instances },
 	{ "GET", "/v1/suspects", status_suspects },
 };
 
--- a/medlard/http.c
+++ b/medlard/http.c
@@ -144,8 +144,8 @@
 
 static void free_call(http_call_t *call)
 {
-	curl_slist_free_all(call->headers);
 	curl_easy_cleanup(call->easy);
+	medlar_buf_finish(&call->lines);
 	medlar_buf_finish(&call->body);
 	medlar_buf_finish(&call->reply);
 	free(call);
@@ -155,45 +155,70 @@
 {
 	http_t *http = call->peer->http;
 
-	curl_slist_free_all(call->headers);
-	call->headers = NULL;
 	call->peer = NULL;
 	call->next = http->spare;
 	http->spare = call;
 }
 
-static int add_header(http_call_t *call, const char *name, medlar_str_t value)
+static void add_line(medlar_buf_t *lines, const char *name, medlar_str_t value)
 {
-	struct curl_slist *list;
-	char line[URL_MAX];
+	medlar_buf_add(lines, medlar_str_from(name));
+	medlar_buf_add(lines,
+		       value.len > 0 ? MEDLAR_STR(": ") : MEDLAR_STR(":"));
+	medlar_buf_add(lines, value);
+	medlar_buf_add(lines, (medlar_str_t){ "", 1 });
+}
+
+/* libcurl reads the list and does not own it, so it needs no allocation. */
+static void link_headers(http_call_t *call, size_t len)
+{
+	char *line = call->lines.ptr;
+
+	for (size_t i = 0; i < len; i++) {
+		call->headers[i].data = line;
+		call->headers[i].next = i + 1 < len ? &call->headers[i + 1]
+						    : NULL;
+		line += strlen(line) + 1;
+	}
+}
 
-	snprintf(line, sizeof(line), "%s:%s%.*s", name, value.len ? " " : "",
-		 (int)value.len, value.ptr);
-	list = curl_slist_append(call->headers, line);
-	if (!list)
+static int add_headers(http_call_t *call, const http_request_t *request)
+{
+	medlar_buf_t *lines = &call->lines;
+
+	medlar_buf_reset(lines);
+	add_line(lines, "Expect", MEDLAR_STR(""));
+	add_line(lines, "Content-Type", MEDLAR_STR("application/json"));
+	for (size_t i = 0; i < request->headers_len; i++)
+		add_line(lines, request->headers[i].name,
+			 request->headers[i].value);
+	if (lines->error)
 		return MEDLAR_ERR_NOMEM;
-	call->headers = list;
+	link_headers(call, HTTP_HEADERS_OWN + request->headers_len);
 	return MEDLAR_OK;
 }
 
-static int add_headers(http_call_t *call, const http_request_t *request)
+static void set_method(http_call_t *call, const char *method)
 {
-	int error;
+	bool is_get = strcmp(method, "GET") == 0;
+	bool is_post = strcmp(method, "POST") == 0;
 
-	error = add_header(call, "Expect", MEDLAR_STR(""));
-	if (!error)
-		error = add_header(call, "Content-Type",
-				   MEDLAR_STR("application/json"));
-	for (size_t i = 0; !error && i < request->headers_len; i++)
-		error = add_header(call, request->headers[i].name,
-				   request->headers[i].value);
-	return error;
+	if (is_get) {
+		curl_easy_setopt(call->easy, CURLOPT_HTTPGET, 1L);
+	} else {
+		curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)call->body.len);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS,
+				 call->body.ptr ? call->body.ptr : "");
+	}
+	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST,
+			 is_get || is_post ? NULL : method);
 }
 
 static int prepare(http_call_t *call, const http_request_t *request)
 {
 	const http_peer_t *peer = call->peer;
-	bool is_get = strcmp(request->method, "GET") == 0;
 	bool is_v6 = strchr(peer->host, ':') != NULL;
 	char url[URL_MAX];
 	int len;
@@ -209,17 +234,7 @@
 		return MEDLAR_ERR_NOMEM;
 	curl_easy_setopt(call->easy, CURLOPT_URL, url);
 	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
-	if (is_get) {
-		curl_easy_setopt(call->easy, CURLOPT_HTTPGET, 1L);
-	} else {
-		curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
-		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-				 (curl_off_t)call->body.len);
-		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS,
-				 call->body.ptr ? call->body.ptr : "");
-	}
-	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST,
-			 is_get ? NULL : request->method);
+	set_method(call, request->method);
 	return MEDLAR_OK;
 }
 
@@ -237,7 +252,9 @@
 	       http_call_t **out)
 {
 	medlar_client_t *client = peer->http->loop->client;
-	medlar_time_t give_up = peer->http->loop->now + CONNECT_MAX;
+	medlar_time_t wait = request->silence < CONNECT_MAX ? request->silence
+							    : CONNECT_MAX;
+	medlar_time_t give_up = peer->http->loop->now + wait;
 	http_call_t *call = new_call(peer);
 	int error;
 
--- a/medlard/http_internal.h
+++ b/medlard/http_internal.h
@@ -6,6 +6,9 @@
 
 #include "medlard/http.h"
 
+/** Headers that are added to each request. */
+#define HTTP_HEADERS_OWN 2
+
 /**
  * struct http_conn - a connection of the HTTP client
  * @http: owner
@@ -30,7 +33,8 @@
  * @next: next waiting or spare call
  * @older: call that was allocated before this one
  * @easy: libcurl's handle
- * @headers: header lines of the request
+ * @lines: header lines of the request, each with a terminator
+ * @headers: list of them for libcurl
  * @body: body of the request
  * @reply: body of the reply
  * @timer: fires at the end of the silence bound
@@ -53,7 +57,8 @@
 	http_call_t *next;
 	http_call_t *older;
 	CURL *easy;
-	struct curl_slist *headers;
+	medlar_buf_t lines;
+	struct curl_slist headers[HTTP_HEADERS_MAX + HTTP_HEADERS_OWN];
 	medlar_buf_t body;
 	medlar_buf_t reply;
 	medlar_timer_t timer;
--- a/medlard/service.c
+++ b/medlard/service.c
@@ -156,6 +156,20 @@
 	}
 }
 
+static void adjust(service_t *service, medlar_replica_t *replica)
+{
+	upstream_adjust(&service->link, replica);
+}
+
+/**
+ * service_adjust() - follow a change of the shares of the replicas
+ * @service: service that the calling worker owns
+ */
+void service_adjust(service_t *service)
+{
+	each_replica(service, adjust);
+}
+
 static void forget(service_t *service, medlar_replica_t *replica)
 {
 	(void)service;
--- a/medlard/service.h
+++ b/medlard/service.h
@@ -38,6 +38,7 @@
 
 int service_configure(worker_t *worker, const medlar_config_t *config);
 service_t *service_find(worker_t *worker, medlar_str_t name);
+void service_adjust(service_t *service);
 void service_finish_all(worker_t *worker);
 void service_handle(request_t *request);
 void service_cancel(request_t *request);
--- a/medlard/status.c
+++ b/medlard/status.c
@@ -182,6 +182,16 @@
 	request_tour(request, visit_services);
 }
 
+static const char *state_of(const service_t *service,
+			    const medlar_replica_t *replica)
+{
+	if (medlar_replica_info(replica)->leaving)
+		return "leaving";
+	return medlar_replica_usable(replica, service->worker->loop.now)
+		       ? "live"
+		       : "unused";
+}
+
 static void show_replica(const service_t *service, medlar_replica_t *replica,
 			 void *data)
 {
@@ -193,19 +203,15 @@
 	separate(out);
 	medlar_buf_printf(out, "{\"service\":\"%s\",\"name\":", service->name);
 	medlar_buf_json_string(out, medlar_str_from(info->name));
-	medlar_buf_printf(
-		out,
-		",\"host\":\"%s\",\"port\":%u,\"shard\":%" PRIu32
-		",\"leaving\":%s,\"usable\":%s,\"in_flight\":%" PRIu32
-		",\"slots\":%u,\"connections\":%u,\"open\":%" PRIu32
-		",\"versions\":[",
-		info->host, info->port, info->shard,
-		info->leaving ? "true" : "false",
-		medlar_replica_usable(replica, service->worker->loop.now)
-			? "true"
-			: "false",
-		medlar_replica_in_flight(replica), share.slots,
-		share.connections, peer ? peer->open : 0);
+	medlar_buf_printf(out,
+			  ",\"host\":\"%s\",\"port\":%u,\"shard\":%" PRIu32
+			  ",\"state\":\"%s\",\"in_flight\":%" PRIu32
+			  ",\"share\":%u,\"connections\":%u,\"open\":%" PRIu32
+			  ",\"versions\":[",
+			  info->host, info->port, info->shard,
+			  state_of(service, replica),
+			  medlar_replica_in_flight(replica), share.slots,
+			  share.connections, peer ? peer->open : 0);
 	for (size_t i = 0; i < MEDLAR_VERSIONS_MAX && info->versions[i]; i++) {
 		separate(out);
 		medlar_buf_printf(out, "%" PRIu32, info->versions[i]);
@@ -271,3 +277,29 @@
 	medlar_buf_add(&request->answer, MEDLAR_STR("{\"suspects\":["));
 	request_tour(request, visit_suspects);
 }
+
+/**
+ * status_instances() - answer /v1/instances; see &struct route
+ * @request: request
+ */
+void status_instances(request_t *request)
+{
+	const worker_t *worker = request->home;
+	medlar_buf_t *out = &request->answer;
+
+	medlar_buf_add(out, MEDLAR_STR("{\"instances\":["));
+	for (size_t i = 0; i < worker->instances_len; i++) {
+		const instance_t *one = &worker->instances[i];
+
+		separate(out);
+		medlar_buf_add(out, MEDLAR_STR("{\"name\":"));
+		medlar_buf_json_string(out, medlar_str_from(one->name));
+		medlar_buf_printf(out, ",\"host\":\"%s\",\"port\":%u,\"zone\":",
+				  one->host, one->port);
+		medlar_buf_json_string(out, medlar_str_from(one->zone));
+		medlar_buf_printf(
+			out, ",\"state\":\"%s\",\"incarnation\":%" PRId64 "}",
+			one->leaving ? "leaving" : "live", one->incarnation);
+	}
+	close_list(request);
+}
--- a/medlard/stop.c
+++ b/medlard/stop.c
@@ -14,6 +14,9 @@
 
 #define CHECK_PERIOD ((medlar_time_t)50)
 
+/* Readings of the list after which every instance knows of a change. */
+#define LIST_PERIODS 3
+
 /* Time for callers with an idle connection to see its close. */
 #define DRAIN_MIN MEDLAR_SECOND
 
@@ -160,9 +163,11 @@
 	}
 }
 
-static medlar_time_t address_ttl(const control_t *control)
+/* How long callers may still be given, and then keep, this address. */
+static medlar_time_t last_use(const control_t *control)
 {
-	return control->directory.address_ttl;
+	return control->directory.address_ttl +
+	       LIST_PERIODS * control->settings.platform.list_ms;
 }
 
 /**
@@ -176,7 +181,7 @@
 	if (control->stop != STOP_NONE)
 		return;
 	control->stop = STOP_LEAVING;
-	control->stop_at = now + address_ttl(control);
+	control->stop_at = now + last_use(control);
 	control->stop_until = now + control->settings.stop_ms;
 	trace(control, "leaving");
 	instances_leave(&control->directory);
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -50,23 +50,26 @@
 };
 
 /**
- * upstream_peer() - the connections of a replica, opened on first use
+ * upstream_peer() - the connections of a replica
  * @link: service of the replica
  * @replica: replica
  *
- * Return: the peer, or NULL without memory.
+ * Return: the peer with the limit now in force, or NULL without memory.
  */
 http_peer_t *upstream_peer(upstream_link_t *link, medlar_replica_t *replica)
 {
 	const medlar_replica_info_t *info = medlar_replica_info(replica);
+	uint32_t limit = medlar_replica_share(replica).connections;
+	medlar_time_t idle_max = link->policy->idle_max;
 	http_peer_t *peer = medlar_replica_data(replica);
 
-	if (peer)
-		return peer;
-	peer = http_peer_new(link->upstream->http, info->host, info->port,
-			     medlar_replica_share(replica).connections,
-			     link->policy->idle_max);
-	medlar_replica_set_data(replica, peer);
+	if (!peer) {
+		peer = http_peer_new(link->upstream->http, info->host,
+				     info->port, limit, idle_max);
+		medlar_replica_set_data(replica, peer);
+	} else if (peer->limit != limit || peer->idle_max != idle_max) {
+		http_peer_set_limit(peer, limit, idle_max);
+	}
 	return peer;
 }
 
@@ -84,9 +87,7 @@
 	    (strcmp(peer->host, info->host) != 0 || peer->port != info->port))
 		upstream_forget(replica);
 	else if (peer)
-		http_peer_set_limit(peer,
-				    medlar_replica_share(replica).connections,
-				    link->policy->idle_max);
+		(void)upstream_peer(link, replica);
 }
 
 /**
@@ -103,27 +104,57 @@
 	http_peer_release(peer);
 }
 
-static bool is_json(medlar_str_t text)
+/**
+ * upstream_init() - prepare the upstream side of a worker
+ * @upstream: memory of the caller
+ * @http: HTTP client of the worker
+ * @client: client of the worker
+ * @metrics: counters of the worker
+ * @reply_max: longest reply accepted, bytes
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int upstream_init(upstream_t *upstream, http_t *http, medlar_client_t *client,
+		  metrics_t *metrics, size_t reply_max)
+{
+	*upstream = (upstream_t){
+		.http = http,
+		.client = client,
+		.metrics = metrics,
+		.reply_max = reply_max,
+		.tokener = json_tokener_new(),
+	};
+	if (!upstream->tokener)
+		return MEDLAR_ERR_NOMEM;
+	json_tokener_set_flags(upstream->tokener,
+			       JSON_TOKENER_STRICT |
+				       JSON_TOKENER_VALIDATE_UTF8);
+	return MEDLAR_OK;
+}
+
+/**
+ * upstream_finish() - release the upstream side of a worker
+ * @upstream: upstream side
+ */
+void upstream_finish(upstream_t *upstream)
+{
+	json_tokener_free(upstream->tokener);
+	upstream->tokener = NULL;
+}
+
+static bool is_json(struct json_tokener *tokener, medlar_str_t text)
 {
-	struct json_tokener *tokener = json_tokener_new();
 	struct json_object *value;
-	bool whole;
 
-	if (!tokener || text.len > INT32_MAX) {
-		json_tokener_free(tokener);
+	if (text.len == 0 || text.len > INT32_MAX)
 		return false;
-	}
-	json_tokener_set_flags(tokener, JSON_TOKENER_STRICT |
-						JSON_TOKENER_VALIDATE_UTF8);
+	json_tokener_reset(tokener);
 	value = json_tokener_parse_ex(tokener, text.ptr, (int)text.len);
 	/* A number at the top level ends only with the text. */
 	if (json_tokener_get_error(tokener) == json_tokener_continue)
 		value = json_tokener_parse_ex(tokener, "", 1);
-	whole = json_tokener_get_error(tokener) == json_tokener_success &&
-		json_tokener_get_parse_end(tokener) <= text.len;
 	json_object_put(value);
-	json_tokener_free(tokener);
-	return whole;
+	return json_tokener_get_error(tokener) == json_tokener_success;
 }
 
 static bool is_usable(const pending_t *pending, const http_reply_t *reply)
@@ -131,7 +162,8 @@
 	if (reply->end != HTTP_REPLY || pending->wire.bad)
 		return false;
 	return pending->wire.reply.status != MEDLAR_REPLY_OK ||
-	       pending->cancelled || is_json(reply->body);
+	       pending->cancelled ||
+	       is_json(pending->link->upstream->tokener, reply->body);
 }
 
 /* A connection that carries replies to something else is out of step. */
--- a/medlard/upstream.h
+++ b/medlard/upstream.h
@@ -16,12 +16,14 @@
  * @client: client of the worker
  * @metrics: counters of the worker
  * @reply_max: longest reply accepted, bytes
+ * @tokener: checks the bodies of replies
  */
 typedef struct upstream {
 	http_t *http;
 	medlar_client_t *client;
 	metrics_t *metrics;
 	size_t reply_max;
+	struct json_tokener *tokener;
 } upstream_t;
 
 /**
@@ -36,6 +38,9 @@
 	const medlar_policy_t *policy;
 } upstream_link_t;
 
+int upstream_init(upstream_t *upstream, http_t *http, medlar_client_t *client,
+		  metrics_t *metrics, size_t reply_max);
+void upstream_finish(upstream_t *upstream);
 void upstream_send(medlar_attempt_t *attempt, upstream_link_t *link);
 void upstream_cancel(medlar_attempt_t *attempt, upstream_link_t *link);
 http_peer_t *upstream_peer(upstream_link_t *link, medlar_replica_t *replica);
--- a/medlard/worker.c
+++ b/medlard/worker.c
@@ -63,14 +63,12 @@
 	if (!error)
 		error = medlar_suspects_init(&worker->suspects, SUSPECTS_MAX,
 					     SUSPECTS_EXPIRY);
+	if (!error)
+		error = upstream_init(&worker->upstream, &worker->http,
+				      &worker->client, &worker->metrics,
+				      (size_t)settings->reply_max);
 	if (error)
 		return error;
-	worker->upstream = (upstream_t){
-		.http = &worker->http,
-		.client = &worker->client,
-		.metrics = &worker->metrics,
-		.reply_max = (size_t)settings->reply_max,
-	};
 	store_proxy_init(&worker->store, worker);
 	error = caller_init(worker);
 	if (!error)
@@ -117,6 +115,7 @@
 	caller_finish(worker);
 	service_finish_all(worker);
 	http_finish(&worker->http);
+	upstream_finish(&worker->upstream);
 	medlar_suspects_finish(&worker->suspects);
 	medlar_config_finish(&worker->config);
 	handoff_finish(&worker->inbox);
@@ -157,13 +156,12 @@
 	free(worker->instances);
 	free(worker->peers);
 	worker->instances = kept;
+	worker->instances_len = len;
 	worker->peers = ids;
-	worker->instances_len = 0;
 	worker->peers_len = len;
 	for (size_t i = 0; i < len; i++) {
+		kept[i] = instances[i];
 		ids[i] = medlar_str_hash(medlar_str_from(instances[i].name), 0);
-		if (!instances[i].leaving)
-			kept[worker->instances_len++] = instances[i];
 	}
 	qsort(ids, len, sizeof(*ids), compare_ids);
 	return MEDLAR_OK;
@@ -190,9 +188,10 @@
 	for (size_t i = 0; i < worker->services_len; i++) {
 		service_t *service = worker->services[i];
 
-		if (service->owner == worker->index)
-			medlar_service_set_peers(&worker->client,
-						 &service->core, &peers,
-						 worker->loop.now);
+		if (service->owner != worker->index)
+			continue;
+		medlar_service_set_peers(&worker->client, &service->core,
+					 &peers, worker->loop.now);
+		service_adjust(service);
 	}
 }
--- a/medlard/worker.h
+++ b/medlard/worker.h
@@ -40,8 +40,7 @@
  * @services: services in the order of their numbers
  * @services_len: how many
  * @store: the platform's key-value service, through the control thread
- * @instances: entry instances that are not leaving, this one among them
- *	unless it is leaving
+ * @instances: entry instances, this one among them
  * @instances_len: how many
  * @peers: hashes of the names of all instances, sorted
  * @peers_len: how many
