--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1347,7 +1347,7 @@
 
 /**
  * typedef medlar_submission_fn_t - receives the end of a submission
- * @submission: may be finished in this call
+ * @submission: must not be finished before it is released
  * @error: %MEDLAR_OK: accepted, as @revision. %MEDLAR_ERR_STORE_UNKNOWN: the
  *	commit may yet have taken effect. Any other error: not accepted
  * @revision: revision that was accepted, else the newest one seen
@@ -1357,6 +1357,14 @@
 				       int error, uint64_t revision,
 				       void *data);
 
+/**
+ * typedef medlar_submission_release_fn_t - nothing refers to it any more
+ * @submission: may be finished and its memory released in this call
+ * @data: from medlar_submission_start()
+ */
+typedef void (*medlar_submission_release_fn_t)(medlar_submission_t *submission,
+					       void *data);
+
 /**
  * struct medlar_submission_params - a change of one section
  * @section: section that is replaced
@@ -1365,6 +1373,10 @@
  * @answers: the new answers of the section, JSON
  * @time: current time since 1970, ms
  * @timeout: time after which the submission is given up, ms
+ * @done: called once with the result
+ * @release: called once, after @done
+ * @error: receives what is wrong with the answers; NULL for the client's
+ * @data: passed to @done, @release and @error
  */
 typedef struct medlar_submission_params {
 	medlar_section_t section;
@@ -1373,6 +1385,10 @@
 	medlar_str_t answers;
 	medlar_time_t time;
 	medlar_time_t timeout;
+	medlar_submission_fn_t done;
+	medlar_submission_release_fn_t release;
+	medlar_error_fn_t error;
+	void *data;
 } medlar_submission_params_t;
 
 /*
@@ -1380,8 +1396,10 @@
  */
 struct medlar_submission_ {
 	medlar_client_t *client;
+	medlar_client_t reporter;
 	const medlar_store_t *store;
 	medlar_submission_fn_t done;
+	medlar_submission_release_fn_t release;
 	void *data;
 	medlar_section_t section;
 	medlar_buf_t author;
@@ -1401,6 +1419,7 @@
 	medlar_time_t backoff;
 	medlar_time_t now;
 	void (*resume)(medlar_submission_t *submission);
+	bool base_known;
 	bool waiting;
 	bool ambiguous;
 	bool ended;
@@ -1410,9 +1429,7 @@
 			    medlar_submission_t *submission,
 			    const medlar_store_t *store,
 			    const medlar_submission_params_t *params,
-			    medlar_submission_fn_t done, void *data,
 			    medlar_time_t now);
-bool medlar_submission_idle(const medlar_submission_t *submission);
 void medlar_submission_finish(medlar_submission_t *submission);
 
 #ifdef __cplusplus
--- a/libmedlar/submission.c
+++ b/libmedlar/submission.c
@@ -38,6 +38,8 @@
 				 medlar_str_from(medlar_error_name(error))),
 		     MEDLAR_NUM("revision", revision));
 	submission->done(submission, error, revision, submission->data);
+	if (!submission->waiting)
+		submission->release(submission, submission->data);
 }
 
 static void expire(medlar_client_t *client, medlar_timer_t *timer,
@@ -81,10 +83,14 @@
 		end(submission, MEDLAR_ERR_NOMEM);
 }
 
+/* Tells whether to go on; if not, the submission may be gone. */
 static bool begin_reply(medlar_submission_t *submission)
 {
 	submission->waiting = false;
-	return !submission->ended;
+	if (!submission->ended)
+		return true;
+	submission->release(submission, submission->data);
+	return false;
 }
 
 static void get(medlar_submission_t *submission, medlar_str_t key,
@@ -157,11 +163,12 @@
 	medlar_config_t config;
 	int error;
 
-	error = medlar_questionnaire_parse(submission->client, &questionnaire,
+	error = medlar_questionnaire_parse(&submission->reporter,
+					   &questionnaire,
 					   medlar_str_from(file), answers);
 	if (error)
 		return error;
-	error = medlar_config_generate(submission->client, &questionnaire,
+	error = medlar_config_generate(&submission->reporter, &questionnaire,
 				       medlar_str_from(file),
 				       submission->number, &config);
 	medlar_questionnaire_finish(&questionnaire);
@@ -233,6 +240,7 @@
 static void keep_base(medlar_submission_t *submission,
 		      const medlar_revision_t *revision)
 {
+	submission->base_known = true;
 	medlar_buf_reset(&submission->base_answers);
 	medlar_buf_add(&submission->base_answers,
 		       medlar_buf_str(&revision->answers[submission->section]));
@@ -312,15 +320,15 @@
 		end(submission, error);
 		return;
 	}
-	if (submission->base == submission->seen.number)
-		keep_base(submission, &submission->seen);
-	else if (submission->base > submission->seen.number)
+	if (submission->base > submission->seen.number) {
 		end(submission, MEDLAR_ERR_NOT_FOUND);
-	else if (submission->base > 0 && submission->base_answers.len == 0) {
-		read_base(submission);
 		return;
 	}
-	if (!submission->ended)
+	if (submission->base == submission->seen.number)
+		keep_base(submission, &submission->seen);
+	if (submission->base > 0 && !submission->base_known)
+		read_base(submission);
+	else
 		merge_and_archive(submission);
 }
 
@@ -505,12 +513,11 @@
 
 /**
  * medlar_submission_start() - submit changed answers of one section
- * @client: its error handler receives what is wrong with the answers
+ * @client: drives the timers of the submission
  * @submission: memory of the caller
  * @store: store, valid as long as the submission is
- * @params: the change; copied
- * @done: called once with the result, possibly before this call returns
- * @data: passed to @done
+ * @params: the change; copied. Its callbacks may be called before this call
+ *	returns
  * @now: current time
  *
  * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM when nothing was started.
@@ -519,20 +526,25 @@
 			    medlar_submission_t *submission,
 			    const medlar_store_t *store,
 			    const medlar_submission_params_t *params,
-			    medlar_submission_fn_t done, void *data,
 			    medlar_time_t now)
 {
 	*submission = (medlar_submission_t){
 		.client = client,
+		.reporter = { .error = params->error,
+			      .error_data = params->data },
 		.store = store,
-		.done = done,
-		.data = data,
+		.done = params->done,
+		.release = params->release,
+		.data = params->data,
 		.section = params->section,
 		.base = params->base,
 		.time = params->time,
 		.backoff = BACKOFF_MIN,
 		.now = now,
 	};
+	if (!params->error)
+		medlar_client_on_error(&submission->reporter, client->error,
+				       client->error_data);
 	medlar_buf_add(&submission->author, params->author);
 	medlar_buf_add(&submission->mine, params->answers);
 	set_id(submission);
@@ -549,20 +561,8 @@
 }
 
 /**
- * medlar_submission_idle() - whether no store call is outstanding
- * @submission: submission that has ended
- *
- * Return: true when its memory may be released after
- * medlar_submission_finish().
- */
-bool medlar_submission_idle(const medlar_submission_t *submission)
-{
-	return !submission->waiting;
-}
-
-/**
- * medlar_submission_finish() - release what a submission holds
- * @submission: submission that has ended and is idle
+ * medlar_submission_finish() - free what a submission holds
+ * @submission: submission that was released
  */
 void medlar_submission_finish(medlar_submission_t *submission)
 {
--- a/medlard/caller.c
+++ b/medlard/caller.c
@@ -11,6 +11,7 @@
 #include "medlard/addresses.h"
 #include "medlard/answer.h"
 #include "medlard/caller.h"
+#include "medlard/operators.h"
 #include "medlard/status.h"
 #include "medlard/worker.h"
 
@@ -30,6 +31,14 @@
 	{ "GET", "/v1/suspects", status_suspects },
 };
 
+static const route_t operator_routes[] = {
+	{ "GET", "/v1/questionnaire", operators_show },
+	{ "GET", "/v1/questionnaire/history", operators_history },
+	{ "GET", "/v1/questionnaire/revisions/", operators_revision },
+	{ "PUT", "/v1/questionnaire/", operators_submit },
+	{ "DELETE", "/v1/suspects/", operators_pardon },
+};
+
 #define TABLE(routes)                                          \
 	{                                                      \
 		(routes), sizeof(routes) / sizeof((routes)[0]) \
@@ -40,6 +49,7 @@
 	size_t len;
 } route_tables[] = {
 	TABLE(caller_routes),
+	TABLE(operator_routes),
 };
 
 static bool matches(const route_t *route, const char *path)
--- /dev/null
+++ b/medlard/operators.h
@@ -0,0 +1,15 @@
+/**
+ * DOC: what operators may ask for and change, see docs/API.md
+ */
+#ifndef MEDLARD_OPERATORS_H
+#define MEDLARD_OPERATORS_H
+
+#include "medlard/request.h"
+
+void operators_show(request_t *request);
+void operators_history(request_t *request);
+void operators_revision(request_t *request);
+void operators_submit(request_t *request);
+void operators_pardon(request_t *request);
+
+#endif /* MEDLARD_OPERATORS_H */
--- /dev/null
+++ b/medlard/roles.c
@@ -0,0 +1,95 @@
+/**
+ * DOC: operators and their tokens
+ *
+ * The settings hold a hash of each token. All hashes are compared, each in
+ * constant time, and failed attempts are limited.
+ */
+#include <math.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "medlard/roles.h"
+
+#define ATTEMPTS_MAX 10.0
+#define ATTEMPTS_PER_SECOND 1.0
+#define TOKEN_MAX 256
+
+/**
+ * roles_init() - start with all attempts allowed
+ * @roles: memory of the caller
+ * @now: current time
+ */
+void roles_init(roles_t *roles, medlar_time_t now)
+{
+	*roles = (roles_t){ .tokens = ATTEMPTS_MAX, .refilled = now };
+}
+
+static void refill(roles_t *roles, medlar_time_t now)
+{
+	double earned = (double)(now - roles->refilled) / MEDLAR_SECOND *
+			ATTEMPTS_PER_SECOND;
+
+	roles->tokens = fmin(ATTEMPTS_MAX, roles->tokens + earned);
+	roles->refilled = now;
+}
+
+static bool is_hash_of(const char *hex, const unsigned char *hash)
+{
+	unsigned char expected[crypto_generichash_BYTES];
+	size_t len = 0;
+
+	if (sodium_hex2bin(expected, sizeof(expected), hex, strlen(hex), NULL,
+			   &len, NULL) ||
+	    len != sizeof(expected))
+		return false;
+	return sodium_memcmp(expected, hash, sizeof(expected)) == 0;
+}
+
+static const operator_setting_t *find(const settings_t *settings,
+				      const char *token)
+{
+	const operator_setting_t *operators = settings->operators.items;
+	const operator_setting_t *found = NULL;
+	unsigned char hash[crypto_generichash_BYTES];
+
+	crypto_generichash(hash, sizeof(hash), (const unsigned char *)token,
+			   strlen(token), NULL, 0);
+	for (size_t i = 0; i < settings->operators.len; i++)
+		if (is_hash_of(operators[i].token_hash, hash))
+			found = &operators[i];
+	return found;
+}
+
+/**
+ * roles_find() - operator that a token belongs to
+ * @roles: limits failed attempts
+ * @settings: settings that list the operators
+ * @authorization: value of the Authorization header, or NULL
+ * @now: current time
+ * @error: receives %MEDLAR_ERR_AUTH, or %MEDLAR_ERR_OVERLOAD after too many
+ *	failed attempts, when NULL is returned
+ *
+ * Return: the operator, valid as long as @settings is, or NULL.
+ */
+const operator_setting_t *roles_find(roles_t *roles, const settings_t *settings,
+				     const char *authorization,
+				     medlar_time_t now, int *error)
+{
+	static const char scheme[] = "Bearer ";
+	const operator_setting_t *found = NULL;
+
+	*error = MEDLAR_ERR_AUTH;
+	if (!authorization ||
+	    strncmp(authorization, scheme, sizeof(scheme) - 1) != 0 ||
+	    strlen(authorization) > TOKEN_MAX)
+		return NULL;
+	refill(roles, now);
+	if (roles->tokens < 1) {
+		*error = MEDLAR_ERR_OVERLOAD;
+		return NULL;
+	}
+	found = find(settings, authorization + sizeof(scheme) - 1);
+	if (!found)
+		roles->tokens -= 1;
+	return found;
+}
--- /dev/null
+++ b/medlard/roles.h
@@ -0,0 +1,24 @@
+/**
+ * DOC: operators and their tokens
+ */
+#ifndef MEDLARD_ROLES_H
+#define MEDLARD_ROLES_H
+
+#include "medlard/settings.h"
+
+/**
+ * struct roles - limits guesses at tokens
+ * @tokens: attempts that may be made now
+ * @refilled: when @tokens was last brought up to date, ms
+ */
+typedef struct roles {
+	double tokens;
+	medlar_time_t refilled;
+} roles_t;
+
+void roles_init(roles_t *roles, medlar_time_t now);
+const operator_setting_t *roles_find(roles_t *roles, const settings_t *settings,
+				     const char *authorization,
+				     medlar_time_t now, int *error);
+
+#endif /* MEDLARD_ROLES_H */
--- a/medlard/settings.c
+++ b/medlard/settings.c
@@ -13,6 +13,7 @@
 #define PORT_MAX 65535
 #define LISTEN_MAX 4
 #define PEERS_MAX 64
+#define OPERATORS_MAX 64
 #define THREADS_MAX 16
 #define RATE_MAX 2000
 #define BODY_MAX (64 << 20)
@@ -65,6 +66,19 @@
 	{ 0 },
 };
 
+static const char *const role_names[] = { "product", "operations", NULL };
+
+static const medlar_doc_field_t operator_fields[] = {
+	TEXT_FIELD(operator_setting_t, name, true),
+	{ .name = "role",
+	  .type = MEDLAR_DOC_CHOICE,
+	  .offset = offsetof(operator_setting_t, role),
+	  .choices = role_names,
+	  .required = true },
+	TEXT_FIELD(operator_setting_t, token_hash, true),
+	{ 0 },
+};
+
 static const medlar_doc_field_t fields[] = {
 	TEXT_FIELD(settings_t, name, true),
 	TEXT_FIELD(settings_t, zone, true),
@@ -92,6 +106,12 @@
 	  .size = sizeof(peer_setting_t),
 	  .max = PEERS_MAX,
 	  .fields = peer_fields },
+	{ .name = "operators",
+	  .type = MEDLAR_DOC_ARRAY,
+	  .offset = offsetof(settings_t, operators),
+	  .size = sizeof(operator_setting_t),
+	  .max = OPERATORS_MAX,
+	  .fields = operator_fields },
 	PORT_FIELD(settings_t, peer_port, false),
 	TEXT_FIELD(settings_t, peer_key, false),
 	INT_FIELD(settings_t, body_max, 1, BODY_MAX),
--- a/medlard/settings.h
+++ b/medlard/settings.h
@@ -34,6 +34,18 @@
 	char zone[MEDLAR_NAME_MAX + 1];
 } peer_setting_t;
 
+/**
+ * struct operator_setting - an operator who may change a section
+ * @name: name that revisions show
+ * @role: &enum medlar_section
+ * @token_hash: hash of the token, hexadecimal; see ``medlarctl token``
+ */
+typedef struct operator_setting {
+	char name[MEDLAR_NAME_MAX + 1];
+	int role;
+	char token_hash[SETTINGS_KEY_MAX + 1];
+} operator_setting_t;
+
 /**
  * struct platform_settings - how the platform is reached
  * @host: IP address in text form
@@ -60,6 +72,7 @@
  * @threads: worker threads
  * @log_level: &enum log_level
  * @peers: other instances, &peer_setting_t
+ * @operators: operators, &operator_setting_t
  * @peer_port: port of the peer protocol; 0 for none
  * @peer_key: key shared by all instances, in hexadecimal
  * @body_max: longest request body, bytes
@@ -77,6 +90,7 @@
 	int64_t threads;
 	int log_level;
 	medlar_doc_array_t peers;
+	medlar_doc_array_t operators;
 	int64_t peer_port;
 	char peer_key[SETTINGS_KEY_MAX + 1];
 	int64_t body_max;
--- a/medlard/worker.c
+++ b/medlard/worker.c
@@ -48,6 +48,7 @@
 	worker->settings = settings;
 	worker->index = index;
 	worker->started = control->loop.now;
+	roles_init(&worker->roles, control->loop.now);
 	medlar_client_init(&worker->client, medlar_str_from(settings->name), 1,
 			   seed);
 	log_init(&worker->log, STDERR_FILENO, (int)index,
--- a/medlard/worker.h
+++ b/medlard/worker.h
@@ -11,6 +11,7 @@
 
 #include "medlard/listing.h"
 #include "medlard/log.h"
+#include "medlard/roles.h"
 #include "medlard/service.h"
 #include "medlard/settings.h"
 
@@ -45,6 +46,7 @@
  * @instances_len: how many
  * @peers: hashes of the names of all instances, sorted
  * @peers_len: how many
+ * @roles: limits guesses at operators' tokens
  * @started: when the process started, ms
  * @config: configuration in force
  * @configured: there is one
@@ -79,6 +81,7 @@
 	size_t instances_len;
 	uint64_t *peers;
 	size_t peers_len;
+	roles_t roles;
 	medlar_time_t started;
 	medlar_config_t config;
 	bool configured;
--- a/tests/test_submission.c
+++ b/tests/test_submission.c
@@ -34,6 +34,7 @@
 
 typedef struct result {
 	int calls;
+	int releases;
 	int error;
 	uint64_t revision;
 } result_t;
@@ -73,6 +74,15 @@
 	result->revision = revision;
 }
 
+static void released(medlar_submission_t *submission, void *data)
+{
+	result_t *result = data;
+
+	(void)submission;
+	assert_int_equal(result->calls, 1);
+	result->releases++;
+}
+
 /* Runs timers and store calls until every submission has ended. */
 static void settle(world_t *world)
 {
@@ -101,12 +111,15 @@
 		.answers = medlar_str_from(answers),
 		.time = world->now,
 		.timeout = MEDLAR_MINUTE,
+		.done = ended,
+		.release = released,
+		.data = result,
 	};
 
 	*result = (result_t){ 0 };
 	assert_int_equal(medlar_submission_start(&world->client, submission,
-						 &world->ops, &params, ended,
-						 result, world->now),
+						 &world->ops, &params,
+						 world->now),
 			 MEDLAR_OK);
 }
 
@@ -119,6 +132,7 @@
 	start(world, &submission, &result, section, base, answers);
 	settle(world);
 	assert_int_equal(result.calls, 1);
+	assert_int_equal(result.releases, 1);
 	medlar_submission_finish(&submission);
 	return result;
 }
@@ -296,6 +310,7 @@
 			uint64_t number;
 
 			assert_int_equal(results[i].calls, 1);
+			assert_int_equal(results[i].releases, 1);
 			if (results[i].error == MEDLAR_OK)
 				assert_true(in_history(&world,
 						       results[i].revision,
