--- a/medlard/wire.h
+++ b/medlard/wire.h
@@ -6,7 +6,7 @@
 
 #include "libmedlar/medlar.h"
 
-#define WIRE_ID_TEXT_LEN (2 * MEDLAR_REQUEST_ID_LEN)
+#define WIRE_ID_TEXT_LEN ((size_t)2 * MEDLAR_REQUEST_ID_LEN)
 
 /** enum wire_executed - what an upstream says of having run a request */
 typedef enum wire_executed {
