--- a/tests/fakes/common_knobs.c
+++ b/tests/fakes/common_knobs.c
@@ -19,7 +19,7 @@
 		   const char *value)
 {
 	for (; table->name; table++) {
-		double *place = (double *)((char *)knobs + table->offset);
+		double *place = (void *)((char *)knobs + table->offset);
 
 		if (strcmp(table->name, name) != 0)
 			continue;
