--- a/cli/load.h
+++ b/cli/load.h
@@ -153,6 +153,7 @@
  * @sequence: number of requests made
  * @pending: requests without an outcome
  * @arrival: timer of the next arrival
+ * @limit: timer that ends a run which does not end by itself
  * @started: begin of the run, microseconds
  * @ends: end of arrivals, microseconds
  * @shown_progress: when progress was last shown, microseconds
@@ -171,6 +172,7 @@
 	uint64_t sequence;
 	uint64_t pending;
 	medlar_timer_t arrival;
+	medlar_timer_t limit;
 	medlar_time_t started;
 	medlar_time_t ends;
 	medlar_time_t shown_progress;
--- a/cli/load_run.c
+++ b/cli/load_run.c
@@ -219,6 +219,19 @@
 		load->loop.stop = true;
 }
 
+/* Ends a run whose requests do not end; they count as not answered. */
+static void on_limit(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	load_t *load = data;
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	load->stats[LOAD_SEARCH].outcomes[LOAD_NO_ANSWER] += load->pending;
+	load->loop.stop = true;
+}
+
 /**
  * load_run() - make the load of the options and wait for all answers
  * @load: memory of the caller; load_finish() releases it
@@ -245,6 +258,9 @@
 		     (medlar_time_t)(options->duration_s * (double)LOAD_SECOND);
 	medlar_timer_init(&load->arrival, on_arrival, load);
 	medlar_timer_set(&load->loop.client, &load->arrival, load->started);
+	medlar_timer_init(&load->limit, on_limit, load);
+	medlar_timer_set(&load->loop.client, &load->limit,
+			 load->ends + GIVE_UP_DEFAULT + GIVE_UP_MARGIN);
 	load_loop_run(&load->loop);
 	return MEDLAR_OK;
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -14,11 +14,13 @@
 # Copies the example to $3; ports move from its thousands to those of $4.
 fleet_prepare() {
 	fleet_build=$1 fleet_deployment=$2 fleet_dir=$3
+	fleet_example=examples/$2
+	test -d "$fleet_example" || fleet_example=bench/$2
 	fleet_from=$(sed -n 's/.*"platform": "127.0.0.1:\([0-9]*\)000".*/\1/p' \
-		"examples/$2/upstreams.json")
+		"$fleet_example/upstreams.json")
 	fleet_to=$((${4:-${fleet_from}000} / 1000))
 	mkdir -p "$fleet_dir"
-	for fleet_file in "examples/$2"/*.json
+	for fleet_file in "$fleet_example"/*.json
 	do
 		sed "s/\\([^0-9]\\)$fleet_from\\([0-9][0-9][0-9]\\)\\([^0-9]\\)/\\1$fleet_to\\2\\3/g" \
 			"$fleet_file" >"$fleet_dir/${fleet_file##*/}"
--- a/tests/fakes/common_control.c
+++ b/tests/fakes/common_control.c
@@ -57,8 +57,9 @@
 
 static void act_silent(fake_replica_t *replica, const char *value)
 {
-	(void)value;
-	fake_port_silence(&replica->port);
+	unsigned every = (unsigned)strtoul(value, NULL, 10);
+
+	fake_port_silence(&replica->port, every ? every : 1);
 }
 
 static void act_publish(fake_replica_t *replica, const char *value)
--- a/tests/fakes/common_loop.h
+++ b/tests/fakes/common_loop.h
@@ -144,7 +144,7 @@
 		    const fake_port_ops_t *ops, void *data);
 int fake_port_open(fake_port_t *port);
 void fake_port_close(fake_port_t *port);
-void fake_port_silence(fake_port_t *port);
+void fake_port_silence(fake_port_t *port, unsigned every);
 
 void fake_request_answer(fake_request_t *request, unsigned status,
 			 struct MHD_Response *response);
--- a/tests/fakes/common_port.c
+++ b/tests/fakes/common_port.c
@@ -259,16 +259,18 @@
 }
 
 /**
- * fake_port_silence() - never answer on the connections that are open now
+ * fake_port_silence() - never answer on connections that are open now
  * @port: port; new connections work as before
+ * @every: 1 for all of them, 2 for every second one, and so on
  */
-void fake_port_silence(fake_port_t *port)
+void fake_port_silence(fake_port_t *port, unsigned every)
 {
 	fake_connection_t *connection;
+	unsigned seen = 0;
 
 	for (connection = port->connections; connection;
 	     connection = connection->next) {
-		if (connection->silent)
+		if (connection->silent || ++seen % every != 0)
 			continue;
 		connection->silent = true;
 		port->count--;
