--- /dev/null
+++ b/tests/e2e_repartition.sh
@@ -0,0 +1,21 @@
+#!/bin/sh
+# Ranges move to other shards, twice, while queries run.
+cd "$(dirname "$0")/.." || exit 1
+# shellcheck source=tests/tap.sh
+. tests/tap.sh
+
+tap_start "$1" repartition reader-portal
+(
+	sleep 1
+	upstream "repartition?service=$service&rotate=1"
+	sleep 1
+	upstream "repartition?service=$service&shift=1000000"
+) &
+load moving 5
+wait $!
+check no-range-is-answered-twice metric_is moving duplicates 0
+check no-hole-is-unstated metric_is moving wrong_coverage 0
+check every-query-is-answered metric_is moving no_answer 0
+load after 2
+check the-new-map-gives-full-coverage all_complete after
+check the-new-map-is-told contains "$(ask search '{"query":1}')" '"epoch":3'
--- /dev/null
+++ b/tests/tap.sh
@@ -0,0 +1,104 @@
+# shellcheck shell=sh disable=SC2034
+# Frame of the end-to-end tests: a deployment, loads, and TAP lines.
+#
+# usage: . tests/tap.sh; tap_start BUILD NAME SERVICE
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+
+tap_count=0
+tap_failed=0
+
+tap_end() {
+	tap_status=$?
+	fleet_stop
+	test "$tap_failed" -eq 0 || tap_status=1
+	echo "1..$tap_count"
+	exit "$tap_status"
+}
+
+# Starts kraisorn on ports of its own; the test ends with tap_end.
+tap_start() {
+	build=$1 service=$3
+	dir=$build/e2e/$2
+	rm -rf "$dir"
+	trap 'tap_end' EXIT
+	trap 'exit 1' INT TERM
+	fleet_prepare "$build" kraisorn "$dir" 23000
+	fleet_start && fleet_settle "$service" || exit 1
+}
+
+# Reports the case $1: it passes if the rest, a command, succeeds.
+check() {
+	tap_count=$((tap_count + 1))
+	tap_name=$1
+	shift
+	if "$@"
+	then
+		echo "ok $tap_count - $tap_name"
+	else
+		echo "not ok $tap_count - $tap_name"
+		tap_failed=1
+	fi
+}
+
+# Runs a load of a few seconds: NAME SECONDS [OPTION...]
+load() {
+	tap_load=$1 tap_seconds=$2
+	shift 2
+	# shellcheck disable=SC2086
+	timeout 120 "$build/medlarload" $fleet_entries -s "$service" -r 25 \
+		-d "$tap_seconds" --seed 11 --json="$dir/$tap_load.json" "$@" \
+		>"$dir/$tap_load.txt" 2>&1
+	cat "$dir/$tap_load.txt"
+}
+
+# Prints a metric of the total of a load: NAME METRIC
+metric() {
+	sed -n "s/.*\"total\":{.*\"$2\":\\([^,}]*\\)[,}].*/\\1/p" \
+		"$dir/$1.json"
+}
+
+# Succeeds if a metric has a value: NAME METRIC VALUE
+metric_is() {
+	test "$(metric "$1" "$2")" = "$3" && return 0
+	echo "# $1: $2 is $(metric "$1" "$2"), expected $3"
+	return 1
+}
+
+all_complete() {
+	metric_is "$1" complete "$(metric "$1" count)"
+}
+
+all_true() {
+	for tap_fault in mixed crossed wrong_coverage duplicates malformed \
+		doubled untrue_not_run untrue_ran
+	do
+		metric_is "$1" "$tap_fault" 0 || return 1
+	done
+}
+
+upstream() {
+	fleet_knob "$fleet_control/$1"
+}
+
+# Prints the sum of a statistic of the upstreams: NAME SELECT
+upstream_sum() {
+	curl -s -m 5 "http://$fleet_control/stats?$2" |
+		sed "s/.*\"$1\":\\([0-9]*\\).*/\\1/" |
+		awk '{ sum += $1 } END { print sum + 0 }'
+}
+
+# Sends a request to the first instance: KIND BODY [HEADER]
+ask() {
+	curl -s -m 20 ${3:+-H "$3"} -d "$2" \
+		"http://$fleet_entry/v1/services/$service/$1"
+}
+
+contains() {
+	case $1 in
+	*"$2"*)
+		return 0 ;;
+	esac
+	echo "# expected $2 in: $1" | cut -c 1-300
+	return 1
+}
