Claim write keys by compare-and-swap before dispatch

Cause: a request that is not idempotent must run at most once, whichever instances a caller sends it to and whatever replies of the store are lost.

Change: UUID keys, journals of claims with expiry and compaction, layouts that spread keys over journals, group commit, and the life of a write with three typed outcomes. The claim must be known to be committed before the dispatch; a lost reply is settled by reading for the token; a claim that was given up is never used and is recorded as not run.

--- /dev/null
+++ b/libmedlar/journal_codec.c
@@ -0,0 +1,218 @@
+/**
+ * DOC: the stored form of a journal
+ *
+ * Integers are little-endian. A header of 40 bytes (magic, version, sealed
+ * flag, number of entries, floor, sequence, hash of the rest) is followed by
+ * the entries in the order of their keys, each 61 bytes and its result.
+ */
+#include <string.h>
+
+#include "medlar.h"
+
+#define HEADER_SIZE 40
+#define ENTRY_SIZE 61
+#define FORMAT_VERSION 1
+#define HASH_AT 32
+#define HASH_SEED 1
+
+static const char magic[4] = { 'M', 'J', 'R', 'N' };
+
+/**
+ * medlar_journal_header_size() - encoded size of an empty journal
+ *
+ * Return: bytes.
+ */
+size_t medlar_journal_header_size(void)
+{
+	return HEADER_SIZE;
+}
+
+/**
+ * medlar_journal_entry_size() - encoded size of an entry with its result
+ * @entry: entry
+ *
+ * Return: bytes.
+ */
+size_t medlar_journal_entry_size(const medlar_entry_t *entry)
+{
+	return ENTRY_SIZE + (size_t)entry->result_len;
+}
+
+static uint8_t *put_number(uint8_t *to, uint64_t number, size_t bytes)
+{
+	size_t i;
+
+	for (i = 0; i < bytes; i++)
+		to[i] = (uint8_t)(number >> (8 * i));
+	return to + bytes;
+}
+
+static const uint8_t *get_number(const uint8_t *from, uint64_t *number,
+				 size_t bytes)
+{
+	size_t i;
+
+	*number = 0;
+	for (i = 0; i < bytes; i++)
+		*number |= (uint64_t)from[i] << (8 * i);
+	return from + bytes;
+}
+
+static void add_bytes(medlar_buf_t *out, const uint8_t *bytes, size_t len)
+{
+	medlar_buf_add(out, (medlar_str_t){ (const char *)bytes, len });
+}
+
+static void encode_entry(const medlar_journal_t *journal,
+			 const medlar_entry_t *entry, medlar_buf_t *out)
+{
+	uint8_t bytes[ENTRY_SIZE];
+	uint8_t *to = bytes;
+
+	memcpy(to, entry->key.bytes, MEDLAR_UUID_LEN);
+	to += MEDLAR_UUID_LEN;
+	memcpy(to, entry->token.bytes, MEDLAR_TOKEN_LEN);
+	to += MEDLAR_TOKEN_LEN;
+	to = put_number(to, entry->instance, 8);
+	to = put_number(to, (uint64_t)entry->time, 8);
+	to = put_number(to, entry->state, 1);
+	to = put_number(to, entry->digest, 8);
+	put_number(to, entry->result_len, 4);
+	add_bytes(out, bytes, sizeof(bytes));
+	medlar_buf_add(out, medlar_journal_result(journal, entry));
+}
+
+/* Hash of the header up to the place of the hash, and of the entries. */
+static uint64_t hash_value(medlar_str_t value)
+{
+	medlar_str_t header = { value.ptr, HASH_AT };
+	medlar_str_t rest = { value.ptr + HEADER_SIZE,
+			      value.len - HEADER_SIZE };
+
+	return medlar_str_hash(rest, medlar_str_hash(header, HASH_SEED));
+}
+
+/**
+ * medlar_journal_encode() - append the stored form
+ * @journal: journal
+ * @out: buffer that is empty; its error member tells of failure
+ */
+void medlar_journal_encode(const medlar_journal_t *journal, medlar_buf_t *out)
+{
+	uint8_t header[HEADER_SIZE] = { 0 };
+	uint8_t *to = header;
+	size_t i;
+
+	memcpy(to, magic, sizeof(magic));
+	to += sizeof(magic);
+	to = put_number(to, FORMAT_VERSION, 4);
+	to = put_number(to, journal->sealed, 4);
+	to = put_number(to, journal->len, 4);
+	to = put_number(to, (uint64_t)journal->floor, 8);
+	put_number(to, journal->sequence, 8);
+	add_bytes(out, header, sizeof(header));
+	for (i = 0; i < journal->len; i++)
+		encode_entry(journal, &journal->entries[i], out);
+	if (out->error)
+		return;
+	put_number((uint8_t *)out->ptr + HASH_AT,
+		   hash_value(medlar_buf_str(out)), 8);
+}
+
+typedef struct reader {
+	const uint8_t *at;
+	size_t left;
+} reader_t;
+
+static int decode_entry(medlar_journal_t *journal, reader_t *reader)
+{
+	medlar_entry_t entry = { 0 };
+	const uint8_t *at = reader->at;
+	uint64_t number;
+
+	if (reader->left < ENTRY_SIZE)
+		return MEDLAR_ERR_PROTOCOL;
+	memcpy(entry.key.bytes, at, MEDLAR_UUID_LEN);
+	at += MEDLAR_UUID_LEN;
+	memcpy(entry.token.bytes, at, MEDLAR_TOKEN_LEN);
+	at += MEDLAR_TOKEN_LEN;
+	at = get_number(at, &entry.instance, 8);
+	at = get_number(at, &number, 8);
+	entry.time = (medlar_time_t)number;
+	at = get_number(at, &number, 1);
+	if (number >= MEDLAR_CLAIM_STATE_COUNT)
+		return MEDLAR_ERR_PROTOCOL;
+	entry.state = (medlar_claim_state_t)number;
+	at = get_number(at, &entry.digest, 8);
+	at = get_number(at, &number, 4);
+	if (number > reader->left - ENTRY_SIZE)
+		return MEDLAR_ERR_PROTOCOL;
+	entry.result_len = (uint32_t)number;
+	entry.result_at = journal->results.len;
+	add_bytes(&journal->results, at, entry.result_len);
+	if (journal->results.error)
+		return journal->results.error;
+	reader->at = at + entry.result_len;
+	reader->left -= medlar_journal_entry_size(&entry);
+	return medlar_journal_claim(journal, &entry, SIZE_MAX);
+}
+
+static bool is_intact(medlar_str_t value)
+{
+	uint64_t expected;
+
+	get_number((const uint8_t *)value.ptr + HASH_AT, &expected, 8);
+	return expected == hash_value(value);
+}
+
+static int decode_all(medlar_journal_t *journal, medlar_str_t value)
+{
+	const uint8_t *at = (const uint8_t *)value.ptr;
+	reader_t reader;
+	uint64_t version;
+	uint64_t sealed;
+	uint64_t count;
+	uint64_t floor;
+	int error = MEDLAR_OK;
+
+	if (value.len < HEADER_SIZE || memcmp(at, magic, sizeof(magic)) != 0)
+		return MEDLAR_ERR_PROTOCOL;
+	if (!is_intact(value))
+		return MEDLAR_ERR_PROTOCOL;
+	at = get_number(at + sizeof(magic), &version, 4);
+	at = get_number(at, &sealed, 4);
+	at = get_number(at, &count, 4);
+	at = get_number(at, &floor, 8);
+	get_number(at, &journal->sequence, 8);
+	if (version != FORMAT_VERSION || sealed > 1)
+		return MEDLAR_ERR_PROTOCOL;
+	journal->sealed = sealed;
+	journal->floor = (medlar_time_t)floor;
+	reader = (reader_t){ (const uint8_t *)value.ptr + HEADER_SIZE,
+			     value.len - HEADER_SIZE };
+	while (count-- > 0 && !error)
+		error = decode_entry(journal, &reader);
+	if (error)
+		return error;
+	return reader.left == 0 ? MEDLAR_OK : MEDLAR_ERR_PROTOCOL;
+}
+
+/**
+ * medlar_journal_decode() - read the stored form
+ * @journal: an initialised, empty journal
+ * @value: what the key-value service holds; empty for an empty journal
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_PROTOCOL when @value is damaged or of
+ * another format, or %MEDLAR_ERR_NOMEM. The journal is empty after an error.
+ */
+int medlar_journal_decode(medlar_journal_t *journal, medlar_str_t value)
+{
+	int error;
+
+	if (value.len == 0)
+		return MEDLAR_OK;
+	error = decode_all(journal, value);
+	if (error)
+		medlar_journal_finish(journal);
+	return error;
+}
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -979,6 +979,508 @@
 	void *data;
 } medlar_store_t;
 
+/*
+ * uuid.c
+ */
+
+#define MEDLAR_UUID_LEN 16
+#define MEDLAR_UUID_TEXT_LEN 36
+
+/**
+ * struct medlar_uuid - a UUID in network byte order
+ * @bytes: the UUID
+ */
+typedef struct medlar_uuid {
+	uint8_t bytes[MEDLAR_UUID_LEN];
+} medlar_uuid_t;
+
+int medlar_uuid_parse(medlar_str_t text, medlar_uuid_t *out);
+void medlar_uuid_format(const medlar_uuid_t *uuid,
+			char out[MEDLAR_UUID_TEXT_LEN + 1]);
+medlar_time_t medlar_uuid_time(const medlar_uuid_t *uuid);
+void medlar_uuid_make(medlar_uuid_t *out, medlar_time_t time,
+		      const uint8_t *random);
+
+/*
+ * journal.c and journal_codec.c
+ */
+
+#define MEDLAR_TOKEN_LEN 16
+#define MEDLAR_JOURNAL_SIZE_MAX 900000 /* bytes of an encoded journal */
+#define MEDLAR_WRITE_RESULT_MAX 2048 /* bytes of a result kept for replay */
+#define MEDLAR_CLAIM_SKEW MEDLAR_MINUTE /* clock difference allowed for */
+
+/** struct medlar_token - random bytes that tell one claim from another */
+typedef struct medlar_token {
+	uint8_t bytes[MEDLAR_TOKEN_LEN];
+} medlar_token_t;
+
+/** enum medlar_claim_state - what a journal says of a claim */
+typedef enum medlar_claim_state {
+	MEDLAR_CLAIM_CLAIMED, /* may run, runs, or has run: outcome unknown */
+	MEDLAR_CLAIM_RAN,
+	MEDLAR_CLAIM_NOT_RUN,
+	MEDLAR_CLAIM_STATE_COUNT
+} medlar_claim_state_t;
+
+/**
+ * struct medlar_entry - what a journal holds of one key
+ * @key: idempotency key
+ * @token: token of the claim
+ * @instance: hash of the name of the claiming instance
+ * @time: Unix time of the last change of the entry, ms
+ * @state: what became of the claim
+ * @digest: hash of the whole result; 0 unless @state is %MEDLAR_CLAIM_RAN
+ * @result_at: offset of the recorded result within the results
+ * @result_len: length of the recorded result; 0 when none is kept
+ */
+typedef struct medlar_entry {
+	medlar_uuid_t key;
+	medlar_token_t token;
+	uint64_t instance;
+	medlar_time_t time;
+	medlar_claim_state_t state;
+	uint64_t digest;
+	size_t result_at;
+	uint32_t result_len;
+} medlar_entry_t;
+
+/**
+ * struct medlar_journal - claims of one partition
+ * @entries: entries sorted by key
+ * @len: entries in use
+ * @cap: entries allocated
+ * @results: recorded results
+ * @size: length of the encoded journal in bytes
+ * @floor: latest key time of all entries that were dropped; a key that is not
+ *	newer and has no entry may have run
+ * @sequence: number of commits, so that every commit changes the value
+ * @sealed: accepts no new claims; a later layout holds them
+ */
+typedef struct medlar_journal {
+	medlar_entry_t *entries;
+	size_t len;
+	size_t cap;
+	medlar_buf_t results;
+	size_t size;
+	medlar_time_t floor;
+	uint64_t sequence;
+	bool sealed;
+} medlar_journal_t;
+
+void medlar_journal_init(medlar_journal_t *journal);
+void medlar_journal_finish(medlar_journal_t *journal);
+medlar_entry_t *medlar_journal_find(const medlar_journal_t *journal,
+				    const medlar_uuid_t *key);
+int medlar_journal_claim(medlar_journal_t *journal, const medlar_entry_t *claim,
+			 size_t limit);
+int medlar_journal_record(medlar_journal_t *journal, medlar_entry_t *entry,
+			  medlar_claim_state_t state, medlar_str_t result,
+			  size_t limit);
+medlar_str_t medlar_journal_result(const medlar_journal_t *journal,
+				   const medlar_entry_t *entry);
+void medlar_journal_expire(medlar_journal_t *journal, medlar_time_t oldest);
+bool medlar_journal_shrink(medlar_journal_t *journal, size_t limit);
+void medlar_journal_encode(const medlar_journal_t *journal, medlar_buf_t *out);
+int medlar_journal_decode(medlar_journal_t *journal, medlar_str_t value);
+size_t medlar_journal_entry_size(const medlar_entry_t *entry);
+size_t medlar_journal_header_size(void);
+
+/*
+ * layout.c
+ */
+
+#define MEDLAR_LAYOUTS_MAX 64
+#define MEDLAR_PARTITIONS_MAX 65536
+
+/**
+ * struct medlar_layout - how keys spread over journals
+ * @revision: configuration revision that asked for it
+ * @partitions: number of journals
+ * @slices: journals take turns by the time in the key; 1 for no turns
+ * @slice: length of one turn, ms
+ */
+typedef struct medlar_layout {
+	uint64_t revision;
+	uint32_t partitions;
+	uint32_t slices;
+	medlar_time_t slice;
+} medlar_layout_t;
+
+/**
+ * struct medlar_layouts - every layout a service has used, oldest first
+ * @items: the position of a layout is its generation
+ * @len: how many
+ */
+typedef struct medlar_layouts {
+	medlar_layout_t items[MEDLAR_LAYOUTS_MAX];
+	uint32_t len;
+} medlar_layouts_t;
+
+medlar_layout_t medlar_layout_make(uint32_t partitions, medlar_time_t window,
+				   uint64_t revision);
+uint32_t medlar_layout_place(const medlar_layout_t *layout,
+			     const medlar_uuid_t *key);
+bool medlar_layouts_add(medlar_layouts_t *layouts,
+			const medlar_layout_t *layout);
+int medlar_layouts_parse(medlar_layouts_t *layouts, medlar_str_t text);
+void medlar_layouts_write(const medlar_layouts_t *layouts, medlar_buf_t *out);
+
+/*
+ * claim.c and partition.c
+ */
+
+typedef struct medlar_writes_ medlar_writes_t;
+typedef struct medlar_write_ medlar_write_t;
+typedef struct medlar_claim_ medlar_claim_t;
+typedef struct medlar_partition_ medlar_partition_t;
+
+/** enum medlar_claim_want - what a claim asks of its journal */
+typedef enum medlar_claim_want {
+	MEDLAR_WANT_CLAIM, /* become the entry of the key */
+	MEDLAR_WANT_RECORD, /* record an outcome, or undo a claim */
+	MEDLAR_WANT_LOOK, /* read the entry of the key */
+} medlar_claim_want_t;
+
+/** enum medlar_batch - what the compare-and-swap in flight does for a claim */
+typedef enum medlar_batch {
+	MEDLAR_BATCH_NONE, /* it is not part of it */
+	MEDLAR_BATCH_CLAIM, /* adds its entry */
+	MEDLAR_BATCH_RECORD, /* records its outcome */
+	MEDLAR_BATCH_SEAL, /* seals the journal of an older layout */
+} medlar_batch_t;
+
+/** enum medlar_claim_end - how a claim was resolved */
+typedef enum medlar_claim_end {
+	MEDLAR_END_COMMITTED, /* the claim is known to be in the journal */
+	MEDLAR_END_TAKEN, /* another claim holds the key */
+	MEDLAR_END_EXPIRED, /* the entry of the key may have been dropped */
+	MEDLAR_END_FULL, /* no room in the journal */
+	MEDLAR_END_RECORDED, /* the outcome is recorded, or needs no record */
+	MEDLAR_END_ABSENT, /* a look found no entry */
+	MEDLAR_END_COUNT
+} medlar_claim_end_t;
+
+/**
+ * struct medlar_claims - a list of claims
+ * @head: first claim, or NULL
+ * @tail: last claim, or NULL
+ */
+typedef struct medlar_claims {
+	medlar_claim_t *head;
+	medlar_claim_t *tail;
+} medlar_claims_t;
+
+/**
+ * struct medlar_claim_ - one key on its way into a journal; private
+ * @next: next claim of the list
+ * @prev: previous claim of the list
+ * @list: list that holds it, or NULL
+ * @key: idempotency key
+ * @token: its token
+ * @want: what it asks for
+ * @state: outcome to record, or the state found
+ * @result: result to record, or the result found
+ * @found: entry found by a look or held by another claim
+ * @generation: layout that is being examined
+ * @batch: its part in the compare-and-swap in flight
+ * @maybe: a compare-and-swap that carries it may be applied
+ * @maybe_index: index which that compare-and-swap requires
+ * @end: how it was resolved
+ * @write: owner
+ */
+struct medlar_claim_ {
+	medlar_claim_t *next;
+	medlar_claim_t *prev;
+	medlar_claims_t *list;
+	medlar_uuid_t key;
+	medlar_token_t token;
+	medlar_claim_want_t want;
+	medlar_claim_state_t state;
+	medlar_buf_t result;
+	medlar_entry_t found;
+	uint32_t generation;
+	medlar_batch_t batch;
+	bool maybe;
+	uint64_t maybe_index;
+	medlar_claim_end_t end;
+	medlar_write_t *write;
+};
+
+/**
+ * struct medlar_partition_ - claims gathered for one journal; private
+ * @writes: owner
+ * @generation: layout
+ * @index: number within the layout
+ * @claims: claims that wait for a commit or are part of it
+ * @resolved: claims whose owners are yet to be told
+ * @busy: a store call is in flight
+ * @sealed: the journal last read was sealed
+ * @retired: it was sealed and without entries
+ * @floor: floor of the journal once it is retired
+ * @slotted: the timer was set by the commit rate
+ * @read_index: index of the value last read
+ * @failures: store calls or commits that failed in a row
+ * @timer: starts the next commit
+ */
+struct medlar_partition_ {
+	medlar_writes_t *writes;
+	uint32_t generation;
+	uint32_t index;
+	medlar_claims_t claims;
+	medlar_claims_t resolved;
+	bool busy;
+	bool sealed;
+	bool retired;
+	bool slotted;
+	medlar_time_t floor;
+	uint64_t read_index;
+	uint32_t failures;
+	medlar_timer_t timer;
+};
+
+void medlar_claims_append(medlar_claims_t *claims, medlar_claim_t *claim);
+void medlar_claims_remove(medlar_claim_t *claim);
+bool medlar_claim_apply(medlar_claim_t *claim, medlar_partition_t *partition,
+			medlar_journal_t *journal, medlar_time_t wall);
+void medlar_claim_settle(medlar_claim_t *claim, medlar_partition_t *partition,
+			 medlar_store_status_t status);
+void medlar_claim_resolve(medlar_claim_t *claim, medlar_partition_t *partition,
+			  medlar_claim_end_t end);
+bool medlar_claim_abandon(medlar_claim_t *claim);
+
+void medlar_partition_init(medlar_partition_t *partition,
+			   medlar_writes_t *writes, uint32_t generation,
+			   uint32_t index);
+void medlar_partition_finish(medlar_partition_t *partition);
+void medlar_partition_add(medlar_partition_t *partition, medlar_claim_t *claim,
+			  medlar_time_t now);
+
+/*
+ * writes.c
+ */
+
+/** enum medlar_write_outcome - what a caller is told of a write */
+typedef enum medlar_write_outcome {
+	MEDLAR_WRITE_UNKNOWN,
+	MEDLAR_WRITE_RAN,
+	MEDLAR_WRITE_NOT_RUN,
+} medlar_write_outcome_t;
+
+/**
+ * struct medlar_write_answer - the end of a write as its caller sees it
+ * @outcome: what became of this request
+ * @error: %MEDLAR_OK, or why it did not run or is not known
+ * @result: result of the upstream; empty when none is kept
+ * @replayed: the result was recorded by an earlier request
+ */
+typedef struct medlar_write_answer {
+	medlar_write_outcome_t outcome;
+	int error;
+	medlar_str_t result;
+	bool replayed;
+} medlar_write_answer_t;
+
+/**
+ * struct medlar_writes_ops - actions and sources that writes ask for
+ * @dispatch: send the write to an upstream that was not tried; ended by
+ *	exactly one call of medlar_write_reply() or medlar_write_fail(), which
+ *	may come from within this call and may come after @answer
+ * @answer: the caller can be answered; called once, and the program may use
+ *	the write afterwards only if a dispatch has not ended
+ * @found: result of medlar_writes_look(); @entry is NULL when @error is set;
+ *	%MEDLAR_ERR_NOT_FOUND when no journal has the key
+ * @random: fill @out with @len unpredictable bytes
+ * @now: the current time on the clock of the timers
+ */
+typedef struct medlar_writes_ops {
+	void (*dispatch)(medlar_write_t *write, void *data);
+	void (*answer)(medlar_write_t *write,
+		       const medlar_write_answer_t *answer, void *data);
+	void (*found)(medlar_write_t *write, int error,
+		      const medlar_entry_t *entry, medlar_str_t result,
+		      void *data);
+	void (*random)(uint8_t *out, size_t len, void *data);
+	medlar_time_t (*now)(void *data);
+} medlar_writes_ops_t;
+
+/**
+ * struct medlar_writes_params - what the writes of a service are given
+ * @policy: configuration; name, window, partitions and queue_max are used
+ * @revision: revision of the configuration that @policy is from
+ * @store: key-value service
+ * @ops: actions
+ * @data: passed to @ops
+ * @epoch: Unix time in milliseconds when the clock of the timers shows 0
+ * @commits: most commits a second by this instance; 0 for no limit
+ */
+typedef struct medlar_writes_params {
+	const medlar_policy_t *policy;
+	uint64_t revision;
+	const medlar_store_t *store;
+	const medlar_writes_ops_t *ops;
+	void *data;
+	medlar_time_t epoch;
+	double commits;
+} medlar_writes_params_t;
+
+/**
+ * struct medlar_writes_stats - counters since the start
+ * @reads: store reads asked for
+ * @commits: compare-and-swaps asked for
+ * @conflicts: compare-and-swaps refused by the store
+ * @lost: compare-and-swaps without a reply
+ * @claims: claims committed
+ * @records: outcomes recorded
+ */
+typedef struct medlar_writes_stats {
+	uint64_t reads;
+	uint64_t commits;
+	uint64_t conflicts;
+	uint64_t lost;
+	uint64_t claims;
+	uint64_t records;
+} medlar_writes_stats_t;
+
+/**
+ * struct medlar_writes_ - writes of one service; members are private
+ * @client: client of the thread
+ * @policy: configuration in force
+ * @revision: its revision
+ * @store: key-value service
+ * @ops: actions
+ * @data: passed to @ops
+ * @epoch: Unix time when the clock shows 0
+ * @interval: least time between commits in the long run, ms
+ * @allowed: when the next commit is due at that rate, ms
+ * @layouts: layouts known to be in the store
+ * @layouts_known: @layouts was read
+ * @layouts_busy: a store call for the layouts is in flight
+ * @layouts_failures: such calls that failed in a row
+ * @layouts_index: index of the layouts value last read
+ * @layouts_timer: repeats such a call
+ * @waiting: claims that need newer layouts
+ * @generations: partitions of each layout; allocated when first used
+ * @writes_head: all writes
+ * @writes_len: how many
+ * @stats: counters
+ */
+struct medlar_writes_ {
+	medlar_client_t *client;
+	medlar_policy_t policy;
+	uint64_t revision;
+	medlar_store_t store;
+	medlar_writes_ops_t ops;
+	void *data;
+	medlar_time_t epoch;
+	double interval;
+	double allowed;
+	medlar_layouts_t layouts;
+	bool layouts_known;
+	bool layouts_busy;
+	uint32_t layouts_failures;
+	uint64_t layouts_index;
+	medlar_timer_t layouts_timer;
+	medlar_claims_t waiting;
+	medlar_partition_t **generations[MEDLAR_LAYOUTS_MAX];
+	medlar_write_t *writes_head;
+	size_t writes_len;
+	medlar_writes_stats_t stats;
+};
+
+void medlar_writes_init(medlar_client_t *client, medlar_writes_t *writes,
+			const medlar_writes_params_t *params);
+void medlar_writes_finish(medlar_writes_t *writes);
+void medlar_writes_set_policy(medlar_writes_t *writes,
+			      const medlar_policy_t *policy, uint64_t revision);
+void medlar_writes_set_commits(medlar_writes_t *writes, double commits);
+void medlar_writes_walk(medlar_writes_t *writes, medlar_claim_t *claim,
+			medlar_time_t now);
+void medlar_writes_reload(medlar_writes_t *writes, medlar_claim_t *claim);
+medlar_time_t medlar_writes_now(const medlar_writes_t *writes);
+medlar_time_t medlar_writes_wall(const medlar_writes_t *writes);
+medlar_time_t medlar_writes_backoff(medlar_client_t *client, uint32_t failures);
+void medlar_writes_key(const medlar_writes_t *writes, medlar_buf_t *out,
+		       const char *format, ...)
+	__attribute__((format(printf, 3, 4)));
+bool medlar_writes_is_down(const medlar_writes_t *writes,
+			   const medlar_claim_t *claim);
+
+/*
+ * write.c
+ */
+
+/** enum medlar_executed - what the reply of an upstream says it did */
+typedef enum medlar_executed {
+	MEDLAR_EXECUTED_UNKNOWN,
+	MEDLAR_EXECUTED_YES,
+	MEDLAR_EXECUTED_NO,
+} medlar_executed_t;
+
+/**
+ * struct medlar_write_params - a write as its caller sent it
+ * @key: idempotency key
+ * @deadline: absolute time by which the caller needs the answer
+ * @data: the program's own
+ */
+typedef struct medlar_write_params {
+	medlar_uuid_t key;
+	medlar_time_t deadline;
+	void *data;
+} medlar_write_params_t;
+
+/**
+ * struct medlar_write_ - one write; members are private
+ * @writes: service
+ * @next: next write of the service
+ * @prev: previous write of the service
+ * @claim: its claim
+ * @deadline: by when the caller needs the answer
+ * @data: the program's own
+ * @timer: fires shortly before the deadline
+ * @attempts: dispatches made
+ * @look: it only reads
+ * @in_flight: a dispatch has not ended
+ * @answered: the caller was answered
+ * @claimed: the claim is known to be committed and not yet closed
+ * @closed: nothing is left to be asked of the journal
+ * @outcome: what is known of the run
+ */
+struct medlar_write_ {
+	medlar_writes_t *writes;
+	medlar_write_t *next;
+	medlar_write_t *prev;
+	medlar_claim_t claim;
+	medlar_time_t deadline;
+	void *data;
+	medlar_timer_t timer;
+	uint32_t attempts;
+	bool look;
+	bool in_flight;
+	bool answered;
+	bool claimed;
+	bool closed;
+	medlar_write_outcome_t outcome;
+};
+
+medlar_write_outcome_t medlar_write_refusal(int error);
+int medlar_write_start(medlar_writes_t *writes,
+		       const medlar_write_params_t *params,
+		       medlar_write_t **out);
+int medlar_writes_look(medlar_writes_t *writes,
+		       const medlar_write_params_t *params,
+		       medlar_write_t **out);
+void medlar_write_reply(medlar_write_t *write, medlar_executed_t executed,
+			medlar_str_t result);
+void medlar_write_fail(medlar_write_t *write, medlar_fault_t fault);
+void medlar_write_resolved(medlar_write_t *write);
+void medlar_write_free(medlar_write_t *write);
+const medlar_uuid_t *medlar_write_key(const medlar_write_t *write);
+const medlar_token_t *medlar_write_token(const medlar_write_t *write);
+medlar_time_t medlar_write_deadline(const medlar_write_t *write);
+void *medlar_write_data(const medlar_write_t *write);
+const char *medlar_claim_state_name(medlar_claim_state_t state);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/libmedlar/write.c
@@ -0,0 +1,442 @@
+/**
+ * DOC: one write from its caller's request to the recorded outcome
+ *
+ * A write is dispatched only after its claim is known to be committed and only
+ * while enough time is left. It counts as not run only when it was never
+ * dispatched, or when every dispatch is known not to have been executed. The
+ * object outlives the answer until its dispatch has ended and its outcome is
+ * recorded.
+ */
+#include <stdlib.h>
+
+#include "medlar.h"
+
+#ifndef MEDLAR_MUTANT
+/* Tests of the explorer put faults into the protocol here. */
+#define MEDLAR_MUTANT(name) false
+#endif
+
+#define ANSWER_MARGIN ((medlar_time_t)5) /* ms kept to send the answer */
+#define DISPATCH_MIN ((medlar_time_t)10) /* ms an upstream needs at least */
+#define ATTEMPTS_MAX 4
+#define WRITES_MAX 65536 /* writes of one service in memory */
+
+static const char *const outcome_names[] = {
+	[MEDLAR_WRITE_UNKNOWN] = "unknown",
+	[MEDLAR_WRITE_RAN] = "ran",
+	[MEDLAR_WRITE_NOT_RUN] = "not_run",
+};
+
+/**
+ * medlar_write_free() - release a write
+ * @write: write; its claim leaves its list
+ */
+void medlar_write_free(medlar_write_t *write)
+{
+	medlar_writes_t *writes = write->writes;
+
+	medlar_timer_clear(writes->client, &write->timer);
+	medlar_claims_remove(&write->claim);
+	medlar_buf_finish(&write->claim.result);
+	if (write->prev)
+		write->prev->next = write->next;
+	else
+		writes->writes_head = write->next;
+	if (write->next)
+		write->next->prev = write->prev;
+	writes->writes_len--;
+	free(write);
+}
+
+static void free_if_done(medlar_write_t *write)
+{
+	if (write->answered && write->closed && !write->in_flight)
+		medlar_write_free(write);
+}
+
+static void trace(const medlar_write_t *write,
+		  const medlar_write_answer_t *answer)
+{
+	char key[MEDLAR_UUID_TEXT_LEN + 1];
+	const char *error = medlar_error_name(answer->error);
+
+	medlar_uuid_format(&write->claim.key, key);
+	MEDLAR_TRACE(
+		write->writes->client, MEDLAR_EVENT_WRITE,
+		MEDLAR_TEXT("key", medlar_str_from(key)),
+		MEDLAR_TEXT("outcome",
+			    medlar_str_from(outcome_names[answer->outcome])),
+		MEDLAR_TEXT("error", medlar_str_from(error)),
+		MEDLAR_NUM("attempts", write->attempts),
+		MEDLAR_NUM("replayed", answer->replayed));
+}
+
+static void answer(medlar_write_t *write, medlar_write_answer_t answer)
+{
+	if (write->answered)
+		return;
+	write->answered = true;
+	medlar_timer_clear(write->writes->client, &write->timer);
+	if (write->look) {
+		write->writes->ops.found(write, answer.error, NULL,
+					 MEDLAR_STR(""), write->writes->data);
+		return;
+	}
+	trace(write, &answer);
+	write->writes->ops.answer(write, &answer, write->writes->data);
+}
+
+static void answer_plain(medlar_write_t *write, medlar_write_outcome_t outcome,
+			 int error)
+{
+	answer(write,
+	       (medlar_write_answer_t){ .outcome = outcome, .error = error });
+}
+
+static void record(medlar_write_t *write, medlar_claim_state_t state,
+		   medlar_str_t result)
+{
+	medlar_writes_t *writes = write->writes;
+	medlar_claim_t *claim = &write->claim;
+
+	claim->want = MEDLAR_WANT_RECORD;
+	claim->state = state;
+	medlar_buf_reset(&claim->result);
+	medlar_buf_add(&claim->result, result);
+	medlar_writes_walk(writes, claim, medlar_writes_now(writes));
+}
+
+static void end_not_run(medlar_write_t *write, int error)
+{
+	record(write, MEDLAR_CLAIM_NOT_RUN, MEDLAR_STR(""));
+	answer_plain(write, MEDLAR_WRITE_NOT_RUN, error);
+	free_if_done(write);
+}
+
+static void end_unknown(medlar_write_t *write, int error)
+{
+	write->closed = true;
+	answer_plain(write, MEDLAR_WRITE_UNKNOWN, error);
+	free_if_done(write);
+}
+
+static bool has_time(const medlar_write_t *write)
+{
+	return write->deadline - medlar_writes_now(write->writes) >=
+	       DISPATCH_MIN;
+}
+
+static void dispatch(medlar_write_t *write)
+{
+	write->in_flight = true;
+	write->attempts++;
+	write->writes->ops.dispatch(write, write->writes->data);
+}
+
+static void on_committed(medlar_write_t *write)
+{
+	write->writes->stats.claims++;
+	write->claimed = true;
+	if (has_time(write))
+		dispatch(write);
+	else
+		end_not_run(write, MEDLAR_ERR_DEADLINE);
+}
+
+static void tell_found(medlar_write_t *write)
+{
+	const medlar_claim_t *claim = &write->claim;
+
+	write->answered = true;
+	write->writes->ops.found(write, MEDLAR_OK, &claim->found,
+				 medlar_buf_str(&claim->result),
+				 write->writes->data);
+}
+
+static void replay(medlar_write_t *write)
+{
+	answer(write, (medlar_write_answer_t){
+			      .outcome = MEDLAR_WRITE_RAN,
+			      .result = medlar_buf_str(&write->claim.result),
+			      .replayed = true,
+		      });
+}
+
+static void on_taken(medlar_write_t *write)
+{
+	write->closed = true;
+	if (write->look)
+		tell_found(write);
+	else if (write->claim.found.state == MEDLAR_CLAIM_RAN)
+		replay(write);
+	else
+		answer_plain(write, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_CONFLICT);
+	free_if_done(write);
+}
+
+static void on_expired(medlar_write_t *write)
+{
+	end_unknown(write, MEDLAR_ERR_EXPIRED);
+}
+
+static void on_full(medlar_write_t *write)
+{
+	write->closed = true;
+	answer_plain(write, MEDLAR_WRITE_NOT_RUN, MEDLAR_ERR_FULL);
+	free_if_done(write);
+}
+
+static void on_recorded(medlar_write_t *write)
+{
+	write->writes->stats.records++;
+	write->closed = true;
+	free_if_done(write);
+}
+
+static void on_absent(medlar_write_t *write)
+{
+	end_unknown(write, MEDLAR_ERR_NOT_FOUND);
+}
+
+static void (*const end_fns[MEDLAR_END_COUNT])(medlar_write_t *write) = {
+	[MEDLAR_END_COMMITTED] = on_committed, [MEDLAR_END_TAKEN] = on_taken,
+	[MEDLAR_END_EXPIRED] = on_expired,     [MEDLAR_END_FULL] = on_full,
+	[MEDLAR_END_RECORDED] = on_recorded,   [MEDLAR_END_ABSENT] = on_absent,
+};
+
+/**
+ * medlar_write_resolved() - go on with what a journal told
+ * @write: write whose claim is resolved; may be freed
+ */
+void medlar_write_resolved(medlar_write_t *write)
+{
+	end_fns[write->claim.end](write);
+}
+
+static void on_deadline(medlar_client_t *client, medlar_timer_t *timer,
+			medlar_time_t now, void *data)
+{
+	medlar_write_t *write = data;
+	int error = MEDLAR_ERR_DEADLINE;
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	if (write->claimed) {
+		answer_plain(write, MEDLAR_WRITE_UNKNOWN, error);
+		return;
+	}
+	if (medlar_writes_is_down(write->writes, &write->claim))
+		error = MEDLAR_ERR_STORE_DOWN;
+	write->closed = medlar_claim_abandon(&write->claim);
+	answer_plain(write, MEDLAR_WRITE_NOT_RUN, error);
+	free_if_done(write);
+}
+
+static medlar_write_t *create(medlar_writes_t *writes,
+			      const medlar_write_params_t *params)
+{
+	medlar_write_t *write = calloc(1, sizeof(*write));
+
+	if (!write)
+		return NULL;
+	write->writes = writes;
+	write->claim.key = params->key;
+	write->claim.write = write;
+	write->deadline = params->deadline;
+	write->data = params->data;
+	medlar_timer_init(&write->timer, on_deadline, write);
+	write->next = writes->writes_head;
+	if (write->next)
+		write->next->prev = write;
+	writes->writes_head = write;
+	writes->writes_len++;
+	return write;
+}
+
+static int begin(medlar_writes_t *writes, const medlar_write_params_t *params,
+		 bool look, medlar_write_t **out)
+{
+	medlar_time_t due = params->deadline - ANSWER_MARGIN;
+	medlar_time_t now = medlar_writes_now(writes);
+	medlar_write_t *write;
+
+	if (writes->writes_len >= WRITES_MAX)
+		return MEDLAR_ERR_OVERLOAD;
+	if (due <= now)
+		return MEDLAR_ERR_DEADLINE;
+	write = create(writes, params);
+	if (!write)
+		return MEDLAR_ERR_NOMEM;
+	if (medlar_timer_set(writes->client, &write->timer, due)) {
+		medlar_write_free(write);
+		return MEDLAR_ERR_NOMEM;
+	}
+	write->look = look;
+	write->claim.want = look ? MEDLAR_WANT_LOOK : MEDLAR_WANT_CLAIM;
+	writes->ops.random(write->claim.token.bytes, MEDLAR_TOKEN_LEN,
+			   writes->data);
+	*out = write;
+	medlar_writes_walk(writes, &write->claim, now);
+	return MEDLAR_OK;
+}
+
+static int check_age(const medlar_writes_t *writes, const medlar_uuid_t *key)
+{
+	medlar_time_t age = medlar_writes_wall(writes) - medlar_uuid_time(key);
+
+	if (age > writes->policy.window)
+		return MEDLAR_ERR_EXPIRED;
+	return age < -MEDLAR_CLAIM_SKEW ? MEDLAR_ERR_RANGE : MEDLAR_OK;
+}
+
+/**
+ * medlar_write_start() - claim the key of a write and run it
+ * @writes: writes of the service
+ * @params: the request
+ * @out: the write; answered later, never from within this call
+ *
+ * Return: %MEDLAR_OK; or an error, whose outcome medlar_write_refusal() tells:
+ * %MEDLAR_ERR_EXPIRED when the key is older than the window, %MEDLAR_ERR_RANGE
+ * when it is too far in the future, %MEDLAR_ERR_DEADLINE, %MEDLAR_ERR_OVERLOAD
+ * or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_write_start(medlar_writes_t *writes,
+		       const medlar_write_params_t *params,
+		       medlar_write_t **out)
+{
+	int error = check_age(writes, &params->key);
+
+	if (error)
+		return error;
+	return begin(writes, params, false, out);
+}
+
+/**
+ * medlar_write_refusal() - outcome of a write that was refused at the start
+ * @error: error of medlar_write_start()
+ *
+ * A key past the window may have run before its entry was dropped.
+ *
+ * Return: the outcome to tell.
+ */
+medlar_write_outcome_t medlar_write_refusal(int error)
+{
+	return error == MEDLAR_ERR_EXPIRED ? MEDLAR_WRITE_UNKNOWN
+					   : MEDLAR_WRITE_NOT_RUN;
+}
+
+/**
+ * medlar_writes_look() - read what is known of a key
+ * @writes: writes of the service
+ * @params: key and deadline
+ * @out: the look; ended by the found action, never from within this call
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_DEADLINE, %MEDLAR_ERR_OVERLOAD or
+ * %MEDLAR_ERR_NOMEM.
+ */
+int medlar_writes_look(medlar_writes_t *writes,
+		       const medlar_write_params_t *params,
+		       medlar_write_t **out)
+{
+	return begin(writes, params, true, out);
+}
+
+static void retry_or_end(medlar_write_t *write)
+{
+	if (!write->answered && write->attempts < ATTEMPTS_MAX &&
+	    has_time(write))
+		dispatch(write);
+	else
+		end_not_run(write, MEDLAR_ERR_UNAVAILABLE);
+}
+
+/**
+ * medlar_write_reply() - the upstream answered the dispatch in flight
+ * @write: write; may be freed
+ * @executed: what the upstream says it did
+ * @result: its result
+ */
+void medlar_write_reply(medlar_write_t *write, medlar_executed_t executed,
+			medlar_str_t result)
+{
+	write->in_flight = false;
+	if (executed == MEDLAR_EXECUTED_NO) {
+		retry_or_end(write);
+		return;
+	}
+	if (executed == MEDLAR_EXECUTED_UNKNOWN) {
+		end_unknown(write, MEDLAR_ERR_IO);
+		return;
+	}
+	record(write, MEDLAR_CLAIM_RAN, result);
+	answer(write, (medlar_write_answer_t){
+			      .outcome = MEDLAR_WRITE_RAN,
+			      .result = result,
+		      });
+	free_if_done(write);
+}
+
+static bool is_unsent(medlar_fault_t fault)
+{
+	return fault == MEDLAR_FAULT_REFUSED || fault == MEDLAR_FAULT_UNSENT ||
+	       (fault == MEDLAR_FAULT_RESET && MEDLAR_MUTANT(RESET_RETRIED));
+}
+
+/**
+ * medlar_write_fail() - the dispatch in flight ended without a reply
+ * @write: write; may be freed
+ * @fault: how it ended
+ */
+void medlar_write_fail(medlar_write_t *write, medlar_fault_t fault)
+{
+	write->in_flight = false;
+	if (is_unsent(fault))
+		retry_or_end(write);
+	else
+		end_unknown(write, MEDLAR_ERR_IO);
+}
+
+/**
+ * medlar_write_key() - idempotency key of a write
+ * @write: write
+ *
+ * Return: the key, valid while the write is.
+ */
+const medlar_uuid_t *medlar_write_key(const medlar_write_t *write)
+{
+	return &write->claim.key;
+}
+
+/**
+ * medlar_write_token() - token of the claim, sent with each dispatch
+ * @write: write
+ *
+ * Return: the token, valid while the write is.
+ */
+const medlar_token_t *medlar_write_token(const medlar_write_t *write)
+{
+	return &write->claim.token;
+}
+
+/**
+ * medlar_write_deadline() - by when the caller needs the answer
+ * @write: write
+ *
+ * Return: absolute time, ms.
+ */
+medlar_time_t medlar_write_deadline(const medlar_write_t *write)
+{
+	return write->deadline;
+}
+
+/**
+ * medlar_write_data() - what the program passed at the start
+ * @write: write
+ *
+ * Return: the program's own pointer.
+ */
+void *medlar_write_data(const medlar_write_t *write)
+{
+	return write->data;
+}
--- /dev/null
+++ b/tests/prop_journal.cc
@@ -0,0 +1,270 @@
+/* Journals, layouts and keys against naive versions. */
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "prop.hh"
+
+/* Room for a few entries, so that results have to give way. */
+static const size_t limit = 1500;
+static const medlar_time_t base = 1000000;
+
+struct Naive {
+	uint8_t token;
+	medlar_claim_state_t state;
+	std::string result;
+};
+
+using Map = std::map<std::string, Naive>;
+
+struct Step {
+	uint8_t key;
+	uint8_t token;
+	uint8_t state;
+	uint8_t length;
+};
+
+namespace rc
+{
+template <> struct Arbitrary<Step> {
+	static Gen<Step> arbitrary()
+	{
+		return gen::build<Step>(
+			gen::set(&Step::key, gen::inRange<uint8_t>(0, 40)),
+			gen::set(&Step::token),
+			gen::set(&Step::state, gen::inRange<uint8_t>(0, 3)),
+			gen::set(&Step::length));
+	}
+};
+} // namespace rc
+
+static std::ostream &operator<<(std::ostream &out, const Step &step)
+{
+	return out << int(step.key) << '/' << int(step.token) << '/'
+		   << int(step.state) << '/' << int(step.length);
+}
+
+static medlar_uuid_t make_key(uint8_t number)
+{
+	uint8_t random[10] = { number };
+	medlar_uuid_t key;
+
+	medlar_uuid_make(&key, base + number % 8, random);
+	return key;
+}
+
+static std::string key_bytes(const medlar_uuid_t &key)
+{
+	return std::string((const char *)key.bytes, MEDLAR_UUID_LEN);
+}
+
+/* Claims the key, or records an outcome if it is claimed already. */
+static void take_step(medlar_journal_t *journal, Map &map, const Step &step)
+{
+	medlar_entry_t entry = {};
+	std::string result(step.length, 'x');
+	auto state = (medlar_claim_state_t)step.state;
+
+	entry.key = make_key(step.key);
+	entry.token.bytes[0] = step.token;
+	entry.time = base;
+	auto at = map.find(key_bytes(entry.key));
+	int error = medlar_journal_claim(journal, &entry, limit);
+
+	if (at == map.end() || at->second.state == MEDLAR_CLAIM_NOT_RUN) {
+		RC_ASSERT(error == MEDLAR_OK || error == MEDLAR_ERR_FULL);
+		if (error == MEDLAR_OK)
+			map[key_bytes(entry.key)] = { step.token,
+						      MEDLAR_CLAIM_CLAIMED,
+						      "" };
+		return;
+	}
+	RC_ASSERT(error == MEDLAR_ERR_CONFLICT);
+	medlar_entry_t *held = medlar_journal_find(journal, &entry.key);
+	medlar_str_t str = { result.data(), result.size() };
+
+	RC_ASSERT(medlar_journal_record(journal, held, state, str, limit) ==
+		  MEDLAR_OK);
+	at->second.state = state;
+	at->second.result = state == MEDLAR_CLAIM_RAN ? result : "";
+}
+
+/* Same keys, tokens and states; a result is whole or was dropped. */
+static void compare(const medlar_journal_t *journal, const Map &map)
+{
+	RC_ASSERT(journal->len == map.size());
+	RC_ASSERT(journal->size <= limit);
+	for (size_t i = 0; i < journal->len; i++) {
+		const medlar_entry_t *entry = &journal->entries[i];
+		auto at = map.find(key_bytes(entry->key));
+		medlar_str_t result = medlar_journal_result(journal, entry);
+
+		RC_ASSERT(at != map.end());
+		RC_ASSERT(entry->token.bytes[0] == at->second.token);
+		RC_ASSERT(entry->state == at->second.state);
+		RC_ASSERT(result.len == 0 ||
+			  at->second.result ==
+				  std::string(result.ptr, result.len));
+	}
+}
+
+static void round_trip(const std::vector<Step> &steps)
+{
+	medlar_journal_t journal;
+	medlar_journal_t copy;
+	medlar_buf_t value;
+	medlar_buf_t again;
+	Map map;
+
+	medlar_journal_init(&journal);
+	medlar_journal_init(&copy);
+	medlar_buf_init(&value);
+	medlar_buf_init(&again);
+	for (const Step &step : steps)
+		take_step(&journal, map, step);
+	compare(&journal, map);
+	medlar_journal_encode(&journal, &value);
+	RC_ASSERT(value.len == journal.size);
+	RC_ASSERT(medlar_journal_decode(&copy, medlar_buf_str(&value)) ==
+		  MEDLAR_OK);
+	compare(&copy, map);
+	RC_ASSERT(copy.size == journal.size);
+	medlar_journal_encode(&copy, &again);
+	RC_ASSERT(medlar_str_equal(medlar_buf_str(&value),
+				   medlar_buf_str(&again)));
+	medlar_journal_finish(&journal);
+	medlar_journal_finish(&copy);
+	medlar_buf_finish(&value);
+	medlar_buf_finish(&again);
+}
+
+static void expiry(const std::vector<Step> &steps, uint8_t age)
+{
+	medlar_time_t oldest = base + age % 10;
+	medlar_journal_t journal;
+	Map map;
+
+	medlar_journal_init(&journal);
+	for (const Step &step : steps)
+		take_step(&journal, map, step);
+	medlar_journal_expire(&journal, oldest);
+	for (auto at = map.begin(); at != map.end();) {
+		medlar_uuid_t key;
+
+		memcpy(key.bytes, at->first.data(), MEDLAR_UUID_LEN);
+		if (medlar_uuid_time(&key) >= oldest) {
+			at++;
+			continue;
+		}
+		RC_ASSERT(journal.floor >= medlar_uuid_time(&key));
+		at = map.erase(at);
+	}
+	RC_ASSERT(journal.floor < oldest);
+	compare(&journal, map);
+	medlar_journal_finish(&journal);
+}
+
+static void damage(const std::vector<Step> &steps, uint32_t at, uint8_t bits)
+{
+	medlar_journal_t journal;
+	medlar_buf_t value;
+	Map map;
+
+	RC_PRE(bits != 0);
+	medlar_journal_init(&journal);
+	medlar_buf_init(&value);
+	for (const Step &step : steps)
+		take_step(&journal, map, step);
+	medlar_journal_encode(&journal, &value);
+	value.ptr[at % value.len] ^= (char)bits;
+	medlar_journal_finish(&journal);
+	RC_ASSERT(medlar_journal_decode(&journal, medlar_buf_str(&value)) ==
+		  MEDLAR_ERR_PROTOCOL);
+	RC_ASSERT(journal.len == 0u);
+	medlar_buf_finish(&value);
+}
+
+static void garbage(const std::string &bytes)
+{
+	medlar_journal_t journal;
+	medlar_layouts_t layouts;
+	medlar_uuid_t uuid;
+	medlar_str_t str = { bytes.data(), bytes.size() };
+
+	RC_PRE(!bytes.empty());
+	medlar_journal_init(&journal);
+	RC_ASSERT(medlar_journal_decode(&journal, str) == MEDLAR_ERR_PROTOCOL);
+	RC_ASSERT(medlar_uuid_parse(str, &uuid) == MEDLAR_ERR_SYNTAX);
+	medlar_layouts_parse(&layouts, str);
+}
+
+static void uuid_text(uint64_t time, std::vector<uint8_t> random)
+{
+	char text[MEDLAR_UUID_TEXT_LEN + 1];
+	medlar_uuid_t key;
+	medlar_uuid_t copy;
+
+	random.resize(10);
+	time &= (UINT64_C(1) << 48) - 1;
+	medlar_uuid_make(&key, (medlar_time_t)time, random.data());
+	RC_ASSERT((uint64_t)medlar_uuid_time(&key) == time);
+	medlar_uuid_format(&key, text);
+	RC_ASSERT(medlar_uuid_parse(medlar_str_from(text), &copy) == MEDLAR_OK);
+	RC_ASSERT(key_bytes(key) == key_bytes(copy));
+}
+
+static void layout_text(uint32_t partitions, uint32_t window)
+{
+	medlar_layout_t layout = medlar_layout_make(partitions, window, 5);
+	medlar_layouts_t layouts = {};
+	medlar_layouts_t copy;
+	medlar_buf_t text;
+
+	medlar_buf_init(&text);
+	RC_ASSERT(medlar_layouts_add(&layouts, &layout));
+	RC_ASSERT(!medlar_layouts_add(&layouts, &layout));
+	medlar_layouts_write(&layouts, &text);
+	RC_ASSERT(medlar_layouts_parse(&copy, medlar_buf_str(&text)) ==
+		  MEDLAR_OK);
+	RC_ASSERT(copy.len == 1u);
+	RC_ASSERT(copy.items[0].partitions == layout.partitions);
+	RC_ASSERT(copy.items[0].slice == layout.slice);
+	RC_ASSERT(copy.items[0].revision == 5u);
+	medlar_buf_finish(&text);
+}
+
+/* A group of journals is used again only when its keys are past the window. */
+static void turns(uint8_t partitions, uint16_t window, uint16_t apart)
+{
+	medlar_layout_t layout = medlar_layout_make(partitions, window, 1);
+	uint8_t random[10] = { 1 };
+	medlar_uuid_t a;
+	medlar_uuid_t b;
+
+	medlar_uuid_make(&a, base, random);
+	medlar_uuid_make(&b, base + apart, random);
+	RC_ASSERT(medlar_layout_place(&layout, &a) < layout.partitions);
+	if (layout.slices == 1 || apart > window)
+		return;
+	uint32_t width = layout.partitions / layout.slices;
+	bool same_turn = base / layout.slice == (base + apart) / layout.slice;
+	bool same_group = medlar_layout_place(&layout, &a) / width ==
+			  medlar_layout_place(&layout, &b) / width;
+
+	RC_ASSERT(same_turn == same_group);
+}
+
+int main()
+{
+	Properties props;
+
+	props.check("stored_form_round_trips", round_trip);
+	props.check("expiry_keeps_every_entry_in_the_window", expiry);
+	props.check("damage_is_noticed", damage);
+	props.check("garbage_is_refused", garbage);
+	props.check("uuid_text_round_trips", uuid_text);
+	props.check("layout_text_round_trips", layout_text);
+	props.check("turns_outlast_the_window", turns);
+	return props.status();
+}
