--- /dev/null
+++ b/bench/write_model.h
@@ -0,0 +1,519 @@
+/**
+ * DOC: a model of instances, callers, the store and an upstream for writes
+ *
+ * Runs the real write code on a virtual clock. The store has a latency and
+ * limits on reads and writes; what exceeds them queues. Shared by the
+ * measurements and the tests of writes.
+ */
+#ifndef BENCH_WRITE_MODEL_H
+#define BENCH_WRITE_MODEL_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libmedlar/medlar.h"
+
+#define MODEL_INSTANCES_MAX 16
+#define MODEL_SLOTS 16384 /* of the hash table of values */
+#define MODEL_NAME_MAX 64
+#define MODEL_EPOCH ((medlar_time_t)1700000000000)
+#define MODEL_US 1000 /* microseconds in a millisecond */
+
+typedef struct model model_t;
+
+/** struct model_value - a value of the modelled store */
+typedef struct model_value {
+	char name[MODEL_NAME_MAX];
+	medlar_buf_t bytes;
+	uint64_t index;
+} model_value_t;
+
+/** struct model_call - a store call under way */
+typedef struct model_call {
+	model_value_t *value;
+	bool cas;
+	uint64_t index;
+	medlar_buf_t bytes;
+	medlar_store_status_t status;
+	bool lost;
+	medlar_store_fn_t done;
+	void *done_data;
+} model_call_t;
+
+/** struct model_request - a request of a caller and what became of it */
+typedef struct model_request {
+	medlar_uuid_t key;
+	int instance;
+	int64_t sent; /* when the caller sent it, us */
+	int64_t dispatched; /* first dispatch, us */
+	int64_t told; /* when the caller was answered, us */
+	medlar_write_answer_t answer;
+	uint32_t dispatches;
+	uint32_t executions;
+	medlar_token_t token;
+} model_request_t;
+
+typedef void (*model_fn_t)(model_t *model, void *data);
+
+/** struct model_event - something that happens at a time */
+typedef struct model_event {
+	int64_t at;
+	uint64_t order;
+	model_fn_t fn;
+	void *data;
+} model_event_t;
+
+/** struct model_instance - one instance with its writes */
+typedef struct model_instance {
+	model_t *model;
+	medlar_client_t client;
+	medlar_writes_t writes;
+} model_instance_t;
+
+/**
+ * struct model - everything
+ * @now: virtual time, us
+ * @round_trip: of a store call, us
+ * @writes_limit: compare-and-swaps a second
+ * @reads_limit: reads a second
+ * @down: the store refuses connections
+ * @lost: share of store replies that are lost
+ * @refused: share of dispatches that the upstream does not execute
+ * @reset: share of dispatches whose connection breaks, before or after
+ * @upstream: time the upstream takes, us
+ * @written: bytes written to the store
+ * @second_calls: store calls in the second that started at @second
+ * @peak_calls: most store calls in one second
+ */
+struct model {
+	int64_t now;
+	model_event_t *events;
+	size_t len;
+	size_t cap;
+	uint64_t order;
+	medlar_rand_t rand;
+	model_value_t *values;
+	uint64_t index;
+	int64_t round_trip;
+	double writes_limit;
+	double reads_limit;
+	int64_t next_write;
+	int64_t next_read;
+	bool down;
+	double lost;
+	double refused;
+	double reset;
+	int64_t upstream;
+	uint64_t written;
+	uint64_t calls;
+	int64_t second;
+	uint64_t second_calls;
+	uint64_t peak_calls;
+	model_instance_t instances[MODEL_INSTANCES_MAX];
+	int instances_len;
+	medlar_entry_t found;
+	int found_error;
+};
+
+static inline bool model_before(const model_event_t *a, const model_event_t *b)
+{
+	return a->at < b->at || (a->at == b->at && a->order < b->order);
+}
+
+static inline void model_swap(model_event_t *a, model_event_t *b)
+{
+	model_event_t event = *a;
+
+	*a = *b;
+	*b = event;
+}
+
+static inline void model_at(model_t *model, int64_t at, model_fn_t fn,
+			    void *data)
+{
+	size_t i = model->len++;
+
+	if (model->len > model->cap) {
+		model->cap = model->cap ? 2 * model->cap : 256;
+		model->events = realloc(model->events,
+					model->cap * sizeof(*model->events));
+		if (!model->events)
+			abort();
+	}
+	model->events[i] = (model_event_t){ at, model->order++, fn, data };
+	for (; i > 0; i = (i - 1) / 2) {
+		model_event_t *parent = &model->events[(i - 1) / 2];
+
+		if (model_before(parent, &model->events[i]))
+			break;
+		model_swap(parent, &model->events[i]);
+	}
+}
+
+static inline model_event_t model_pop(model_t *model)
+{
+	model_event_t first = model->events[0];
+	size_t i = 0;
+
+	model->events[0] = model->events[--model->len];
+	for (;;) {
+		size_t child = 2 * i + 1;
+
+		if (child >= model->len)
+			return first;
+		if (child + 1 < model->len &&
+		    model_before(&model->events[child + 1],
+				 &model->events[child]))
+			child++;
+		if (model_before(&model->events[i], &model->events[child]))
+			return first;
+		model_swap(&model->events[i], &model->events[child]);
+		i = child;
+	}
+}
+
+static inline model_value_t *model_value(model_t *model, medlar_str_t name)
+{
+	size_t at = medlar_str_hash(name, 9) % MODEL_SLOTS;
+
+	while (model->values[at].name[0] &&
+	       !medlar_str_equal(medlar_str_from(model->values[at].name), name))
+		at = (at + 1) % MODEL_SLOTS;
+	if (!model->values[at].name[0])
+		snprintf(model->values[at].name, MODEL_NAME_MAX, "%.*s",
+			 (int)name.len, name.ptr);
+	return &model->values[at];
+}
+
+static inline void model_apply(model_t *model, void *data)
+{
+	model_call_t *call = data;
+	model_value_t *value = call->value;
+
+	call->status = MEDLAR_STORE_OK;
+	if (call->cas && call->index != value->index) {
+		call->status = MEDLAR_STORE_CONFLICT;
+	} else if (call->cas) {
+		medlar_buf_reset(&value->bytes);
+		medlar_buf_add(&value->bytes, medlar_buf_str(&call->bytes));
+		value->index = ++model->index;
+		model->written += call->bytes.len;
+	} else if (value->index == 0) {
+		call->status = MEDLAR_STORE_MISSING;
+	} else {
+		medlar_buf_add(&call->bytes, medlar_buf_str(&value->bytes));
+		call->index = value->index;
+	}
+}
+
+static inline void model_return(model_t *model, void *data)
+{
+	model_call_t *call = data;
+	medlar_store_reply_t reply = {
+		.status = call->lost ? MEDLAR_STORE_UNKNOWN : call->status,
+		.value = medlar_buf_str(&call->bytes),
+		.index = call->index,
+	};
+
+	(void)model;
+	call->done(&reply, call->done_data);
+	medlar_buf_finish(&call->bytes);
+	free(call);
+}
+
+static inline void model_count(model_t *model)
+{
+	int64_t second = model->now / (MODEL_US * MEDLAR_SECOND);
+
+	model->calls++;
+	if (second != model->second)
+		model->second_calls = 0;
+	model->second = second;
+	if (++model->second_calls > model->peak_calls)
+		model->peak_calls = model->second_calls;
+}
+
+static inline void model_send(model_t *model, model_call_t *call)
+{
+	double limit = call->cas ? model->writes_limit : model->reads_limit;
+	int64_t *next = call->cas ? &model->next_write : &model->next_read;
+	int64_t start = model->now;
+
+	model_count(model);
+	if (model->down) {
+		call->status = MEDLAR_STORE_DOWN;
+		model_at(model, model->now + MODEL_US, model_return, call);
+		return;
+	}
+	if (*next > start)
+		start = *next;
+	*next = start + (int64_t)(MODEL_US * MEDLAR_SECOND / limit);
+	call->lost = medlar_rand_unit(&model->rand) < model->lost;
+	/* A call that is lost takes effect at any time, or never. */
+	if (!call->lost || medlar_rand_below(&model->rand, 2))
+		model_at(model, start + model->round_trip / 2, model_apply,
+			 call);
+	model_at(model, start + model->round_trip, model_return, call);
+}
+
+static inline model_call_t *model_new_call(model_instance_t *instance,
+					   medlar_str_t key,
+					   medlar_store_fn_t done,
+					   void *done_data)
+{
+	model_call_t *call = calloc(1, sizeof(*call));
+
+	if (!call)
+		abort();
+	call->value = model_value(instance->model, key);
+	call->done = done;
+	call->done_data = done_data;
+	return call;
+}
+
+static inline int model_get(void *data, medlar_str_t key,
+			    medlar_store_fn_t done, void *done_data)
+{
+	model_instance_t *instance = data;
+
+	model_send(instance->model,
+		   model_new_call(instance, key, done, done_data));
+	return MEDLAR_OK;
+}
+
+static inline int model_cas(void *data, medlar_str_t key, medlar_str_t value,
+			    uint64_t index, medlar_store_fn_t done,
+			    void *done_data)
+{
+	model_instance_t *instance = data;
+	model_call_t *call = model_new_call(instance, key, done, done_data);
+
+	call->cas = true;
+	call->index = index;
+	medlar_buf_add(&call->bytes, value);
+	model_send(instance->model, call);
+	return MEDLAR_OK;
+}
+
+static inline model_request_t *model_request_of(const medlar_write_t *write)
+{
+	return medlar_write_data(write);
+}
+
+static inline void model_executed(model_t *model, void *data)
+{
+	medlar_write_t *write = data;
+
+	(void)model;
+	model_request_of(write)->executions++;
+	medlar_write_reply(write, MEDLAR_EXECUTED_YES,
+			   MEDLAR_STR("{\"receipt\":1}"));
+}
+
+static inline void model_refused(model_t *model, void *data)
+{
+	(void)model;
+	medlar_write_reply(data, MEDLAR_EXECUTED_NO, MEDLAR_STR(""));
+}
+
+static inline void model_broken(model_t *model, void *data)
+{
+	medlar_write_t *write = data;
+
+	if (medlar_rand_below(&model->rand, 2))
+		model_request_of(write)->executions++;
+	medlar_write_fail(write, MEDLAR_FAULT_RESET);
+}
+
+static inline void model_dispatch(medlar_write_t *write, void *data)
+{
+	model_t *model = ((model_instance_t *)data)->model;
+	model_request_t *request = model_request_of(write);
+	double chance = medlar_rand_unit(&model->rand);
+	model_fn_t end = model_executed;
+
+	if (request->dispatches++ == 0)
+		request->dispatched = model->now;
+	request->token = *medlar_write_token(write);
+	if (chance < model->refused)
+		end = model_refused;
+	else if (chance < model->refused + model->reset)
+		end = model_broken;
+	model_at(model, model->now + model->upstream, end, write);
+}
+
+static inline void model_answer(medlar_write_t *write,
+				const medlar_write_answer_t *answer, void *data)
+{
+	model_t *model = ((model_instance_t *)data)->model;
+	model_request_t *request = model_request_of(write);
+
+	request->told = model->now;
+	request->answer = *answer;
+}
+
+static inline void model_found(medlar_write_t *write, int error,
+			       const medlar_entry_t *entry, medlar_str_t result,
+			       void *data)
+{
+	model_t *model = ((model_instance_t *)data)->model;
+
+	(void)write;
+	(void)result;
+	model->found_error = error;
+	if (entry)
+		model->found = *entry;
+}
+
+static inline void model_random(uint8_t *out, size_t len, void *data)
+{
+	model_t *model = ((model_instance_t *)data)->model;
+
+	while (len-- > 0)
+		out[len] = (uint8_t)medlar_rand_next(&model->rand);
+}
+
+static inline medlar_time_t model_time(void *data)
+{
+	return ((model_instance_t *)data)->model->now / MODEL_US;
+}
+
+static inline void model_init(model_t *model, uint64_t seed)
+{
+	*model = (model_t){
+		.now = MODEL_US,
+		.rand = { seed },
+		.round_trip = 4 * MODEL_US,
+		.writes_limit = 300,
+		.reads_limit = 2000,
+		.upstream = 5 * MODEL_US,
+	};
+	model->values = calloc(MODEL_SLOTS, sizeof(*model->values));
+	if (!model->values)
+		abort();
+}
+
+static inline void model_add_instance(model_t *model,
+				      const medlar_policy_t *policy,
+				      double commits)
+{
+	static const medlar_writes_ops_t ops = {
+		model_dispatch, model_answer, model_found,
+		model_random,	model_time,
+	};
+	model_instance_t *instance = &model->instances[model->instances_len++];
+	medlar_store_t store = { model_get, model_cas, instance };
+	medlar_writes_params_t params = {
+		.policy = policy,
+		.revision = 1,
+		.store = &store,
+		.ops = &ops,
+		.data = instance,
+		.epoch = MODEL_EPOCH,
+		.commits = commits,
+	};
+	char name[16];
+
+	snprintf(name, sizeof(name), "i%d", model->instances_len);
+	instance->model = model;
+	medlar_client_init(&instance->client, medlar_str_from(name), 0,
+			   (uint64_t)model->instances_len);
+	medlar_writes_init(&instance->client, &instance->writes, &params);
+}
+
+static inline int64_t model_next(const model_t *model)
+{
+	int64_t next = model->len > 0 ? model->events[0].at : INT64_MAX;
+	int i;
+
+	for (i = 0; i < model->instances_len; i++) {
+		medlar_time_t due = medlar_client_due(
+			&model->instances[i].client);
+
+		if (due != MEDLAR_TIME_NEVER && due * MODEL_US < next)
+			next = due * MODEL_US;
+	}
+	return next;
+}
+
+/* Let everything happen up to @until, in us. */
+static inline void model_run(model_t *model, int64_t until)
+{
+	int64_t next;
+	int i;
+
+	while ((next = model_next(model)) <= until) {
+		if (next > model->now)
+			model->now = next;
+		for (i = 0; i < model->instances_len; i++)
+			medlar_client_run(&model->instances[i].client,
+					  model->now / MODEL_US);
+		while (model->len > 0 && model->events[0].at <= model->now) {
+			model_event_t event = model_pop(model);
+
+			event.fn(model, event.data);
+		}
+	}
+	model->now = until;
+}
+
+/* A fresh key made @age ms ago. */
+static inline medlar_uuid_t model_key(model_t *model, medlar_time_t age)
+{
+	uint64_t random[2] = { medlar_rand_next(&model->rand),
+			       medlar_rand_next(&model->rand) };
+	medlar_uuid_t key;
+
+	medlar_uuid_make(&key, MODEL_EPOCH + model->now / MODEL_US - age,
+			 (const uint8_t *)random);
+	return key;
+}
+
+/* Send @request, whose key and instance are set. */
+static inline int model_start(model_t *model, model_request_t *request,
+			      medlar_time_t patience)
+{
+	medlar_write_params_t params = {
+		.key = request->key,
+		.deadline = model->now / MODEL_US + patience,
+		.data = request,
+	};
+	medlar_write_t *write;
+	int error;
+
+	request->sent = model->now;
+	error = medlar_write_start(&model->instances[request->instance].writes,
+				   &params, &write);
+	if (error) {
+		request->told = model->now;
+		request->answer.outcome = medlar_write_refusal(error);
+		request->answer.error = error;
+	}
+	return error;
+}
+
+static inline void model_finish(model_t *model)
+{
+	size_t i;
+	int j;
+
+	for (j = 0; j < model->instances_len; j++) {
+		medlar_writes_finish(&model->instances[j].writes);
+		medlar_client_finish(&model->instances[j].client);
+	}
+	while (model->len > 0) {
+		model_event_t event = model_pop(model);
+
+		if (event.fn != model_return)
+			continue;
+		medlar_buf_finish(&((model_call_t *)event.data)->bytes);
+		free(event.data);
+	}
+	for (i = 0; i < MODEL_SLOTS; i++)
+		medlar_buf_finish(&model->values[i].bytes);
+	free(model->values);
+	free(model->events);
+}
+
+#endif /* BENCH_WRITE_MODEL_H */
--- a/libmedlar/layout.c
+++ b/libmedlar/layout.c
@@ -3,9 +3,10 @@
  *
  * The layouts that a service has used are kept in the key-value service, each
  * under its position in the list, the generation. A key always belongs to one
- * journal of a layout. With 8 partitions or more the journals take turns: the
- * time in the key selects a group of them, so that few journals receive new
- * claims and many keys share a commit, while the others only age.
+ * journal of a layout. With 24 partitions or more the journals take turns: the
+ * time in the key selects a group of 8, so that few journals receive new claims
+ * and many keys share a commit, while the others only age. More partitions mean
+ * shorter turns and smaller values.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -13,8 +14,8 @@
 
 #include "medlar.h"
 
-#define SLICED_MIN 8 /* partitions from which journals take turns */
-#define SLICES 4
+#define GROUP 8 /* journals that receive claims at a time */
+#define SLICES_MIN 3 /* groups from which journals take turns */
 #define PLACE_SEED 2
 #define LINE_MAX_LEN 96
 
@@ -43,10 +44,10 @@
 		layout.partitions = 1;
 	if (layout.partitions > MEDLAR_PARTITIONS_MAX)
 		layout.partitions = MEDLAR_PARTITIONS_MAX;
-	if (layout.partitions < SLICED_MIN)
+	if (layout.partitions < GROUP * SLICES_MIN)
 		return layout;
-	layout.slices = SLICES;
-	layout.slice = layout.slice / (SLICES - 1) + 1;
+	layout.slices = layout.partitions / GROUP;
+	layout.slice = layout.slice / (layout.slices - 1) + 1;
 	return layout;
 }
 
--- /dev/null
+++ b/tests/test_write.c
@@ -0,0 +1,391 @@
+/* Writes against a modelled store and upstream. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "bench/write_model.h"
+
+#define MS MODEL_US
+#define PATIENCE ((medlar_time_t)1000)
+#define MANY 20000
+
+static medlar_policy_t policy_of(uint32_t partitions)
+{
+	return (medlar_policy_t){
+		.name = "ledger",
+		.window = MEDLAR_HOUR,
+		.partitions = partitions,
+	};
+}
+
+static void init(model_t *model, uint32_t partitions)
+{
+	medlar_policy_t policy = policy_of(partitions);
+	int i;
+
+	model_init(model, 1);
+	for (i = 0; i < 2; i++)
+		model_add_instance(model, &policy, 0);
+}
+
+static model_request_t send(model_t *model, medlar_uuid_t key, int instance)
+{
+	model_request_t request = { .key = key, .instance = instance };
+
+	model_start(model, &request, PATIENCE);
+	model_run(model, model->now + 2 * PATIENCE * MS);
+	assert_true(request.told > 0);
+	return request;
+}
+
+static void assert_answer(const model_request_t *request,
+			  medlar_write_outcome_t outcome, int error)
+{
+	assert_int_equal(request->answer.outcome, outcome);
+	assert_int_equal(request->answer.error, error);
+}
+
+static void replays_the_result_through_another_instance(void **state)
+{
+	model_t model;
+	model_request_t first;
+	model_request_t again;
+	medlar_uuid_t key;
+
+	(void)state;
+	init(&model, 1);
+	key = model_key(&model, 0);
+	first = send(&model, key, 0);
+	assert_answer(&first, MEDLAR_WRITE_RAN, MEDLAR_OK);
+	again = send(&model, key, 1);
+	assert_answer(&again, MEDLAR_WRITE_RAN, MEDLAR_OK);
+	assert_true(again.answer.replayed);
+	assert_int_equal(again.dispatches, 0);
+	model_finish(&model);
+}
+
+static void tells_unknown_while_another_instance_runs_it(void **state)
+{
+	model_t model;
+	model_request_t first = { .instance = 0 };
+	model_request_t again;
+
+	(void)state;
+	init(&model, 1);
+	model.upstream = 3 * PATIENCE * MS;
+	first.key = model_key(&model, 0);
+	model_start(&model, &first, PATIENCE);
+	model_run(&model, 100 * MS);
+	again = send(&model, first.key, 1);
+	assert_answer(&again, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_CONFLICT);
+	assert_answer(&first, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_DEADLINE);
+	model_finish(&model);
+}
+
+static void records_a_result_that_comes_after_the_answer(void **state)
+{
+	model_t model;
+	model_request_t first;
+	model_request_t again;
+	medlar_uuid_t key;
+
+	(void)state;
+	init(&model, 1);
+	model.upstream = 3 * PATIENCE / 2 * MS;
+	key = model_key(&model, 0);
+	first = send(&model, key, 0);
+	assert_answer(&first, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_DEADLINE);
+	again = send(&model, key, 1);
+	assert_answer(&again, MEDLAR_WRITE_RAN, MEDLAR_OK);
+	model_finish(&model);
+}
+
+static void refuses_within_the_deadline_while_the_store_is_down(void **state)
+{
+	model_t model;
+	model_request_t request;
+
+	(void)state;
+	init(&model, 1);
+	model.down = true;
+	request = send(&model, model_key(&model, 0), 0);
+	assert_answer(&request, MEDLAR_WRITE_NOT_RUN, MEDLAR_ERR_STORE_DOWN);
+	assert_true(request.told - request.sent < PATIENCE * MS);
+	assert_int_equal(request.dispatches, 0);
+	model_finish(&model);
+}
+
+static void tries_again_under_the_same_claim_if_not_executed(void **state)
+{
+	model_t model;
+	model_request_t request;
+
+	(void)state;
+	init(&model, 1);
+	model.refused = 1;
+	request = send(&model, model_key(&model, 0), 0);
+	assert_answer(&request, MEDLAR_WRITE_NOT_RUN, MEDLAR_ERR_UNAVAILABLE);
+	assert_in_range(request.dispatches, 2, 16);
+	assert_int_equal(model.instances[0].writes.stats.claims, 1);
+	model_finish(&model);
+}
+
+static void runs_a_key_again_that_was_recorded_as_not_run(void **state)
+{
+	model_t model;
+	model_request_t request;
+	medlar_uuid_t key;
+
+	(void)state;
+	init(&model, 1);
+	key = model_key(&model, 0);
+	model.refused = 1;
+	send(&model, key, 0);
+	model.refused = 0;
+	request = send(&model, key, 1);
+	assert_answer(&request, MEDLAR_WRITE_RAN, MEDLAR_OK);
+	assert_false(request.answer.replayed);
+	model_finish(&model);
+}
+
+static void never_runs_a_key_again_after_a_reset(void **state)
+{
+	model_t model;
+	model_request_t request;
+	medlar_uuid_t key;
+
+	(void)state;
+	init(&model, 1);
+	key = model_key(&model, 0);
+	model.reset = 1;
+	request = send(&model, key, 0);
+	assert_answer(&request, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_IO);
+	assert_int_equal(request.dispatches, 1);
+	request = send(&model, key, 0);
+	assert_answer(&request, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_CONFLICT);
+	assert_int_equal(request.dispatches, 0);
+	model_finish(&model);
+}
+
+static void bounds_the_age_of_keys(void **state)
+{
+	model_t model;
+	model_request_t old;
+	model_request_t early;
+
+	(void)state;
+	init(&model, 1);
+	old = send(&model, model_key(&model, MEDLAR_HOUR + 1), 0);
+	assert_answer(&old, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_EXPIRED);
+	early = send(&model, model_key(&model, -2 * MEDLAR_CLAIM_SKEW), 0);
+	assert_answer(&early, MEDLAR_WRITE_NOT_RUN, MEDLAR_ERR_RANGE);
+	model_finish(&model);
+}
+
+/* An instance whose clock is far ahead has dropped the entry. */
+static void does_not_trust_clocks_for_dropped_entries(void **state)
+{
+	model_t model;
+	model_request_t request;
+	medlar_uuid_t key;
+
+	(void)state;
+	init(&model, 1);
+	key = model_key(&model, 0);
+	send(&model, key, 0);
+	model.instances[1].writes.epoch += 3 * MEDLAR_HOUR;
+	send(&model, model_key(&model, -3 * MEDLAR_HOUR), 1);
+	request = send(&model, key, 0);
+	assert_answer(&request, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_EXPIRED);
+	assert_int_equal(request.dispatches, 0);
+	model_finish(&model);
+}
+
+static void carries_many_claims_in_one_commit(void **state)
+{
+	model_request_t requests[100] = { 0 };
+	model_t model;
+	size_t i;
+
+	(void)state;
+	init(&model, 1);
+	send(&model, model_key(&model, 0), 0);
+	for (i = 0; i < 100; i++) {
+		requests[i].key = model_key(&model, 0);
+		model_start(&model, &requests[i], PATIENCE);
+	}
+	model_run(&model, model.now + 100 * MS);
+	for (i = 0; i < 100; i++)
+		assert_answer(&requests[i], MEDLAR_WRITE_RAN, MEDLAR_OK);
+	/* Two for the first write, one for these. */
+	assert_int_equal(model.instances[0].writes.stats.commits, 3);
+	model_finish(&model);
+}
+
+static void refuses_claims_when_the_journal_is_full(void **state)
+{
+	medlar_entry_t entry = { .state = MEDLAR_CLAIM_RAN };
+	uint8_t random[10] = { 0 };
+	medlar_journal_t journal;
+	uint32_t added = 0;
+	int error;
+
+	(void)state;
+	medlar_journal_init(&journal);
+	do {
+		memcpy(random + 6, &added, sizeof(added));
+		medlar_uuid_make(&entry.key, 1, random);
+		error = medlar_journal_claim(&journal, &entry,
+					     MEDLAR_JOURNAL_SIZE_MAX);
+		added++;
+	} while (!error);
+	assert_int_equal(error, MEDLAR_ERR_FULL);
+	assert_true(journal.size <= MEDLAR_JOURNAL_SIZE_MAX);
+	assert_in_range(journal.len, 14000, 16000);
+	medlar_journal_finish(&journal);
+}
+
+static void moves_to_a_new_layout_without_losing_claims(void **state)
+{
+	medlar_policy_t policy = policy_of(3);
+	medlar_uuid_t keys[8];
+	model_t model;
+	size_t i;
+
+	(void)state;
+	init(&model, 1);
+	for (i = 0; i < 8; i++) {
+		keys[i] = model_key(&model, 0);
+		send(&model, keys[i], 0);
+	}
+	medlar_writes_set_policy(&model.instances[1].writes, &policy, 2);
+	for (i = 0; i < 8; i++) {
+		model_request_t again = send(&model, keys[i], 1);
+		model_request_t fresh = send(&model, model_key(&model, 0),
+					     i % 2 ? 0 : 1);
+
+		assert_true(again.answer.replayed);
+		assert_answer(&fresh, MEDLAR_WRITE_RAN, MEDLAR_OK);
+		assert_false(fresh.answer.replayed);
+	}
+	/* The instance that was not told has met the seal. */
+	assert_int_equal(model.instances[0].writes.layouts.len, 2);
+	model_finish(&model);
+}
+
+static void look(model_t *model, medlar_uuid_t key)
+{
+	medlar_write_params_t params = {
+		.key = key,
+		.deadline = model->now / MS + PATIENCE,
+	};
+	medlar_write_t *write;
+
+	assert_int_equal(medlar_writes_look(&model->instances[1].writes,
+					    &params, &write),
+			 MEDLAR_OK);
+	model_run(model, model->now + 2 * PATIENCE * MS);
+}
+
+static void shows_what_is_known_of_a_key(void **state)
+{
+	model_t model;
+	medlar_uuid_t key;
+
+	(void)state;
+	init(&model, 1);
+	key = model_key(&model, 0);
+	look(&model, key);
+	assert_int_equal(model.found_error, MEDLAR_ERR_NOT_FOUND);
+	send(&model, key, 0);
+	look(&model, key);
+	assert_int_equal(model.found_error, MEDLAR_OK);
+	assert_int_equal(model.found.state, MEDLAR_CLAIM_RAN);
+	model_finish(&model);
+}
+
+static uint32_t runs_of_pair(const model_request_t *pair)
+{
+	return pair[0].executions + pair[1].executions;
+}
+
+/* Nothing untrue was told of the requests that share a key. */
+static void assert_true_answers(const model_request_t *pair)
+{
+	size_t i;
+
+	assert_in_range(runs_of_pair(pair), 0, 1);
+	for (i = 0; i < 2; i++) {
+		assert_true(pair[i].told > 0);
+		if (pair[i].answer.outcome == MEDLAR_WRITE_RAN)
+			assert_int_equal(runs_of_pair(pair), 1);
+		if (pair[i].answer.outcome == MEDLAR_WRITE_NOT_RUN)
+			assert_int_equal(pair[i].executions, 0);
+	}
+}
+
+/* Each key is sent through both instances; every kind of fault is on. */
+static void tells_the_truth_of_many_writes_under_faults(void **state)
+{
+	model_request_t *requests = calloc(MANY, sizeof(*requests));
+	medlar_policy_t policy = policy_of(64);
+	size_t outcomes[3] = { 0 };
+	model_t model;
+	size_t i;
+
+	(void)state;
+	assert_non_null(requests);
+	policy.window = 20 * MEDLAR_SECOND;
+	model_init(&model, 1);
+	model_add_instance(&model, &policy, 0);
+	model_add_instance(&model, &policy, 0);
+	model.lost = 0.1;
+	model.refused = 0.2;
+	model.reset = 0.1;
+	for (i = 0; i < MANY; i++) {
+		model.down = i / 500 % 4 == 3;
+		requests[i].instance = (int)(i % 2);
+		requests[i].key = i % 2 ? requests[i - 1].key
+					: model_key(&model, 0);
+		model_start(&model, &requests[i], 200);
+		model_run(&model, model.now + (int64_t)medlar_rand_below(
+						      &model.rand, 20 * MS));
+	}
+	model.down = false;
+	model_run(&model, model.now + 10 * PATIENCE * MS);
+	for (i = 0; i < MANY; i += 2)
+		assert_true_answers(&requests[i]);
+	for (i = 0; i < MANY; i++)
+		outcomes[requests[i].answer.outcome]++;
+	for (i = 0; i < 3; i++)
+		assert_true(outcomes[i] > 100);
+	assert_int_equal(model.instances[0].writes.writes_len, 0);
+	model_finish(&model);
+	free(requests);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(replays_the_result_through_another_instance),
+		cmocka_unit_test(tells_unknown_while_another_instance_runs_it),
+		cmocka_unit_test(records_a_result_that_comes_after_the_answer),
+		cmocka_unit_test(
+			refuses_within_the_deadline_while_the_store_is_down),
+		cmocka_unit_test(
+			tries_again_under_the_same_claim_if_not_executed),
+		cmocka_unit_test(runs_a_key_again_that_was_recorded_as_not_run),
+		cmocka_unit_test(never_runs_a_key_again_after_a_reset),
+		cmocka_unit_test(bounds_the_age_of_keys),
+		cmocka_unit_test(does_not_trust_clocks_for_dropped_entries),
+		cmocka_unit_test(carries_many_claims_in_one_commit),
+		cmocka_unit_test(refuses_claims_when_the_journal_is_full),
+		cmocka_unit_test(moves_to_a_new_layout_without_losing_claims),
+		cmocka_unit_test(shows_what_is_known_of_a_key),
+		cmocka_unit_test(tells_the_truth_of_many_writes_under_faults),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
