--- a/cli/ctl_questionnaire.c
+++ b/cli/ctl_questionnaire.c
@@ -112,6 +112,31 @@
 			    ctl->json ? generate_answers : explain_answers);
 }
 
+/* Prints the document that starts a deployment, for the store. */
+static int run_first(ctl_t *ctl, char **args)
+{
+	medlar_client_t client;
+	medlar_buf_t text;
+	medlar_buf_t out;
+	int error;
+
+	medlar_buf_init(&text);
+	medlar_buf_init(&out);
+	error = ctl_read_file(args[0], &text);
+	if (!error) {
+		ctl_client_init(ctl, &client);
+		error = medlar_revision_write_first(
+			&client, medlar_str_from(args[0]),
+			medlar_buf_str(&text), &out);
+		medlar_client_finish(&client);
+	}
+	if (!error)
+		puts(out.ptr);
+	medlar_buf_finish(&out);
+	medlar_buf_finish(&text);
+	return error ? CTL_REFUSED : CTL_OK;
+}
+
 static int get_current(ctl_t *ctl, const char *path, ctl_reply_t *reply)
 {
 	if (ctl_call(ctl, "GET", path, MEDLAR_STR(""), reply))
@@ -401,6 +426,8 @@
 	  "check answers without a server" },
 	{ "questionnaire explain", "FILE", 1, 1, run_explain,
 	  "print what the answers lead to and what to expect" },
+	{ "questionnaire first", "FILE", 1, 1, run_first,
+	  "print the document that starts a deployment, for the store" },
 	{ "questionnaire submit", "FILE", 1, 1, run_submit,
 	  "submit one section (--section, --base, --token-file)" },
 	{ "questionnaire show", "[REVISION]", 0, 1, run_show,
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1338,6 +1338,8 @@
 int medlar_revision_parse(medlar_revision_t *revision, medlar_str_t json);
 void medlar_revision_finish(medlar_revision_t *revision);
 void medlar_history_key(uint64_t number, medlar_buf_t *out);
+int medlar_revision_write_first(medlar_client_t *client, medlar_str_t file,
+				medlar_str_t answers, medlar_buf_t *out);
 
 /*
  * submission.c
--- a/libmedlar/revision.c
+++ b/libmedlar/revision.c
@@ -98,3 +98,42 @@
 	medlar_buf_printf(out, MEDLAR_HISTORY_PREFIX "%llu",
 			  (unsigned long long)(number % MEDLAR_HISTORY_LEN));
 }
+
+/**
+ * medlar_revision_write_first() - append the first configuration document
+ * @client: its error handler receives every error and clash
+ * @file: name of the questionnaire for error reports
+ * @answers: questionnaire with both sections, terminated
+ * @out: buffer
+ *
+ * Return: %MEDLAR_OK, or the first error found.
+ */
+int medlar_revision_write_first(medlar_client_t *client, medlar_str_t file,
+				medlar_str_t answers, medlar_buf_t *out)
+{
+	medlar_questionnaire_t questionnaire;
+	medlar_config_t config;
+	struct json_object *root;
+	int error;
+
+	error = medlar_questionnaire_parse(client, &questionnaire, file,
+					   answers);
+	if (error)
+		return error;
+	error = medlar_config_generate(client, &questionnaire, file, 1,
+				       &config);
+	medlar_questionnaire_finish(&questionnaire);
+	if (error)
+		return error;
+	root = json_tokener_parse(answers.ptr);
+	medlar_buf_printf(
+		out,
+		"{\"revision\":1,\"questionnaire\":%s,"
+		"\"config\":",
+		json_object_to_json_string_ext(root, JSON_C_TO_STRING_PLAIN));
+	medlar_config_write(&config, out);
+	medlar_buf_add(out, MEDLAR_STR("}"));
+	json_object_put(root);
+	medlar_config_finish(&config);
+	return out->error;
+}
--- a/libmedlar/submission.c
+++ b/libmedlar/submission.c
@@ -202,6 +202,8 @@
 	medlar_buf_add(out, medlar_buf_str(&answers));
 	if (has_both_sections(submission))
 		error = generate(submission, medlar_buf_str(&answers), out);
+	else if (submission->seen.config.len > 0)
+		error = MEDLAR_ERR_MISSING;
 	medlar_buf_add(out, MEDLAR_STR("}"));
 	if (!error)
 		error = answers.error ? answers.error : out->error;
@@ -219,7 +221,7 @@
 
 	medlar_buf_init(&merged);
 	if (theirs.len > 0)
-		error = medlar_merge(submission->client,
+		error = medlar_merge(&submission->reporter,
 				     medlar_str_from(medlar_section_name(
 					     submission->section)),
 				     base.len > 0 ? base : MEDLAR_STR("{}"),
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -23,6 +23,7 @@
 		sed "s/\\([^0-9]\\)$fleet_from\\([0-9][0-9][0-9]\\)\\([^0-9]\\)/\\1$fleet_to\\2\\3/g" \
 			"$fleet_file" >"$fleet_dir/${fleet_file##*/}"
 	done
+	fleet_make_operators
 	fleet_platform=127.0.0.1:${fleet_to}000
 	fleet_control=127.0.0.1:${fleet_to}001
 	fleet_entries=
@@ -70,18 +71,37 @@
 	fleet_run upstream "$fleet_build/fake-upstream" \
 		"$fleet_dir/upstreams.json"
 	fleet_wait "http://$fleet_control/stats" || return 1
-	fleet_configure "$fleet_dir/config.json" 1
+	fleet_configure
 }
 
-# Writes a configuration to the platform as revision $2.
+# Makes a token for each role and lists its hash in the settings.
+fleet_make_operators() {
+	fleet_operators=
+	for fleet_role in product operations
+	do
+		fleet_pair=$("$fleet_build/medlarctl" token --json)
+		echo "$fleet_pair" |
+			sed 's/.*"token":"\([^"]*\)".*/\1/' \
+				>"$fleet_dir/$fleet_role.token"
+		fleet_hash=$(echo "$fleet_pair" |
+			sed 's/.*"token_hash":"\([^"]*\)".*/\1/')
+		fleet_operators="$fleet_operators { \"name\": \"$fleet_role\",\
+		\"role\": \"$fleet_role\", \"token_hash\": \"$fleet_hash\" },"
+	done
+	for fleet_file in "$fleet_dir"/medlard-*.json
+	do
+		sed "s/^\(.*\"threads\".*\)/	\"operators\": [${fleet_operators%,} ],\
+\1/" "$fleet_file" >"$fleet_file.new"
+		mv "$fleet_file.new" "$fleet_file"
+	done
+}
+
+# Writes the first configuration document to the platform.
 fleet_configure() {
-	{
-		printf '{"revision":%s,"config":' "$2"
-		sed "s/\"revision\": [0-9]*/\"revision\": $2/" "$1"
-		printf '}'
-	} >"$fleet_dir/document.json"
-	curl -s -f -m 5 -o /dev/null -T "$fleet_dir/document.json" \
-		"http://$fleet_platform/v1/kv/medlar/config"
+	"$fleet_build/medlarctl" questionnaire first \
+		"$fleet_dir/questionnaire.json" >"$fleet_dir/document.json" &&
+		curl -s -f -m 5 -o /dev/null -T "$fleet_dir/document.json" \
+			"http://$fleet_platform/v1/kv/medlar/config"
 }
 
 fleet_start_instance() {
