--- a/medlard/service.c
+++ b/medlard/service.c
@@ -156,6 +156,20 @@
 	}
 }
 
+static void adjust(service_t *service, medlar_replica_t *replica)
+{
+	upstream_adjust(&service->link, replica);
+}
+
+/**
+ * service_adjust() - follow a change of the shares of the replicas
+ * @service: service that the calling worker owns
+ */
+void service_adjust(service_t *service)
+{
+	each_replica(service, adjust);
+}
+
 static void forget(service_t *service, medlar_replica_t *replica)
 {
 	(void)service;
@@ -297,8 +311,6 @@
 	count_answer(find_known(worker, link->policy->name), query, now);
 	answer_query(&request->answer, query, now);
 	request->query = NULL;
-	if (worker->busy_with == request)
-		worker->busy_with = NULL;
 	medlar_query_finish(&worker->client, query);
 	request_reply(request, status);
 }
@@ -336,17 +348,10 @@
 		.keys = args->keys,
 		.keys_len = args->keys_len,
 	};
-	medlar_query_t *query = NULL;
 	int error;
 
-	/* The answer may come within the call and end the request. */
-	worker->busy_with = request;
 	error = medlar_query_start(&worker->client, &service->core, &params,
-				   request, worker->loop.now, &query);
-	if (worker->busy_with != request)
-		return;
-	worker->busy_with = NULL;
-	request->query = query;
+				   request, worker->loop.now, &request->query);
 	if (!error)
 		return;
 	request->query = NULL;
@@ -378,11 +383,9 @@
 
 	if (!query)
 		return;
-	worker->busy_with = request;
 	medlar_query_cancel(&worker->client, query, worker->loop.now);
-	if (worker->busy_with != request)
-		return;
-	worker->busy_with = NULL;
+	count_answer(worker->services[request->service], query,
+		     worker->loop.now);
 	request->query = NULL;
 	medlar_query_finish(&worker->client, query);
 	request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
