Prove queries by properties, and free a canary that cannot be sent

The property that compares coverage with a naive fan-out found a query that answered nothing although shards were alive: both canaries had gone to shards without a live replica and were retried there until the deadline. Canaries are now counted while in flight, and one that no replica took in makes room for another at once.

--- a/libmedlar/gate.c
+++ b/libmedlar/gate.c
@@ -9,7 +9,7 @@
  */
 #include "query.h"
 
-/* Canaries sent before waiting for one of them. */
+/* Canaries in flight at once. */
 #define CANARIES_MAX 2
 /* Shards looked at for a canary that can be sent at once. */
 #define CANARY_SHARDS 3
@@ -121,7 +121,6 @@
 	medlar_query_arm(client, query, query->gate_due);
 	if (!first)
 		return;
-	query->probes++;
 	queries->stats.canaries++;
 	for (i = 0; part && i < CANARY_SHARDS; i++) {
 		if (send_chosen(client, query, part, now))
@@ -216,6 +215,31 @@
 		send_trial(client, query, now);
 }
 
+static unsigned canaries_in_flight(const medlar_query_t *query)
+{
+	unsigned count = 0;
+	size_t i;
+
+	for (i = 0; i < query->len; i++)
+		count += query->parts[i].attempts != NULL;
+	return count;
+}
+
+/**
+ * medlar_gate_missed() - a canary was not taken in by any replica
+ * @client: client
+ * @query: a running query
+ * @now: current time
+ */
+void medlar_gate_missed(medlar_client_t *client, medlar_query_t *query,
+			medlar_time_t now)
+{
+	if (query->gate != MEDLAR_GATE_CANARY)
+		return;
+	query->gate_due = now;
+	medlar_query_arm(client, query, now);
+}
+
 /**
  * medlar_gate_advance() - go on with a query whose parts are held back
  * @client: client
@@ -235,10 +259,9 @@
 		look_at_suspect(client, query, now);
 		return;
 	}
-	if (query->probes < CANARIES_MAX)
+	query->gate_due = MEDLAR_TIME_NEVER;
+	if (canaries_in_flight(query) < CANARIES_MAX)
 		send_canary(client, query, now);
-	else
-		query->gate_due = MEDLAR_TIME_NEVER;
 }
 
 static void begin_trial(medlar_client_t *client, medlar_query_t *query,
@@ -274,7 +297,6 @@
 	uint64_t fingerprint = query->params.fingerprint;
 	medlar_suspect_entry_t entry;
 
-	query->probes = 0;
 	query->trying = false;
 	if (suspects && queries->tuning.trials &&
 	    medlar_suspects_get(suspects, fingerprint, now, &entry) &&
--- a/libmedlar/part.c
+++ b/libmedlar/part.c
@@ -318,6 +318,7 @@
 	}
 	part->unpaid = why == MEDLAR_RETRY_UNSENT;
 	part->kind = MEDLAR_ATTEMPT_RETRY;
+	medlar_gate_missed(client, query, now);
 	try_again(client, query, part, now);
 }
 
@@ -416,6 +417,7 @@
 	part->state = MEDLAR_PART_FAILED;
 	query->reason = reason;
 	close_part(query, part);
+	medlar_gate_missed(client, query, now);
 	medlar_query_arm(client, query, now);
 }
 
--- a/libmedlar/query.h
+++ b/libmedlar/query.h
@@ -164,7 +164,6 @@
  * @finish_by: latest time to answer, ms
  * @cutoff: time from which a partial answer is good enough, ms
  * @gate_due: when a further canary may be sent, ms
- * @probes: canaries sent
  * @version: index version asked for
  * @reason: why the last part failed
  * @doom: error to end with at once; %MEDLAR_OK for none
@@ -197,7 +196,6 @@
 	medlar_time_t finish_by;
 	medlar_time_t cutoff;
 	medlar_time_t gate_due;
-	uint32_t probes;
 	uint32_t version;
 	int reason;
 	int doom;
@@ -427,6 +425,8 @@
 			 medlar_time_t now);
 void medlar_gate_success(medlar_client_t *client, medlar_query_t *query,
 			 medlar_part_t *part, bool trial, medlar_time_t now);
+void medlar_gate_missed(medlar_client_t *client, medlar_query_t *query,
+			medlar_time_t now);
 void medlar_gate_death(medlar_client_t *client, medlar_queries_t *queries,
 		       const medlar_death_t *death, medlar_time_t now);
 
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -50,8 +50,10 @@
  * @fingerprint: of its query
  * @range: keys that it asks
  * @serving: it holds a slot of the replica
+ * @timed: an event will end it
  * @dead: its outcome was reported
  * @next: next call in flight at the replica
+ * @body: payload of the reply: version, first key, end of keys
  */
 struct world_call {
 	medlar_attempt_t *attempt;
@@ -62,8 +64,10 @@
 	uint64_t fingerprint;
 	medlar_range_t range;
 	bool serving;
+	bool timed;
 	bool dead;
 	world_call_t *next;
+	char body[64];
 };
 
 /**
@@ -126,7 +130,7 @@
  * @answers: answers by outcome
  * @live: attempts sent and not reported
  * @cancels: cancel actions
- * @mixed: replies accepted by replicas that lack the version, a fault
+ * @moved_to: shard that a moved range is said to be at
  */
 struct world {
 	medlar_client_t client;
@@ -147,6 +151,7 @@
 	uint64_t answers[MEDLAR_OUTCOME_CANCELLED + 1];
 	size_t live;
 	uint64_t cancels;
+	uint32_t moved_to;
 };
 
 static inline medlar_time_t world_now(const world_t *world)
@@ -218,7 +223,7 @@
 	*at = call->next;
 }
 
-static inline void world_fill_reply(const world_call_t *call,
+static inline void world_fill_reply(world_call_t *call, uint32_t moved_to,
 				    medlar_reply_t *reply)
 {
 	static const medlar_reply_status_t statuses[WORLD_FATES] = {
@@ -234,12 +239,17 @@
 	reply->version = call->version;
 	reply->range = call->range;
 	reply->status = statuses[call->fate];
-	reply->moved_to = call->at->info.port;
+	reply->moved_to = moved_to;
 	reply->load.utilization = -1;
 	reply->load.queue = -1;
 	memcpy(reply->versions, call->at->info.versions,
 	       sizeof(reply->versions));
-	reply->body = MEDLAR_STR("[1]");
+	snprintf(call->body, sizeof(call->body), "%u %llu %llu", call->version,
+		 (unsigned long long)call->range.lo,
+		 (unsigned long long)call->range.hi);
+	reply->body = medlar_str_from(call->body);
+	if (call->fate >= WORLD_BAD_ID)
+		reply->body = MEDLAR_STR("not the payload asked for");
 	if (call->fate == WORLD_BAD_ID)
 		reply->id[0] ^= 1;
 	if (call->fate == WORLD_BAD_VERSION)
@@ -266,7 +276,7 @@
 		medlar_attempt_fail(&world->client, call->attempt,
 				    MEDLAR_FAULT_SILENT, now);
 	} else {
-		world_fill_reply(call, &reply);
+		world_fill_reply(call, world->moved_to, &reply);
 		medlar_attempt_reply(&world->client, call->attempt, &reply,
 				     now);
 	}
@@ -274,26 +284,35 @@
 
 static inline void world_finish_call(world_t *world, void *data);
 
+static inline void world_end_later(world_t *world, world_call_t *call)
+{
+	call->timed = true;
+	world_at(world, world->now_us + call->took_us, world_finish_call, call);
+}
+
 static inline void world_serve(world_t *world, world_call_t *call)
 {
 	call->serving = true;
 	call->at->busy++;
-	world_at(world, world->now_us + call->took_us, world_finish_call, call);
+	world_end_later(world, call);
 }
 
 /* All in flight at a replica is reset; it may take requests again at once. */
 static inline void world_crash(world_t *world, world_replica_t *replica)
 {
-	world_call_t *call;
+	world_call_t *calls = replica->calls;
 
 	replica->deaths++;
 	replica->queued = 0;
 	replica->busy = 0;
-	while ((call = replica->calls) != NULL) {
-		replica->calls = call->next;
+	replica->calls = NULL;
+	while (calls) {
+		world_call_t *call = calls;
+
+		calls = call->next;
 		call->dead = true;
 		world_report(world, call, WORLD_RESET);
-		if (!call->serving)
+		if (!call->timed)
 			free(call);
 	}
 }
@@ -398,16 +417,15 @@
 	if (call->fate != WORLD_ANSWER && call->fate != WORLD_CRASH) {
 		if (call->fate != WORLD_SILENCE)
 			call->took_us = WORLD_MS;
-		world_at(world, world->now_us + call->took_us,
-			 world_finish_call, call);
+		world_end_later(world, call);
 	} else if (call->at->busy < call->at->info.slots) {
 		world_serve(world, call);
 	} else if (call->at->queued < WORLD_QUEUE_MAX) {
 		call->at->queue[call->at->queued++] = call;
 	} else {
 		call->fate = WORLD_SHED;
-		world_at(world, world->now_us + WORLD_MS, world_finish_call,
-			 call);
+		call->took_us = WORLD_MS;
+		world_end_later(world, call);
 	}
 }
 
--- /dev/null
+++ b/tests/prop_query.cc
@@ -0,0 +1,267 @@
+/* Queries under random faults, maps, versions and cancellations. */
+#include <string>
+#include <vector>
+
+#include "prop.hh"
+#include "tests/fakes/world.h"
+
+#define SHARDS 5
+#define REPLICAS 3
+#define QUERIES 20
+
+/* What the test knows of one query. */
+struct asked {
+	unsigned answers = 0;
+	bool cancelled = false;
+	medlar_query_t *query = nullptr;
+};
+
+struct trouble {
+	unsigned percent[WORLD_FATES] = {};
+};
+
+static uint64_t below(world_t *world, uint64_t bound)
+{
+	return medlar_rand_below(&world->rand, bound);
+}
+
+static void decide(world_t *world, world_call_t *call)
+{
+	const trouble *faults = static_cast<const trouble *>(world->data);
+	uint64_t roll = below(world, 100);
+
+	world_standard(world, call);
+	for (int fate = WORLD_SHED; fate < WORLD_FATES; fate++) {
+		if (roll < faults->percent[fate]) {
+			call->fate = static_cast<world_fate_t>(fate);
+			world->moved_to = (uint32_t)below(world, SHARDS + 1);
+			return;
+		}
+		roll -= faults->percent[fate];
+	}
+	if (below(world, 20) == 0)
+		call->took_us *= 20;
+}
+
+static void check_parts(const medlar_query_t *query)
+{
+	const medlar_answer_t *answer = medlar_query_answer(query);
+	medlar_ranges_t seen;
+
+	medlar_ranges_init(&seen);
+	for (size_t i = 0; i < medlar_query_parts(query); i++) {
+		medlar_range_t range = medlar_query_part_range(query, i);
+		medlar_str_t body = medlar_query_part_body(query, i);
+		std::string expected = std::to_string(answer->version) + " " +
+				       std::to_string(range.lo) + " " +
+				       std::to_string(range.hi);
+
+		RC_ASSERT(std::string(body.ptr, body.len) == expected);
+		RC_ASSERT(!medlar_ranges_overlap(&seen, range));
+		medlar_ranges_add(&seen, range);
+	}
+	RC_ASSERT(medlar_ranges_width(&seen) ==
+		  medlar_ranges_width(answer->covered));
+	medlar_ranges_finish(&seen);
+}
+
+static void check_answer(world_t *world, medlar_query_t *query)
+{
+	const medlar_answer_t *answer = medlar_query_answer(query);
+	asked *own = static_cast<asked *>(medlar_query_data(query));
+	uint64_t covered = medlar_ranges_width(answer->covered);
+	uint64_t missing = medlar_ranges_width(answer->missing);
+
+	own->answers++;
+	own->query = nullptr;
+	for (size_t i = 0; i < answer->covered->len; i++)
+		RC_ASSERT(!medlar_ranges_overlap(answer->missing,
+						 answer->covered->items[i]));
+	if (answer->outcome == MEDLAR_OUTCOME_NOT_RUN)
+		RC_ASSERT(answer->sends == 0);
+	else
+		RC_ASSERT(covered + missing == MEDLAR_KEY_END);
+	RC_ASSERT((answer->outcome == MEDLAR_OUTCOME_COMPLETE) ==
+		  (covered == MEDLAR_KEY_END));
+	RC_ASSERT(world_now(world) <= medlar_query_params(query)->deadline);
+	check_parts(query);
+}
+
+/* A map of the same shards with other bounds and owners. */
+static void repartition(world_t *world, void *data)
+{
+	uint32_t pieces = (uint32_t)(1 + below(world, 2 * SHARDS));
+	medlar_map_t map;
+
+	(void)data;
+	if (medlar_map_init_even(&map, world->service.map.epoch + 1, pieces))
+		abort();
+	map.shards = SHARDS;
+	for (size_t i = 0; i < map.len; i++)
+		map.entries[i].shard = (uint32_t)below(world, SHARDS);
+	medlar_service_set_map(&world->client, &world->service, &map);
+	medlar_map_finish(&map);
+}
+
+static void publish(world_t *world, void *data)
+{
+	world_replica_t *replica = &world->replicas[below(world, world->len)];
+
+	(void)data;
+	replica->info.versions[0] = (uint32_t)(7 + below(world, 2));
+	replica->info.versions[1] = below(world, 2) ? 9 : 0;
+	if (below(world, 2))
+		world_put(world, replica);
+}
+
+static void toggle(world_t *world, void *data)
+{
+	world_replica_t *replica = &world->replicas[below(world, world->len)];
+
+	(void)data;
+	replica->dead = !replica->dead;
+}
+
+static void cancel(world_t *world, void *data)
+{
+	asked *own = static_cast<asked *>(data);
+
+	if (!own->query)
+		return;
+	medlar_query_cancel(&world->client, own->query, world_now(world));
+	medlar_query_finish(&world->client, own->query);
+	own->cancelled = true;
+	own->query = nullptr;
+}
+
+struct start {
+	asked *own;
+	uint64_t fingerprint;
+};
+
+static void ask(world_t *world, void *data)
+{
+	start *begin = static_cast<start *>(data);
+	medlar_query_params_t params = {};
+
+	params.fingerprint = begin->fingerprint;
+	params.caller = begin->fingerprint;
+	params.deadline = world_now(world) + 20 + (int64_t)below(world, 300);
+	params.target = world_now(world) + 60;
+	if (medlar_query_start(&world->client, &world->service, &params,
+			       begin->own, world_now(world),
+			       &begin->own->query) != MEDLAR_OK)
+		begin->own->answers++;
+}
+
+static void run(uint64_t seed, const trouble &faults, bool changing)
+{
+	static const world_fn_t changes[] = { repartition, publish, toggle };
+	medlar_policy_t policy;
+	asked queries[QUERIES];
+	start starts[QUERIES];
+	world_t world;
+
+	medlar_policy_default(&policy, "perfil-busca");
+	policy.shards = SHARDS;
+	policy.slots = 2;
+	policy.extra_load = 0.2;
+	policy.queue_max = 8;
+	policy.priority = seed % 2 ? MEDLAR_LATENCY_FIRST
+				   : MEDLAR_COVERAGE_FIRST;
+	world_init(&world, &policy, REPLICAS, seed);
+	world.decide = decide;
+	world.answered = check_answer;
+	world.data = const_cast<trouble *>(&faults);
+	for (unsigned i = 0; i < QUERIES; i++) {
+		int64_t due = world.now_us + (int64_t)below(&world, 400000);
+
+		starts[i] = { &queries[i], 1 + below(&world, 8) };
+		world_at(&world, due, ask, &starts[i]);
+		if (below(&world, 5) == 0)
+			world_at(&world, due + 5000, cancel, &queries[i]);
+		if (changing)
+			world_at(&world, due, changes[i % 3], nullptr);
+	}
+	world_run(&world, INT64_MAX);
+	RC_ASSERT(world.live == 0U);
+	for (const asked &query : queries)
+		RC_ASSERT(query.answers + query.cancelled == 1U);
+	for (size_t i = 0; i < world.len; i++)
+		RC_ASSERT(medlar_replica_in_flight(world.replicas[i].handle) ==
+			  0U);
+	world_finish(&world);
+}
+
+/* Asks the replicas of each shard in turn until one answers. */
+static uint64_t cover_naively(const world_t *world)
+{
+	const medlar_map_t *map = &world->service.map;
+	uint64_t width = 0;
+
+	for (size_t e = 0; e < map->len; e++) {
+		bool answered = false;
+
+		for (size_t i = 0; i < world->len; i++)
+			if (world->replicas[i].shard == map->entries[e].shard &&
+			    !world->replicas[i].dead)
+				answered = true;
+		if (answered)
+			width += map->entries[e].range.hi -
+				 map->entries[e].range.lo;
+	}
+	return width;
+}
+
+static void note_coverage(world_t *world, medlar_query_t *query)
+{
+	*static_cast<uint64_t *>(world->data) = medlar_ranges_width(
+		medlar_query_answer(query)->covered);
+}
+
+static void compare_with_naive(uint64_t seed, const std::vector<bool> &dead)
+{
+	uint64_t covered = MEDLAR_KEY_END + 1;
+	medlar_policy_t policy;
+	world_t world;
+
+	medlar_policy_default(&policy, "perfil-busca");
+	policy.shards = SHARDS;
+	policy.slots = 2;
+	world_init(&world, &policy, REPLICAS, seed);
+	world.answered = note_coverage;
+	world.data = &covered;
+	for (size_t i = 0; i < world.len && i < dead.size(); i++)
+		world.replicas[i].dead = dead[i];
+	repartition(&world, nullptr);
+	RC_ASSERT(world_ask(&world, 1, 2000, nullptr) == MEDLAR_OK);
+	world_run(&world, INT64_MAX);
+	RC_ASSERT(covered == cover_naively(&world));
+	world_finish(&world);
+}
+
+int main()
+{
+	Properties props;
+
+	props.check("one_true_answer_without_faults",
+		    [](uint64_t seed) { run(seed, trouble(), false); });
+	props.check("one_true_answer_under_faults", [](uint64_t seed) {
+		trouble faults;
+
+		for (int fate = WORLD_SHED; fate < WORLD_FATES; fate++)
+			faults.percent[fate] = *rc::gen::inRange<unsigned>(0,
+									   9);
+		run(seed, faults, false);
+	});
+	props.check("one_true_answer_while_all_changes", [](uint64_t seed) {
+		trouble faults;
+
+		for (int fate = WORLD_SHED; fate < WORLD_FATES; fate++)
+			faults.percent[fate] = *rc::gen::inRange<unsigned>(0,
+									   9);
+		run(seed, faults, true);
+	});
+	props.check("covers_what_a_naive_fan_out_covers", compare_with_naive);
+	return props.status();
+}
