--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 # Targets: all demo check lint bench install clean soak plots
 # Variables: SAN=asan|tsan builds with sanitizers, QUICK=1 shortens bench
 
-VERSION := 0.1.0
 SAN ?= plain
 BUILD := build/$(SAN)
 PREFIX ?= /usr/local
@@ -18,7 +17,7 @@
 SAN_tsan := -fsanitize=thread
 SANFLAGS := $(SAN_$(SAN))
 
-CPPFLAGS += -I. -D_GNU_SOURCE -DMEDLAR_VERSION='"$(VERSION)"'
+CPPFLAGS += -I. -D_GNU_SOURCE
 BASEFLAGS := -O2 -g -fno-omit-frame-pointer $(SANFLAGS) $(PKG_CFLAGS) -pthread
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wvla -Wformat=2
@@ -33,7 +32,7 @@
 LOAD_SRC := $(wildcard cli/load_*.c)
 FAKE_SRC := $(wildcard tests/fakes/common_*.c)
 
-obj = $(patsubst %,$(BUILD)/%.o,$(1))
+obj = $(patsubst %,$(BUILD)/obj/%.o,$(1))
 LIB := $(BUILD)/libmedlar.a
 DAEMON_LIB := $(BUILD)/libmedlard.a
 
@@ -67,28 +66,31 @@
 $(BUILD)/medlarload: $(call obj,cli/medlarload.c $(LOAD_SRC)) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/fake-%: $(BUILD)/tests/fakes/fake-%.c.o $(call obj,$(FAKE_SRC)) $(LIB)
+$(BUILD)/fake-%: $(BUILD)/obj/tests/fakes/fake-%.c.o $(call obj,$(FAKE_SRC)) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.c.o $(DAEMON_LIB) $(LIB)
+$(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.c.o $(DAEMON_LIB) $(LIB)
+	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
-$(BUILD)/tests/prop_%: $(BUILD)/tests/prop_%.cc.o $(DAEMON_LIB) $(LIB)
+$(BUILD)/tests/prop_%: $(BUILD)/obj/tests/prop_%.cc.o $(DAEMON_LIB) $(LIB)
+	@mkdir -p $(@D)
 	$(CXX) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lrapidcheck
 
-$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.c.o $(DAEMON_LIB) $(LIB)
+$(BUILD)/bench/bench_%: $(BUILD)/obj/bench/bench_%.c.o $(DAEMON_LIB) $(LIB)
+	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
 # Generated code is compiled without the warnings of our own.
-$(BUILD)/proto/%.c.o: proto/%.c
+$(BUILD)/obj/proto/%.c.o: proto/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) -std=gnu11 $(BASEFLAGS) -w -MMD -c -o $@ $<
 
-$(BUILD)/%.c.o: %.c
+$(BUILD)/obj/%.c.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
 
-$(BUILD)/%.cc.o: %.cc
+$(BUILD)/obj/%.cc.o: %.cc
 	@mkdir -p $(@D)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
 
