Add membership, facts and the spreading of documents to the core

Cause: instances have to know each other, tell each other of drains, verdicts and configuration, and start while the store is down.

Change: one table of facts with revisions and expiry, told with news and compared by bucket digests; heartbeats with relays, suspicion and refutation, mostly within the zone; documents fetched in chunks, as the difference to the revision before where both have it; the choice of addresses for callers. Tables by id are shared with the replicas of a service. A pick no longer sees map stand-ins, since map.c is there.

--- a/libmedlar/internal.h
+++ b/libmedlar/internal.h
@@ -145,8 +145,10 @@
 			medlar_time_t now);
 
 /* table.c */
-int medlar_table_insert(medlar_service_t *service, medlar_replica_t *replica);
-void medlar_table_remove(medlar_service_t *service, uint64_t id);
+void medlar_table_finish(medlar_table_t *table);
+int medlar_table_insert(medlar_table_t *table, uint64_t *item);
+void medlar_table_remove(medlar_table_t *table, uint64_t id);
+void *medlar_table_find(const medlar_table_t *table, uint64_t id);
 
 /* shard.c */
 medlar_shard_t *medlar_shard_new(medlar_service_t *service, uint32_t index);
@@ -172,4 +174,117 @@
 			medlar_time_t now);
 void medlar_eject_clear(medlar_replica_t *replica);
 
+/**
+ * struct medlar_entry_ - a fact as it is held
+ * @id: hash of kind and subject
+ * @fact: the fact; its ttl is unused
+ * @until: when it ends, ms
+ * @info: address of an instance, or NULL; owned
+ * @since: when the instance came into its state, ms
+ * @region: hash of the name of the instance's region
+ * @zone: hash of the name of its availability zone
+ * @sends: how often it has yet to be told
+ * @digested: it counts in the digests
+ */
+typedef struct medlar_entry_ {
+	uint64_t id;
+	medlar_fact_t fact;
+	medlar_time_t until;
+	medlar_member_info_t *info;
+	medlar_time_t since;
+	uint64_t region;
+	uint64_t zone;
+	uint32_t sends;
+	bool digested;
+} medlar_entry_t;
+
+/** Bytes of facts in a message, by medlar_fact_size(). */
+#define MEDLAR_MESSAGE_ROOM 1024
+
+/** Times that news is told by each instance that hears of it. */
+#define MEDLAR_NEWS_SENDS 8
+
+/** enum medlar_reach - how far a message goes */
+typedef enum medlar_reach {
+	MEDLAR_REACH_ZONE,
+	MEDLAR_REACH_REGION,
+	MEDLAR_REACH_ALL,
+} medlar_reach_t;
+
+/* fact.c */
+void medlar_facts_finish(medlar_facts_t *facts);
+uint64_t medlar_fact_id(medlar_fact_kind_t kind, uint64_t subject);
+medlar_entry_t *medlar_facts_find(const medlar_facts_t *facts,
+				  medlar_fact_kind_t kind, uint64_t subject);
+int medlar_facts_put(medlar_facts_t *facts, const medlar_fact_t *fact,
+		     uint32_t sends, medlar_time_t now, medlar_entry_t **out);
+void medlar_facts_drop(medlar_facts_t *facts, medlar_entry_t *entry);
+void medlar_facts_age(medlar_facts_t *facts, medlar_entry_t *entry,
+		      medlar_time_t now);
+uint32_t medlar_facts_digest(const medlar_facts_t *facts);
+medlar_fact_t medlar_fact_of(const medlar_entry_t *entry, medlar_time_t now);
+size_t medlar_facts_hot(medlar_facts_t *facts, medlar_fact_t *out, size_t max,
+			size_t room, medlar_time_t now);
+size_t medlar_fact_size(const medlar_fact_t *fact);
+uint32_t medlar_fact_bucket(const medlar_entry_t *entry);
+
+/* member.c */
+medlar_member_state_t medlar_entry_state(const medlar_entry_t *entry);
+uint64_t medlar_entry_incarnation(const medlar_entry_t *entry);
+medlar_entry_t *medlar_members_find(const medlar_members_t *members,
+				    uint64_t id);
+medlar_entry_t *medlar_members_random(medlar_client_t *client,
+				      medlar_members_t *members,
+				      medlar_reach_t reach);
+int medlar_members_learn(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_fact_t *fact, uint32_t sends,
+			 medlar_time_t now);
+void medlar_members_set_state(medlar_client_t *client,
+			      medlar_members_t *members, medlar_entry_t *entry,
+			      medlar_member_state_t state, medlar_time_t now);
+void medlar_members_send(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_entry_t *to, medlar_message_t *message,
+			 medlar_time_t now);
+void medlar_members_send_news(medlar_client_t *client,
+			      medlar_members_t *members,
+			      const medlar_entry_t *to,
+			      medlar_message_t *message, medlar_time_t now);
+bool medlar_members_joining(const medlar_members_t *members, medlar_time_t now);
+void medlar_members_forget(medlar_members_t *members, medlar_entry_t *entry);
+
+/* probe.c */
+void medlar_probe_init(medlar_members_t *members);
+void medlar_probe_start(medlar_client_t *client, medlar_members_t *members,
+			medlar_time_t now);
+void medlar_probe_finish(medlar_client_t *client, medlar_members_t *members);
+void medlar_probe_round(medlar_client_t *client, medlar_members_t *members,
+			medlar_time_t now);
+void medlar_probe_ping(medlar_client_t *client, medlar_members_t *members,
+		       const medlar_message_t *message, medlar_time_t now);
+void medlar_probe_ack(medlar_client_t *client, medlar_members_t *members,
+		      const medlar_message_t *message, medlar_time_t now);
+void medlar_probe_relay(medlar_client_t *client, medlar_members_t *members,
+			const medlar_message_t *message, medlar_time_t now);
+
+/* sync.c */
+void medlar_sync_start(medlar_client_t *client, medlar_members_t *members,
+		       const medlar_entry_t *with, medlar_time_t now);
+void medlar_sync_digests(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_message_t *message, medlar_time_t now);
+void medlar_sync_list(medlar_client_t *client, medlar_members_t *members,
+		      const medlar_message_t *message, medlar_time_t now);
+void medlar_sync_want(medlar_client_t *client, medlar_members_t *members,
+		      const medlar_message_t *message, medlar_time_t now);
+
+/* spread.c */
+void medlar_spread_finish(medlar_members_t *members);
+void medlar_spread_heard(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_message_t *message, medlar_time_t now);
+void medlar_spread_fetch(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_message_t *message, medlar_time_t now);
+void medlar_spread_chunk(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_message_t *message, medlar_time_t now);
+void medlar_spread_retry(medlar_client_t *client, medlar_members_t *members,
+			 medlar_time_t now);
+
 #endif /* MEDLAR_INTERNAL_H */
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -130,6 +130,22 @@
 #define MEDLAR_MINUTE (60 * MEDLAR_SECOND)
 #define MEDLAR_HOUR (60 * MEDLAR_MINUTE)
 
+/*
+ * table.c
+ */
+
+/**
+ * struct medlar_table - items by their 64-bit id, which is their first member
+ * @slots: pointers to the ids; NULL where free
+ * @len: number of items
+ * @cap: number of @slots
+ */
+typedef struct medlar_table {
+	uint64_t **slots;
+	size_t len;
+	size_t cap;
+} medlar_table_t;
+
 /*
  * rand.c
  */
@@ -896,9 +912,7 @@
 	medlar_map_t map;
 	medlar_shard_t **shards;
 	size_t shards_len;
-	medlar_replica_t **table;
-	size_t table_len;
-	size_t table_cap;
+	medlar_table_t table;
 	struct medlar_peer_ *peers;
 	size_t peers_len;
 	medlar_replica_t *removed;
@@ -1208,6 +1222,306 @@
 void *medlar_attempt_data(const medlar_attempt_t *attempt);
 void medlar_attempt_set_data(medlar_attempt_t *attempt, void *data);
 
+/*
+ * fact.c
+ */
+
+/** enum medlar_fact_kind - what a fact is about; the subject identifies it */
+typedef enum medlar_fact_kind {
+	MEDLAR_FACT_MEMBER, /* an instance, by its id */
+	MEDLAR_FACT_DRAIN, /* a replica that is leaving, by its id */
+	MEDLAR_FACT_VERDICT, /* a request, by its fingerprint */
+	MEDLAR_FACT_KINDS
+} medlar_fact_kind_t;
+
+/**
+ * struct medlar_member_info - how an instance is reached
+ * @name: unique name, terminated
+ * @host: IP address in text form, terminated
+ * @port: port for callers
+ * @peer_port: port of the peer protocol
+ * @zone: name of its availability zone, terminated. The part before the last
+ *	hyphen names the region
+ */
+typedef struct medlar_member_info {
+	char name[MEDLAR_NAME_MAX + 1];
+	char host[MEDLAR_HOST_MAX + 1];
+	uint16_t port;
+	uint16_t peer_port;
+	char zone[MEDLAR_NAME_MAX + 1];
+} medlar_member_info_t;
+
+/**
+ * struct medlar_fact - something that instances tell each other
+ * @kind: what it is about
+ * @subject: identifies what it is about
+ * @revision: of two facts about a subject the higher one holds. A replica's
+ *	incarnation; the time of a verdict; see &enum medlar_member_state
+ * @value: of a verdict, 1 convicted or 0 pardoned; of a member, 1 when it
+ *	left by itself; else 0
+ * @ttl: how long it holds, ms; %MEDLAR_TIME_NEVER without end
+ * @member: address of an instance, or NULL when not told
+ */
+typedef struct medlar_fact {
+	medlar_fact_kind_t kind;
+	uint64_t subject;
+	uint64_t revision;
+	uint64_t value;
+	medlar_time_t ttl;
+	const medlar_member_info_t *member;
+} medlar_fact_t;
+
+/**
+ * struct medlar_fact_key - name of a fact and its revision
+ * @kind: &enum medlar_fact_kind
+ * @subject: as in &struct medlar_fact
+ * @revision: as in &struct medlar_fact
+ */
+typedef struct medlar_fact_key {
+	uint32_t kind;
+	uint64_t subject;
+	uint64_t revision;
+} medlar_fact_key_t;
+
+#define MEDLAR_FACT_BUCKETS 256
+
+/**
+ * struct medlar_facts - the facts that an instance holds
+ * @table: the facts
+ * @buckets: digest of the facts of each bucket
+ * @hot: ids of facts that are still being told
+ * @hot_len: how many
+ */
+typedef struct medlar_facts {
+	medlar_table_t table;
+	uint32_t buckets[MEDLAR_FACT_BUCKETS];
+	uint64_t *hot;
+	size_t hot_len;
+} medlar_facts_t;
+
+/** enum medlar_message_kind - what a message between instances asks or tells */
+typedef enum medlar_message_kind {
+	MEDLAR_MESSAGE_PING, /* answer with an ack */
+	MEDLAR_MESSAGE_ACK,
+	MEDLAR_MESSAGE_RELAY, /* ping another for the sender */
+	MEDLAR_MESSAGE_PUSH, /* facts only */
+	MEDLAR_MESSAGE_SYNC, /* digests of all buckets */
+	MEDLAR_MESSAGE_LIST, /* keys of the facts of one bucket */
+	MEDLAR_MESSAGE_WANT, /* keys of facts to be sent */
+	MEDLAR_MESSAGE_RESULT, /* facts found missing; seldom news */
+	MEDLAR_MESSAGE_FETCH, /* send the configuration document */
+	MEDLAR_MESSAGE_CHUNK, /* a part of it */
+	MEDLAR_MESSAGE_KINDS
+} medlar_message_kind_t;
+
+#define MEDLAR_MESSAGE_FACTS_MAX 16
+#define MEDLAR_MESSAGE_KEYS_MAX 56
+#define MEDLAR_CHUNK_MAX 1024
+#define MEDLAR_DOCUMENT_MAX ((size_t)1 << 20)
+
+/**
+ * struct medlar_chunk - a part of a document, or of the change to one
+ * @base: revision that the change applies to; 0 when the document is whole
+ * @prefix: bytes that the new document shares with the start of the base
+ * @suffix: bytes that it shares with the end of the base
+ * @total: bytes between prefix and suffix
+ * @offset: where @bytes belong among these
+ * @hash: hash of the whole new document
+ * @bytes: at most %MEDLAR_CHUNK_MAX of them
+ */
+typedef struct medlar_chunk {
+	uint64_t base;
+	uint32_t prefix;
+	uint32_t suffix;
+	uint32_t total;
+	uint32_t offset;
+	uint64_t hash;
+	medlar_str_t bytes;
+} medlar_chunk_t;
+
+/**
+ * struct medlar_message - a message between two instances
+ * @kind: what it asks or tells
+ * @from: id of the sender
+ * @about: ping, ack and relay: who is pinged; list: the bucket; else 0
+ * @seq: ping, ack and relay: number of the probe
+ * @digest: digest of all facts that the sender holds
+ * @revision: configuration revision that the sender holds; 0 for none
+ * @facts: news
+ * @facts_len: at most %MEDLAR_MESSAGE_FACTS_MAX
+ * @keys: list and want
+ * @keys_len: at most %MEDLAR_MESSAGE_KEYS_MAX
+ * @digests: sync: %MEDLAR_FACT_BUCKETS of them; else NULL
+ * @chunk: chunk; and fetch, which uses only the offset
+ */
+typedef struct medlar_message {
+	medlar_message_kind_t kind;
+	uint64_t from;
+	uint64_t about;
+	uint32_t seq;
+	uint32_t digest;
+	uint64_t revision;
+	const medlar_fact_t *facts;
+	size_t facts_len;
+	const medlar_fact_key_t *keys;
+	size_t keys_len;
+	const uint32_t *digests;
+	medlar_chunk_t chunk;
+} medlar_message_t;
+
+/*
+ * member.c, probe.c, sync.c, spread.c
+ */
+
+/**
+ * enum medlar_member_state - what is believed of an instance
+ *
+ * The revision of a member's fact is its incarnation times
+ * %MEDLAR_MEMBER_STATES plus the state, so a later state holds until
+ * the instance itself contradicts it with a higher incarnation.
+ */
+typedef enum medlar_member_state {
+	MEDLAR_MEMBER_ALIVE,
+	MEDLAR_MEMBER_SUSPECT,
+	MEDLAR_MEMBER_LEAVING,
+	MEDLAR_MEMBER_DEAD,
+	MEDLAR_MEMBER_STATES
+} medlar_member_state_t;
+
+/**
+ * struct medlar_members_ops - actions that the membership asks for
+ * @send: send @message to the instance that @to describes; may be lost
+ * @fact: a fact that was not known, or that replaces an older one
+ * @document: a configuration document of a higher revision than any before
+ * @data: passed to all
+ *
+ * None of them may call back into the membership.
+ */
+typedef struct medlar_members_ops {
+	void (*send)(const medlar_member_info_t *to,
+		     const medlar_message_t *message, void *data);
+	void (*fact)(const medlar_fact_t *fact, void *data);
+	void (*document)(uint64_t revision, medlar_str_t document, void *data);
+	void *data;
+} medlar_members_ops_t;
+
+/**
+ * struct medlar_members - the other instances and what they tell
+ *
+ * The members are private to the library. The memory is the caller's and must
+ * not move while it is in use.
+ */
+typedef struct medlar_members {
+	medlar_members_ops_t ops;
+	medlar_member_info_t self;
+	uint64_t incarnation;
+	medlar_member_state_t state;
+	medlar_facts_t facts;
+	struct medlar_entry_ **list;
+	size_t len;
+	size_t cap;
+	size_t live;
+	uint64_t generation;
+	uint64_t *ids;
+	size_t ids_cap;
+	medlar_time_t started;
+	medlar_time_t joined;
+	medlar_time_t ticked;
+	medlar_timer_t period;
+	medlar_timer_t relay;
+	medlar_timer_t round;
+	uint32_t step;
+	uint32_t seq;
+	struct {
+		uint64_t target;
+		uint32_t seq;
+		bool acked;
+	} probe;
+	struct {
+		uint64_t asker;
+		uint64_t target;
+		uint32_t asker_seq;
+		uint32_t seq;
+	} relays[4];
+	uint32_t relays_next;
+	medlar_time_t synced;
+	struct {
+		uint64_t revision;
+		uint64_t hash;
+		uint64_t base;
+		uint32_t prefix;
+		uint32_t suffix;
+		uint32_t sends;
+		medlar_buf_t text;
+	} document;
+	struct {
+		uint64_t revision;
+		uint64_t from;
+		uint64_t head_revision;
+		medlar_chunk_t head;
+		char *bytes;
+		uint64_t got[MEDLAR_DOCUMENT_MAX / MEDLAR_CHUNK_MAX / 64];
+		uint32_t asked;
+		medlar_time_t progress;
+	} fetch;
+} medlar_members_t;
+
+int medlar_members_init(medlar_client_t *client, medlar_members_t *members,
+			const medlar_member_info_t *self, uint64_t incarnation,
+			const medlar_members_ops_t *ops, medlar_time_t now);
+void medlar_members_finish(medlar_client_t *client, medlar_members_t *members);
+int medlar_members_seed(medlar_client_t *client, medlar_members_t *members,
+			const medlar_member_info_t *info, medlar_time_t now);
+void medlar_members_receive(medlar_client_t *client, medlar_members_t *members,
+			    const medlar_message_t *message, medlar_time_t now);
+int medlar_members_tell(medlar_client_t *client, medlar_members_t *members,
+			const medlar_fact_t *fact, medlar_time_t now);
+void medlar_members_leave(medlar_client_t *client, medlar_members_t *members,
+			  medlar_time_t now);
+void medlar_members_stop(medlar_client_t *client, medlar_members_t *members,
+			 medlar_time_t now);
+size_t medlar_members_count(const medlar_members_t *members);
+const medlar_member_info_t *medlar_members_get(const medlar_members_t *members,
+					       size_t index,
+					       medlar_member_state_t *state);
+uint64_t medlar_members_generation(const medlar_members_t *members);
+medlar_peers_t medlar_members_peers(medlar_client_t *client,
+				    medlar_members_t *members,
+				    medlar_time_t now);
+medlar_time_t medlar_members_period(size_t instances);
+medlar_time_t medlar_members_hold(size_t instances);
+int medlar_members_set_document(medlar_client_t *client,
+				medlar_members_t *members, uint64_t revision,
+				medlar_str_t document, medlar_time_t now);
+uint64_t medlar_members_revision(const medlar_members_t *members);
+medlar_str_t medlar_members_document(const medlar_members_t *members);
+
+/*
+ * address.c
+ */
+
+#define MEDLAR_ADDRESSES_MAX 4
+
+/**
+ * struct medlar_address - an instance that a caller may use
+ * @id: hash of the instance's name
+ * @zone: hash of the name of its availability zone
+ * @weight: share of the caller's requests, relative to the other addresses
+ * @data: the program's own
+ */
+typedef struct medlar_address {
+	uint64_t id;
+	uint64_t zone;
+	uint32_t weight;
+	const void *data;
+} medlar_address_t;
+
+size_t medlar_address_choose(medlar_client_t *client,
+			     const medlar_address_t *from, size_t len,
+			     uint64_t zone, uint64_t caller,
+			     medlar_address_t out[MEDLAR_ADDRESSES_MAX]);
+medlar_time_t medlar_address_ttl(medlar_client_t *client, medlar_time_t ttl);
+
 /*
  * store.c
  */
--- a/libmedlar/peers.c
+++ b/libmedlar/peers.c
@@ -80,9 +80,9 @@
 	bool any = has_share(client, service, now);
 	size_t i;
 
-	for (i = 0; i < service->table_cap; i++)
-		if (service->table[i])
-			share(service, service->table[i], any);
+	for (i = 0; i < service->table.cap; i++)
+		if (service->table.slots[i])
+			share(service, (void *)service->table.slots[i], any);
 	MEDLAR_TRACE(
 		client, MEDLAR_EVENT_LIMIT,
 		MEDLAR_TEXT("service", medlar_str_from(service->policy.name)),
@@ -130,9 +130,10 @@
 {
 	size_t i;
 
-	for (i = 0; i < service->table_cap; i++)
-		if (service->table[i])
-			rank_again(client, service->table[i], changes, len);
+	for (i = 0; i < service->table.cap; i++)
+		if (service->table.slots[i])
+			rank_again(client, (void *)service->table.slots[i],
+				   changes, len);
 	medlar_peers_share(client, service, now);
 }
 
--- a/libmedlar/pending.c
+++ b/libmedlar/pending.c
@@ -1,5 +1,5 @@
 /**
- * DOC: weak stand-ins for functions of query.c and map.c
+ * DOC: weak stand-ins for functions of query.c
  */
 #include "internal.h"
 
@@ -19,22 +19,3 @@
 	(void)client;
 	(void)service;
 }
-
-__attribute__((weak)) int medlar_map_init_even(medlar_map_t *map,
-					       uint64_t epoch, uint32_t shards)
-{
-	*map = (medlar_map_t){ .epoch = epoch, .shards = shards };
-	return MEDLAR_OK;
-}
-
-__attribute__((weak)) int medlar_map_copy(medlar_map_t *to,
-					  const medlar_map_t *from)
-{
-	*to = *from;
-	return MEDLAR_OK;
-}
-
-__attribute__((weak)) void medlar_map_finish(medlar_map_t *map)
-{
-	*map = (medlar_map_t){ 0 };
-}
--- a/libmedlar/service.c
+++ b/libmedlar/service.c
@@ -101,12 +101,9 @@
 	for (i = 0; i < service->shards_len; i++)
 		medlar_shard_free(service->shards[i]);
 	free(service->shards);
-	free(service->table);
+	medlar_table_finish(&service->table);
 	service->shards = NULL;
 	service->shards_len = 0;
-	service->table = NULL;
-	service->table_len = 0;
-	service->table_cap = 0;
 }
 
 /**
@@ -190,7 +187,7 @@
 
 	if (!replica)
 		return error;
-	error = medlar_table_insert(service, replica);
+	error = medlar_table_insert(&service->table, &replica->id);
 	if (error)
 		goto failed;
 	error = medlar_shard_add(shard, replica, now);
@@ -202,7 +199,7 @@
 	return MEDLAR_OK;
 
 failed_in_table:
-	medlar_table_remove(service, id);
+	medlar_table_remove(&service->table, id);
 failed:
 	medlar_replica_free(replica);
 	return error;
@@ -256,6 +253,8 @@
 	id = medlar_str_hash(medlar_str_from(info->name), 0);
 	replica = medlar_service_find_replica(service, id);
 	service->generation++;
+	if (!replica && service->table.len >= MEDLAR_REPLICAS_MAX)
+		return MEDLAR_ERR_FULL;
 	if (!replica)
 		return add_replica(client, service, info, id, now);
 	if (info->incarnation < replica->cold->info.incarnation)
@@ -288,7 +287,7 @@
 	if (!replica)
 		return MEDLAR_ERR_NOT_FOUND;
 	medlar_replica_leave(client, replica, 0, now);
-	medlar_table_remove(service, id);
+	medlar_table_remove(&service->table, id);
 	medlar_shard_remove(replica);
 	service->generation++;
 	if (replica->in_flight == 0) {
@@ -301,6 +300,19 @@
 	return MEDLAR_OK;
 }
 
+/**
+ * medlar_service_find_replica() - look up a replica
+ * @service: service
+ * @id: hash of its name
+ *
+ * Return: the replica, or NULL.
+ */
+medlar_replica_t *medlar_service_find_replica(medlar_service_t *service,
+					      uint64_t id)
+{
+	return medlar_table_find(&service->table, id);
+}
+
 /**
  * medlar_service_set_suspects() - use a table of request fingerprints
  * @service: service
--- /dev/null
+++ b/libmedlar/spread.c
@@ -0,0 +1,364 @@
+/**
+ * DOC: configuration documents from instance to instance
+ *
+ * Every message carries the revision that its sender holds. Whoever hears of
+ * a higher one fetches it in chunks, as the difference to the revision before
+ * where both have that, else whole. A revision that is not higher than the
+ * one held is never taken.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+#define CHUNKS_AT_ONCE 4
+#define STALL ((medlar_time_t)480)
+#define ROUNDS_TOLD 4
+
+/**
+ * medlar_spread_finish() - release the documents
+ * @members: membership that is being finished
+ */
+void medlar_spread_finish(medlar_members_t *members)
+{
+	medlar_buf_finish(&members->document.text);
+	free(members->fetch.bytes);
+	members->fetch.bytes = NULL;
+}
+
+static void forget_chunks(medlar_members_t *members)
+{
+	free(members->fetch.bytes);
+	members->fetch.bytes = NULL;
+	memset(members->fetch.got, 0, sizeof(members->fetch.got));
+}
+
+static uint32_t common_prefix(medlar_str_t a, medlar_str_t b)
+{
+	size_t most = a.len < b.len ? a.len : b.len;
+	size_t len = 0;
+
+	while (len < most && a.ptr[len] == b.ptr[len])
+		len++;
+	return (uint32_t)len;
+}
+
+static uint32_t common_suffix(medlar_str_t a, medlar_str_t b, size_t prefix)
+{
+	size_t most = (a.len < b.len ? a.len : b.len) - prefix;
+	size_t len = 0;
+
+	while (len < most && a.ptr[a.len - 1 - len] == b.ptr[b.len - 1 - len])
+		len++;
+	return (uint32_t)len;
+}
+
+/**
+ * medlar_members_set_document() - hold a configuration document
+ * @client: client
+ * @members: membership
+ * @revision: its revision, at least 1
+ * @document: document; copied
+ * @now: current time, ms
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_STALE when the revision is not higher than
+ * the one held; %MEDLAR_ERR_TOO_LARGE; or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_members_set_document(medlar_client_t *client,
+				medlar_members_t *members, uint64_t revision,
+				medlar_str_t document, medlar_time_t now)
+{
+	medlar_str_t old = medlar_buf_str(&members->document.text);
+	medlar_buf_t text;
+
+	(void)now;
+	if (revision <= members->document.revision)
+		return MEDLAR_ERR_STALE;
+	if (document.len > MEDLAR_DOCUMENT_MAX)
+		return MEDLAR_ERR_TOO_LARGE;
+	medlar_buf_init(&text);
+	medlar_buf_add(&text, document);
+	if (text.error)
+		return text.error;
+	members->document.base = members->document.revision;
+	members->document.prefix = common_prefix(old, document);
+	members->document.suffix = common_suffix(old, document,
+						 members->document.prefix);
+	medlar_buf_finish(&members->document.text);
+	members->document.text = text;
+	members->document.revision = revision;
+	members->document.hash = medlar_str_hash(document, revision);
+	members->document.sends = ROUNDS_TOLD;
+	if (revision >= members->fetch.revision)
+		forget_chunks(members);
+	MEDLAR_TRACE(client, MEDLAR_EVENT_CONFIG,
+		     MEDLAR_NUM("revision", revision),
+		     MEDLAR_NUM("bytes", document.len),
+		     MEDLAR_NUM("base", members->document.base));
+	return MEDLAR_OK;
+}
+
+/**
+ * medlar_members_revision() - revision of the document held
+ * @members: membership
+ *
+ * Return: the revision; 0 for none.
+ */
+uint64_t medlar_members_revision(const medlar_members_t *members)
+{
+	return members->document.revision;
+}
+
+/**
+ * medlar_members_document() - the document held
+ * @members: membership
+ *
+ * Return: its bytes, valid until it is replaced.
+ */
+medlar_str_t medlar_members_document(const medlar_members_t *members)
+{
+	return medlar_buf_str(&members->document.text);
+}
+
+static uint32_t chunks_of(uint32_t total)
+{
+	if (total == 0)
+		return 1;
+	return (total + MEDLAR_CHUNK_MAX - 1) / MEDLAR_CHUNK_MAX;
+}
+
+static bool has(const medlar_members_t *members, uint32_t chunk)
+{
+	return members->fetch.got[chunk / 64] >> (chunk % 64) & 1;
+}
+
+/* Number of the first chunk that is missing. */
+static uint32_t first_missing(const medlar_members_t *members)
+{
+	uint32_t chunks = chunks_of(members->fetch.head.total);
+	uint32_t chunk = 0;
+
+	if (!members->fetch.bytes)
+		return 0;
+	while (chunk < chunks && has(members, chunk))
+		chunk++;
+	return chunk;
+}
+
+static void ask(medlar_client_t *client, medlar_members_t *members,
+		const medlar_entry_t *of, medlar_time_t now)
+{
+	uint32_t chunk = first_missing(members);
+	medlar_message_t message = {
+		.kind = MEDLAR_MESSAGE_FETCH,
+		.chunk = { .offset = chunk * MEDLAR_CHUNK_MAX },
+	};
+
+	members->fetch.from = of->fact.subject;
+	members->fetch.asked = chunk;
+	members->fetch.progress = now;
+	medlar_members_send(client, members, of, &message, now);
+}
+
+/**
+ * medlar_spread_heard() - look at the revision that a message carries
+ * @client: client
+ * @members: membership
+ * @message: a message that has been handled
+ * @now: current time, ms
+ */
+void medlar_spread_heard(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_message_t *message, medlar_time_t now)
+{
+	const medlar_entry_t *sender = medlar_members_find(members,
+							   message->from);
+
+	if (!sender || message->revision <= members->document.revision ||
+	    message->revision <= members->fetch.revision)
+		return;
+	members->fetch.revision = message->revision;
+	forget_chunks(members);
+	ask(client, members, sender, now);
+}
+
+/**
+ * medlar_spread_retry() - ask again for a document that does not arrive
+ * @client: client
+ * @members: membership
+ * @now: current time, ms
+ */
+void medlar_spread_retry(medlar_client_t *client, medlar_members_t *members,
+			 medlar_time_t now)
+{
+	const medlar_entry_t *of;
+
+	if (members->fetch.revision <= members->document.revision ||
+	    now - members->fetch.progress < STALL)
+		return;
+	of = medlar_members_random(client, members, MEDLAR_REACH_REGION);
+	if (of)
+		ask(client, members, of, now);
+}
+
+/**
+ * medlar_spread_fetch() - send chunks of the document
+ * @client: client
+ * @members: membership
+ * @message: which revision the other instance holds, and from where to send
+ * @now: current time, ms
+ */
+void medlar_spread_fetch(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_message_t *message, medlar_time_t now)
+{
+	const medlar_entry_t *sender = medlar_members_find(members,
+							   message->from);
+	medlar_str_t text = medlar_buf_str(&members->document.text);
+	medlar_message_t answer = {
+		.kind = MEDLAR_MESSAGE_CHUNK,
+		.chunk = { .hash = members->document.hash },
+	};
+	medlar_chunk_t *chunk = &answer.chunk;
+	unsigned i;
+
+	if (!sender || message->revision >= members->document.revision)
+		return;
+	if (message->revision > 0 &&
+	    message->revision == members->document.base) {
+		chunk->base = members->document.base;
+		chunk->prefix = members->document.prefix;
+		chunk->suffix = members->document.suffix;
+	}
+	chunk->total = (uint32_t)text.len - chunk->prefix - chunk->suffix;
+	chunk->offset = message->chunk.offset;
+	for (i = 0; i < CHUNKS_AT_ONCE; i++) {
+		size_t left;
+
+		if (chunk->offset > chunk->total ||
+		    (i > 0 && chunk->offset == chunk->total))
+			break;
+		left = chunk->total - chunk->offset;
+		chunk->bytes.ptr = text.ptr + chunk->prefix + chunk->offset;
+		chunk->bytes.len = left < MEDLAR_CHUNK_MAX ? left
+							   : MEDLAR_CHUNK_MAX;
+		medlar_members_send(client, members, sender, &answer, now);
+		chunk->offset += (uint32_t)chunk->bytes.len;
+	}
+}
+
+/* The new document from the chunks and, for a change, the one held. */
+static void assemble(const medlar_members_t *members, medlar_buf_t *out)
+{
+	const medlar_chunk_t *head = &members->fetch.head;
+	medlar_str_t old = medlar_buf_str(&members->document.text);
+	medlar_str_t middle = { members->fetch.bytes, head->total };
+
+	medlar_buf_add(out, (medlar_str_t){ old.ptr, head->prefix });
+	medlar_buf_add(out, middle);
+	medlar_buf_add(out, (medlar_str_t){ old.ptr + old.len - head->suffix,
+					    head->suffix });
+}
+
+static void complete(medlar_client_t *client, medlar_members_t *members,
+		     medlar_time_t now)
+{
+	uint64_t revision = members->fetch.head_revision;
+	medlar_buf_t text;
+	medlar_str_t document;
+
+	medlar_buf_init(&text);
+	assemble(members, &text);
+	document = medlar_buf_str(&text);
+	forget_chunks(members);
+	if (!text.error &&
+	    medlar_str_hash(document, revision) == members->fetch.head.hash &&
+	    medlar_members_set_document(client, members, revision, document,
+					now) == MEDLAR_OK &&
+	    members->ops.document)
+		members->ops.document(revision, document, members->ops.data);
+	medlar_buf_finish(&text);
+}
+
+static bool is_acceptable(const medlar_members_t *members,
+			  const medlar_chunk_t *chunk)
+{
+	size_t held = members->document.text.len;
+	size_t shared = (size_t)chunk->prefix + chunk->suffix;
+
+	if (chunk->total > MEDLAR_DOCUMENT_MAX ||
+	    chunk->offset % MEDLAR_CHUNK_MAX != 0 ||
+	    chunk->offset > chunk->total)
+		return false;
+	if (chunk->total - chunk->offset > MEDLAR_CHUNK_MAX &&
+	    chunk->bytes.len != MEDLAR_CHUNK_MAX)
+		return false;
+	if (chunk->total - chunk->offset <= MEDLAR_CHUNK_MAX &&
+	    chunk->bytes.len != chunk->total - chunk->offset)
+		return false;
+	if (chunk->offset / MEDLAR_CHUNK_MAX >= chunks_of(chunk->total))
+		return false;
+	if (chunk->base == 0)
+		return shared == 0;
+	return chunk->base == members->document.revision && shared <= held;
+}
+
+static bool continues(const medlar_members_t *members,
+		      const medlar_message_t *message)
+{
+	const medlar_chunk_t *head = &members->fetch.head;
+	const medlar_chunk_t *chunk = &message->chunk;
+
+	return members->fetch.bytes &&
+	       message->revision == members->fetch.head_revision &&
+	       chunk->hash == head->hash && chunk->base == head->base &&
+	       chunk->total == head->total && chunk->prefix == head->prefix &&
+	       chunk->suffix == head->suffix;
+}
+
+/* Starts over with what the instance that was asked sends. */
+static bool begin(medlar_members_t *members, const medlar_message_t *message)
+{
+	if (message->from != members->fetch.from ||
+	    message->revision < members->fetch.revision)
+		return false;
+	forget_chunks(members);
+	members->fetch.bytes = calloc(1, (size_t)message->chunk.total + 1);
+	members->fetch.revision = message->revision;
+	members->fetch.head_revision = message->revision;
+	members->fetch.head = message->chunk;
+	return members->fetch.bytes;
+}
+
+/**
+ * medlar_spread_chunk() - take in a chunk
+ * @client: client
+ * @members: membership
+ * @message: the chunk and the revision that it belongs to
+ * @now: current time, ms
+ *
+ * Chunks may arrive in any order.
+ */
+void medlar_spread_chunk(medlar_client_t *client, medlar_members_t *members,
+			 const medlar_message_t *message, medlar_time_t now)
+{
+	const medlar_chunk_t *chunk = &message->chunk;
+	const medlar_entry_t *sender = medlar_members_find(members,
+							   message->from);
+	uint32_t number = chunk->offset / MEDLAR_CHUNK_MAX;
+	uint32_t missing;
+
+	if (!sender || message->revision <= members->document.revision ||
+	    !is_acceptable(members, chunk))
+		return;
+	if (!continues(members, message) && !begin(members, message))
+		return;
+	if (chunk->bytes.len > 0)
+		memcpy(members->fetch.bytes + chunk->offset, chunk->bytes.ptr,
+		       chunk->bytes.len);
+	members->fetch.got[number / 64] |= UINT64_C(1) << (number % 64);
+	members->fetch.progress = now;
+	missing = first_missing(members);
+	if (missing == chunks_of(chunk->total))
+		complete(client, members, now);
+	else if (missing >= members->fetch.asked + CHUNKS_AT_ONCE)
+		ask(client, members, sender, now);
+}
--- a/libmedlar/table.c
+++ b/libmedlar/table.c
@@ -1,7 +1,8 @@
 /**
- * DOC: the replicas of a service by their id
+ * DOC: items by their 64-bit id
  *
- * A hash table with linear probing, at most half full. Ids are hashes already.
+ * A hash table with linear probing, at most half full. Ids are hashes already,
+ * and are the first member of the items.
  */
 #include <stdlib.h>
 
@@ -9,104 +10,95 @@
 
 #define TABLE_CAP_MIN 16
 
-static size_t home(size_t cap, uint64_t id)
-{
-	return id & (cap - 1);
-}
-
-static void put(medlar_replica_t **table, size_t cap, medlar_replica_t *replica)
+/* Position of an id, or of the free place that ends its search. */
+static size_t locate(const medlar_table_t *table, uint64_t id)
 {
-	size_t at = home(cap, replica->id);
+	size_t at = id & (table->cap - 1);
 
-	while (table[at])
-		at = (at + 1) & (cap - 1);
-	table[at] = replica;
+	while (table->slots[at] && *table->slots[at] != id)
+		at = (at + 1) & (table->cap - 1);
+	return at;
 }
 
-static int grow(medlar_service_t *service)
+static int grow(medlar_table_t *table)
 {
-	size_t cap = service->table_cap ? 2 * service->table_cap
-					: TABLE_CAP_MIN;
-	medlar_replica_t **table = calloc(cap, sizeof(medlar_replica_t *));
+	medlar_table_t bigger = { .len = table->len };
 	size_t i;
 
-	if (!table)
+	bigger.cap = table->cap ? 2 * table->cap : TABLE_CAP_MIN;
+	bigger.slots = calloc(bigger.cap, sizeof(uint64_t *));
+	if (!bigger.slots)
 		return MEDLAR_ERR_NOMEM;
-	for (i = 0; i < service->table_cap; i++)
-		if (service->table[i])
-			put(table, cap, service->table[i]);
-	free(service->table);
-	service->table = table;
-	service->table_cap = cap;
+	for (i = 0; i < table->cap; i++) {
+		uint64_t *item = table->slots[i];
+
+		if (item)
+			bigger.slots[locate(&bigger, *item)] = item;
+	}
+	free(table->slots);
+	*table = bigger;
 	return MEDLAR_OK;
 }
 
 /**
- * medlar_table_insert() - add a replica that is not in the table
- * @service: service
- * @replica: replica
- *
- * Return: %MEDLAR_OK, %MEDLAR_ERR_FULL or %MEDLAR_ERR_NOMEM.
+ * medlar_table_finish() - release a table, not its items
+ * @table: a table; empty and usable afterwards
  */
-int medlar_table_insert(medlar_service_t *service, medlar_replica_t *replica)
+void medlar_table_finish(medlar_table_t *table)
 {
-	if (service->table_len >= MEDLAR_REPLICAS_MAX)
-		return MEDLAR_ERR_FULL;
-	if (2 * service->table_len >= service->table_cap && grow(service))
-		return MEDLAR_ERR_NOMEM;
-	put(service->table, service->table_cap, replica);
-	service->table_len++;
-	return MEDLAR_OK;
+	free(table->slots);
+	*table = (medlar_table_t){ 0 };
 }
 
-/* Position of an id, or of the free place that ends its search. */
-static size_t locate(const medlar_service_t *service, uint64_t id)
+/**
+ * medlar_table_insert() - add an item whose id is not in the table
+ * @table: table
+ * @item: first member of the item: its id
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int medlar_table_insert(medlar_table_t *table, uint64_t *item)
 {
-	size_t cap = service->table_cap;
-	size_t at = home(cap, id);
-
-	while (service->table[at] && service->table[at]->id != id)
-		at = (at + 1) & (cap - 1);
-	return at;
+	if (2 * table->len >= table->cap && grow(table))
+		return MEDLAR_ERR_NOMEM;
+	table->slots[locate(table, *item)] = item;
+	table->len++;
+	return MEDLAR_OK;
 }
 
 /**
- * medlar_table_remove() - take a replica out of the table
- * @service: service
- * @id: id of the replica; unknown ones are ignored
+ * medlar_table_remove() - take an item out
+ * @table: table
+ * @id: its id; unknown ones are ignored
  */
-void medlar_table_remove(medlar_service_t *service, uint64_t id)
+void medlar_table_remove(medlar_table_t *table, uint64_t id)
 {
-	size_t cap = service->table_cap;
 	size_t at;
 
-	if (cap == 0)
-		return;
-	at = locate(service, id);
-	if (!service->table[at])
+	if (!medlar_table_find(table, id))
 		return;
-	service->table[at] = NULL;
-	service->table_len--;
-	for (at = (at + 1) & (cap - 1); service->table[at];
-	     at = (at + 1) & (cap - 1)) {
-		medlar_replica_t *moved = service->table[at];
+	at = locate(table, id);
+	table->slots[at] = NULL;
+	table->len--;
+	for (at = (at + 1) & (table->cap - 1); table->slots[at];
+	     at = (at + 1) & (table->cap - 1)) {
+		uint64_t *moved = table->slots[at];
 
-		service->table[at] = NULL;
-		put(service->table, cap, moved);
+		table->slots[at] = NULL;
+		table->slots[locate(table, *moved)] = moved;
 	}
 }
 
 /**
- * medlar_service_find_replica() - look up a replica
- * @service: service
- * @id: hash of its name
+ * medlar_table_find() - look up an item
+ * @table: table
+ * @id: its id
  *
- * Return: the replica, or NULL.
+ * Return: the item, or NULL.
  */
-medlar_replica_t *medlar_service_find_replica(medlar_service_t *service,
-					      uint64_t id)
+void *medlar_table_find(const medlar_table_t *table, uint64_t id)
 {
-	if (service->table_cap == 0)
+	if (table->cap == 0)
 		return NULL;
-	return service->table[locate(service, id)];
+	return table->slots[locate(table, id)];
 }
