Tell the entries of facts and of journals apart by name

Cause: two modules written side by side named a type medlar_entry_t. Change: the one of spread facts becomes medlar_fact_entry_t; constants in the tests and measurements of writes get wide types.

--- a/bench/bench_write.c
+++ b/bench/bench_write.c
@@ -291,7 +291,7 @@
 static void measure_outage(void)
 {
 	load_t load = load_of(4, 16, 400, SHARE * STORE_WRITES);
-	size_t cap = 400 * 90;
+	size_t cap = (size_t)400 * 90;
 	model_request_t *requests = calloc(cap, sizeof(*requests));
 	model_t model;
 	int64_t back;
--- a/libmedlar/fact.c
+++ b/libmedlar/fact.c
@@ -45,7 +45,7 @@
  *
  * Return: a number below %MEDLAR_FACT_BUCKETS.
  */
-uint32_t medlar_fact_bucket(const medlar_entry_t *entry)
+uint32_t medlar_fact_bucket(const medlar_fact_entry_t *entry)
 {
 	return (uint32_t)(entry->id >> 32) % MEDLAR_FACT_BUCKETS;
 }
@@ -71,7 +71,8 @@
  *
  * Return: the fact; its address is valid as long as @entry is.
  */
-medlar_fact_t medlar_fact_of(const medlar_entry_t *entry, medlar_time_t now)
+medlar_fact_t medlar_fact_of(const medlar_fact_entry_t *entry,
+			     medlar_time_t now)
 {
 	medlar_fact_t fact = entry->fact;
 
@@ -90,18 +91,19 @@
  *
  * Return: the fact, or NULL.
  */
-medlar_entry_t *medlar_facts_find(const medlar_facts_t *facts,
-				  medlar_fact_kind_t kind, uint64_t subject)
+medlar_fact_entry_t *medlar_facts_find(const medlar_facts_t *facts,
+				       medlar_fact_kind_t kind,
+				       uint64_t subject)
 {
 	return medlar_table_find(&facts->table, medlar_fact_id(kind, subject));
 }
 
-static bool fades(const medlar_entry_t *entry, medlar_time_t now)
+static bool fades(const medlar_fact_entry_t *entry, medlar_time_t now)
 {
 	return entry->until != MEDLAR_TIME_NEVER && entry->until - now < FADE;
 }
 
-static void toggle_digest(medlar_facts_t *facts, medlar_entry_t *entry)
+static void toggle_digest(medlar_facts_t *facts, medlar_fact_entry_t *entry)
 {
 	uint64_t hash = mix(entry->id ^ mix(entry->fact.revision));
 
@@ -109,7 +111,8 @@
 	entry->digested = !entry->digested;
 }
 
-static void heat(medlar_facts_t *facts, medlar_entry_t *entry, uint32_t sends)
+static void heat(medlar_facts_t *facts, medlar_fact_entry_t *entry,
+		 uint32_t sends)
 {
 	bool listed = entry->sends > 0;
 
@@ -123,9 +126,10 @@
 		entry->sends = sends;
 }
 
-static medlar_entry_t *add(medlar_facts_t *facts, const medlar_fact_t *fact)
+static medlar_fact_entry_t *add(medlar_facts_t *facts,
+				const medlar_fact_t *fact)
 {
-	medlar_entry_t *entry;
+	medlar_fact_entry_t *entry;
 
 	if (facts->table.len >= FACTS_MAX)
 		return NULL;
@@ -140,7 +144,8 @@
 	return entry;
 }
 
-static int keep_info(medlar_entry_t *entry, const medlar_member_info_t *info)
+static int keep_info(medlar_fact_entry_t *entry,
+		     const medlar_member_info_t *info)
 {
 	if (!info)
 		return MEDLAR_OK;
@@ -152,7 +157,7 @@
 	return MEDLAR_OK;
 }
 
-static bool is_news(const medlar_entry_t *entry, const medlar_fact_t *fact)
+static bool is_news(const medlar_fact_entry_t *entry, const medlar_fact_t *fact)
 {
 	if (!entry || fact->revision > entry->fact.revision)
 		return true;
@@ -172,10 +177,11 @@
  * many facts or too little memory.
  */
 int medlar_facts_put(medlar_facts_t *facts, const medlar_fact_t *fact,
-		     uint32_t sends, medlar_time_t now, medlar_entry_t **out)
+		     uint32_t sends, medlar_time_t now,
+		     medlar_fact_entry_t **out)
 {
-	medlar_entry_t *entry = medlar_facts_find(facts, fact->kind,
-						  fact->subject);
+	medlar_fact_entry_t *entry = medlar_facts_find(facts, fact->kind,
+						       fact->subject);
 
 	if (!is_news(entry, fact))
 		return 0;
@@ -204,7 +210,7 @@
  * @entry: fact
  * @now: current time, ms
  */
-void medlar_facts_age(medlar_facts_t *facts, medlar_entry_t *entry,
+void medlar_facts_age(medlar_facts_t *facts, medlar_fact_entry_t *entry,
 		      medlar_time_t now)
 {
 	if (entry->digested && fades(entry, now))
@@ -216,7 +222,7 @@
  * @facts: facts
  * @entry: fact; freed
  */
-void medlar_facts_drop(medlar_facts_t *facts, medlar_entry_t *entry)
+void medlar_facts_drop(medlar_facts_t *facts, medlar_fact_entry_t *entry)
 {
 	if (entry->digested)
 		toggle_digest(facts, entry);
@@ -234,7 +240,7 @@
 	size_t i;
 
 	for (i = 0; i < facts->table.cap; i++) {
-		medlar_entry_t *entry = (void *)facts->table.slots[i];
+		medlar_fact_entry_t *entry = (void *)facts->table.slots[i];
 
 		if (!entry)
 			continue;
@@ -283,7 +289,8 @@
 
 	while (left-- > 0 && len < max) {
 		uint64_t id = facts->hot[0];
-		medlar_entry_t *entry = medlar_table_find(&facts->table, id);
+		medlar_fact_entry_t *entry = medlar_table_find(&facts->table,
+							       id);
 
 		if (entry) {
 			out[len] = medlar_fact_of(entry, now);
--- a/libmedlar/internal.h
+++ b/libmedlar/internal.h
@@ -175,7 +175,7 @@
 void medlar_eject_clear(medlar_replica_t *replica);
 
 /**
- * struct medlar_entry_ - a fact as it is held
+ * struct medlar_fact_entry_ - a fact as it is held
  * @id: hash of kind and subject
  * @fact: the fact; its ttl is unused
  * @until: when it ends, ms
@@ -186,7 +186,7 @@
  * @sends: how often it has yet to be told
  * @digested: it counts in the digests
  */
-typedef struct medlar_entry_ {
+typedef struct medlar_fact_entry_ {
 	uint64_t id;
 	medlar_fact_t fact;
 	medlar_time_t until;
@@ -196,7 +196,7 @@
 	uint64_t zone;
 	uint32_t sends;
 	bool digested;
-} medlar_entry_t;
+} medlar_fact_entry_t;
 
 /** Bytes of facts in a message, by medlar_fact_size(). */
 #define MEDLAR_MESSAGE_ROOM 1024
@@ -214,43 +214,48 @@
 /* fact.c */
 void medlar_facts_finish(medlar_facts_t *facts);
 uint64_t medlar_fact_id(medlar_fact_kind_t kind, uint64_t subject);
-medlar_entry_t *medlar_facts_find(const medlar_facts_t *facts,
-				  medlar_fact_kind_t kind, uint64_t subject);
+medlar_fact_entry_t *medlar_facts_find(const medlar_facts_t *facts,
+				       medlar_fact_kind_t kind,
+				       uint64_t subject);
 int medlar_facts_put(medlar_facts_t *facts, const medlar_fact_t *fact,
-		     uint32_t sends, medlar_time_t now, medlar_entry_t **out);
-void medlar_facts_drop(medlar_facts_t *facts, medlar_entry_t *entry);
-void medlar_facts_age(medlar_facts_t *facts, medlar_entry_t *entry,
+		     uint32_t sends, medlar_time_t now,
+		     medlar_fact_entry_t **out);
+void medlar_facts_drop(medlar_facts_t *facts, medlar_fact_entry_t *entry);
+void medlar_facts_age(medlar_facts_t *facts, medlar_fact_entry_t *entry,
 		      medlar_time_t now);
 uint32_t medlar_facts_digest(const medlar_facts_t *facts);
-medlar_fact_t medlar_fact_of(const medlar_entry_t *entry, medlar_time_t now);
+medlar_fact_t medlar_fact_of(const medlar_fact_entry_t *entry,
+			     medlar_time_t now);
 size_t medlar_facts_hot(medlar_facts_t *facts, medlar_fact_t *out, size_t max,
 			size_t room, medlar_time_t now);
 size_t medlar_fact_size(const medlar_fact_t *fact);
-uint32_t medlar_fact_bucket(const medlar_entry_t *entry);
+uint32_t medlar_fact_bucket(const medlar_fact_entry_t *entry);
 
 /* member.c */
-medlar_member_state_t medlar_entry_state(const medlar_entry_t *entry);
-uint64_t medlar_entry_incarnation(const medlar_entry_t *entry);
-medlar_entry_t *medlar_members_find(const medlar_members_t *members,
-				    uint64_t id);
-medlar_entry_t *medlar_members_random(medlar_client_t *client,
-				      medlar_members_t *members,
-				      medlar_reach_t reach);
+medlar_member_state_t medlar_entry_state(const medlar_fact_entry_t *entry);
+uint64_t medlar_entry_incarnation(const medlar_fact_entry_t *entry);
+medlar_fact_entry_t *medlar_members_find(const medlar_members_t *members,
+					 uint64_t id);
+medlar_fact_entry_t *medlar_members_random(medlar_client_t *client,
+					   medlar_members_t *members,
+					   medlar_reach_t reach);
 int medlar_members_learn(medlar_client_t *client, medlar_members_t *members,
 			 const medlar_fact_t *fact, uint32_t sends,
 			 medlar_time_t now);
 void medlar_members_set_state(medlar_client_t *client,
-			      medlar_members_t *members, medlar_entry_t *entry,
+			      medlar_members_t *members,
+			      medlar_fact_entry_t *entry,
 			      medlar_member_state_t state, medlar_time_t now);
 void medlar_members_send(medlar_client_t *client, medlar_members_t *members,
-			 const medlar_entry_t *to, medlar_message_t *message,
-			 medlar_time_t now);
+			 const medlar_fact_entry_t *to,
+			 medlar_message_t *message, medlar_time_t now);
 void medlar_members_send_news(medlar_client_t *client,
 			      medlar_members_t *members,
-			      const medlar_entry_t *to,
+			      const medlar_fact_entry_t *to,
 			      medlar_message_t *message, medlar_time_t now);
 bool medlar_members_joining(const medlar_members_t *members, medlar_time_t now);
-void medlar_members_forget(medlar_members_t *members, medlar_entry_t *entry);
+void medlar_members_forget(medlar_members_t *members,
+			   medlar_fact_entry_t *entry);
 
 /* probe.c */
 void medlar_probe_init(medlar_members_t *members);
@@ -268,7 +273,7 @@
 
 /* sync.c */
 void medlar_sync_start(medlar_client_t *client, medlar_members_t *members,
-		       const medlar_entry_t *with, medlar_time_t now);
+		       const medlar_fact_entry_t *with, medlar_time_t now);
 void medlar_sync_digests(medlar_client_t *client, medlar_members_t *members,
 			 const medlar_message_t *message, medlar_time_t now);
 void medlar_sync_list(medlar_client_t *client, medlar_members_t *members,
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1468,7 +1468,7 @@
 	uint64_t incarnation;
 	medlar_member_state_t state;
 	medlar_facts_t facts;
-	struct medlar_entry_ **list;
+	struct medlar_fact_entry_ **list;
 	size_t len;
 	size_t cap;
 	size_t live;
--- a/libmedlar/member.c
+++ b/libmedlar/member.c
@@ -101,7 +101,7 @@
  *
  * Return: its state.
  */
-medlar_member_state_t medlar_entry_state(const medlar_entry_t *entry)
+medlar_member_state_t medlar_entry_state(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision % MEDLAR_MEMBER_STATES;
 }
@@ -112,12 +112,12 @@
  *
  * Return: the incarnation; 0 for an instance that was never heard of.
  */
-uint64_t medlar_entry_incarnation(const medlar_entry_t *entry)
+uint64_t medlar_entry_incarnation(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision / MEDLAR_MEMBER_STATES;
 }
 
-static bool is_live(const medlar_entry_t *entry)
+static bool is_live(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision > 0 && entry->info &&
 	       medlar_entry_state(entry) != MEDLAR_MEMBER_DEAD;
@@ -130,17 +130,17 @@
  *
  * Return: the fact about it, or NULL.
  */
-medlar_entry_t *medlar_members_find(const medlar_members_t *members,
-				    uint64_t id)
+medlar_fact_entry_t *medlar_members_find(const medlar_members_t *members,
+					 uint64_t id)
 {
 	return medlar_facts_find(&members->facts, MEDLAR_FACT_MEMBER, id);
 }
 
 static bool is_within(const medlar_members_t *members,
-		      const medlar_entry_t *entry, medlar_reach_t reach)
+		      const medlar_fact_entry_t *entry, medlar_reach_t reach)
 {
-	const medlar_entry_t *self = medlar_members_find(members,
-							 self_id(members));
+	const medlar_fact_entry_t *self = medlar_members_find(members,
+							      self_id(members));
 
 	if (entry == self || !entry->info)
 		return false;
@@ -162,16 +162,16 @@
  *
  * Return: the fact about it, or NULL.
  */
-medlar_entry_t *medlar_members_random(medlar_client_t *client,
-				      medlar_members_t *members,
-				      medlar_reach_t reach)
+medlar_fact_entry_t *medlar_members_random(medlar_client_t *client,
+					   medlar_members_t *members,
+					   medlar_reach_t reach)
 {
 	size_t start = medlar_rand_below(&client->rand, members->len);
 	size_t i;
 
 	for (; reach <= MEDLAR_REACH_ALL; reach++)
 		for (i = 0; i < members->len; i++) {
-			medlar_entry_t *entry =
+			medlar_fact_entry_t *entry =
 				members->list[(start + i) % members->len];
 
 			if (is_within(members, entry, reach))
@@ -181,7 +181,7 @@
 }
 
 static void trace(medlar_client_t *client, const medlar_members_t *members,
-		  const medlar_entry_t *entry)
+		  const medlar_fact_entry_t *entry)
 {
 	const char *name = entry->info ? entry->info->name : "";
 
@@ -195,13 +195,14 @@
 		MEDLAR_NUM("live", members->live));
 }
 
-static int list(medlar_members_t *members, medlar_entry_t *entry)
+static int list(medlar_members_t *members, medlar_fact_entry_t *entry)
 {
 	size_t cap = members->cap ? 2 * members->cap : LIST_CAP_MIN;
-	medlar_entry_t **grown;
+	medlar_fact_entry_t **grown;
 
 	if (members->len == members->cap) {
-		grown = realloc(members->list, cap * sizeof(medlar_entry_t *));
+		grown = realloc(members->list,
+				cap * sizeof(medlar_fact_entry_t *));
 		if (!grown)
 			return MEDLAR_ERR_NOMEM;
 		members->list = grown;
@@ -216,7 +217,8 @@
  * @members: membership
  * @entry: a fact that has ended; freed
  */
-void medlar_members_forget(medlar_members_t *members, medlar_entry_t *entry)
+void medlar_members_forget(medlar_members_t *members,
+			   medlar_fact_entry_t *entry)
 {
 	size_t i;
 
@@ -264,7 +266,8 @@
 			const medlar_fact_t *fact, uint32_t sends,
 			medlar_time_t now)
 {
-	medlar_entry_t *entry = medlar_members_find(members, fact->subject);
+	medlar_fact_entry_t *entry = medlar_members_find(members,
+							 fact->subject);
 	bool known = entry != NULL;
 	bool was_live = known && is_live(entry);
 	int news = medlar_facts_put(&members->facts, fact, sends, now, &entry);
@@ -324,7 +327,7 @@
 			 medlar_time_t now)
 {
 	medlar_fact_t told = *fact;
-	medlar_entry_t *entry;
+	medlar_fact_entry_t *entry;
 	int news;
 
 	if (fact->kind < 0 || fact->kind >= MEDLAR_FACT_KINDS || fact->ttl <= 0)
@@ -358,7 +361,8 @@
  * @now: current time, ms
  */
 void medlar_members_set_state(medlar_client_t *client,
-			      medlar_members_t *members, medlar_entry_t *entry,
+			      medlar_members_t *members,
+			      medlar_fact_entry_t *entry,
 			      medlar_member_state_t state, medlar_time_t now)
 {
 	medlar_fact_t fact = entry->fact;
@@ -392,8 +396,8 @@
  * @now: current time, ms
  */
 void medlar_members_send(medlar_client_t *client, medlar_members_t *members,
-			 const medlar_entry_t *to, medlar_message_t *message,
-			 medlar_time_t now)
+			 const medlar_fact_entry_t *to,
+			 medlar_message_t *message, medlar_time_t now)
 {
 	(void)client;
 	(void)now;
@@ -415,7 +419,7 @@
  */
 void medlar_members_send_news(medlar_client_t *client,
 			      medlar_members_t *members,
-			      const medlar_entry_t *to,
+			      const medlar_fact_entry_t *to,
 			      medlar_message_t *message, medlar_time_t now)
 {
 	medlar_fact_t facts[MEDLAR_MESSAGE_FACTS_MAX];
@@ -626,7 +630,7 @@
 					       size_t index,
 					       medlar_member_state_t *state)
 {
-	const medlar_entry_t *entry = members->list[index];
+	const medlar_fact_entry_t *entry = members->list[index];
 
 	*state = medlar_entry_state(entry);
 	return entry->fact.revision > 0 ? entry->info : NULL;
@@ -652,7 +656,7 @@
 }
 
 /* Whether an instance has died without leaving, as far as is known here. */
-static bool is_lost(const medlar_entry_t *entry)
+static bool is_lost(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision > 0 &&
 	       medlar_entry_state(entry) == MEDLAR_MEMBER_DEAD &&
@@ -689,7 +693,7 @@
 			members->ids_cap = 0;
 	}
 	for (i = 0; i < members->len && members->ids; i++) {
-		const medlar_entry_t *entry = members->list[i];
+		const medlar_fact_entry_t *entry = members->list[i];
 
 		if (is_live(entry) || (is_lost(entry) && members->live <= lost))
 			members->ids[peers.len++] = entry->fact.subject;
--- a/libmedlar/probe.c
+++ b/libmedlar/probe.c
@@ -29,7 +29,7 @@
 }
 
 static void send_ping(medlar_client_t *client, medlar_members_t *members,
-		      const medlar_entry_t *to, medlar_time_t now)
+		      const medlar_fact_entry_t *to, medlar_time_t now)
 {
 	medlar_message_t message = {
 		.kind = MEDLAR_MESSAGE_PING,
@@ -54,7 +54,7 @@
 static void start_probe(medlar_client_t *client, medlar_members_t *members,
 			medlar_time_t now)
 {
-	const medlar_entry_t *target = medlar_members_random(
+	const medlar_fact_entry_t *target = medlar_members_random(
 		client, members, next_reach(members));
 
 	members->probe.target = 0;
@@ -70,7 +70,7 @@
 static void conclude_probe(medlar_client_t *client, medlar_members_t *members,
 			   medlar_time_t now)
 {
-	medlar_entry_t *entry;
+	medlar_fact_entry_t *entry;
 
 	if (members->probe.target == 0 || members->probe.acked)
 		return;
@@ -100,7 +100,7 @@
 	if (members->probe.target == 0 || members->probe.acked)
 		return;
 	for (i = 0; i < RELAYS; i++) {
-		const medlar_entry_t *by = medlar_members_random(
+		const medlar_fact_entry_t *by = medlar_members_random(
 			client, members, MEDLAR_REACH_REGION);
 
 		if (by && by->fact.subject != message.about)
@@ -116,7 +116,7 @@
 	size_t i;
 
 	for (i = 0; i < members->len; i++) {
-		medlar_entry_t *entry = members->list[i];
+		medlar_fact_entry_t *entry = members->list[i];
 
 		if (medlar_entry_state(entry) != MEDLAR_MEMBER_SUSPECT)
 			continue;
@@ -134,7 +134,7 @@
 	size_t i = 0;
 
 	while (i < facts->table.cap) {
-		medlar_entry_t *entry = (void *)facts->table.slots[i];
+		medlar_fact_entry_t *entry = (void *)facts->table.slots[i];
 
 		if (!entry || entry->until > now) {
 			if (entry)
@@ -167,7 +167,7 @@
 		 medlar_time_t now)
 {
 	medlar_message_t message = { .kind = MEDLAR_MESSAGE_PUSH };
-	const medlar_entry_t *to;
+	const medlar_fact_entry_t *to;
 	unsigned i;
 
 	for (i = 0; i < FANOUT; i++) {
@@ -185,8 +185,8 @@
 static void ping_any(medlar_client_t *client, medlar_members_t *members,
 		     medlar_reach_t reach, medlar_time_t now)
 {
-	const medlar_entry_t *to = medlar_members_random(client, members,
-							 reach);
+	const medlar_fact_entry_t *to = medlar_members_random(client, members,
+							      reach);
 
 	if (to)
 		send_ping(client, members, to, now);
@@ -283,7 +283,7 @@
 /* Compares facts with the sender if they differ, within a rate. */
 static void compare(medlar_client_t *client, medlar_members_t *members,
 		    const medlar_message_t *message,
-		    const medlar_entry_t *sender, medlar_time_t now)
+		    const medlar_fact_entry_t *sender, medlar_time_t now)
 {
 	medlar_time_t gap = SYNC_PERIODS * period_of(members);
 
@@ -307,8 +307,8 @@
 void medlar_probe_ping(medlar_client_t *client, medlar_members_t *members,
 		       const medlar_message_t *message, medlar_time_t now)
 {
-	const medlar_entry_t *sender = medlar_members_find(members,
-							   message->from);
+	const medlar_fact_entry_t *sender = medlar_members_find(members,
+								message->from);
 	medlar_message_t ack = {
 		.kind = MEDLAR_MESSAGE_ACK,
 		.about = message->about,
@@ -328,7 +328,7 @@
 	size_t i;
 
 	for (i = 0; i < len; i++) {
-		const medlar_entry_t *asker;
+		const medlar_fact_entry_t *asker;
 		medlar_message_t ack = {
 			.kind = MEDLAR_MESSAGE_ACK,
 			.about = members->relays[i].target,
@@ -356,8 +356,8 @@
 void medlar_probe_ack(medlar_client_t *client, medlar_members_t *members,
 		      const medlar_message_t *message, medlar_time_t now)
 {
-	const medlar_entry_t *sender = medlar_members_find(members,
-							   message->from);
+	const medlar_fact_entry_t *sender = medlar_members_find(members,
+								message->from);
 
 	if (message->about == members->probe.target &&
 	    message->seq == members->probe.seq)
@@ -378,8 +378,8 @@
 			const medlar_message_t *message, medlar_time_t now)
 {
 	const size_t len = sizeof(members->relays) / sizeof(*members->relays);
-	const medlar_entry_t *target = medlar_members_find(members,
-							   message->about);
+	const medlar_fact_entry_t *target = medlar_members_find(members,
+								message->about);
 	size_t at = members->relays_next++ % len;
 
 	if (!target)
--- a/libmedlar/spread.c
+++ b/libmedlar/spread.c
@@ -146,7 +146,7 @@
 }
 
 static void ask(medlar_client_t *client, medlar_members_t *members,
-		const medlar_entry_t *of, medlar_time_t now)
+		const medlar_fact_entry_t *of, medlar_time_t now)
 {
 	uint32_t chunk = first_missing(members);
 	medlar_message_t message = {
@@ -170,8 +170,8 @@
 void medlar_spread_heard(medlar_client_t *client, medlar_members_t *members,
 			 const medlar_message_t *message, medlar_time_t now)
 {
-	const medlar_entry_t *sender = medlar_members_find(members,
-							   message->from);
+	const medlar_fact_entry_t *sender = medlar_members_find(members,
+								message->from);
 
 	if (!sender || message->revision <= members->document.revision ||
 	    message->revision <= members->fetch.revision)
@@ -190,7 +190,7 @@
 void medlar_spread_retry(medlar_client_t *client, medlar_members_t *members,
 			 medlar_time_t now)
 {
-	const medlar_entry_t *of;
+	const medlar_fact_entry_t *of;
 
 	if (members->fetch.revision <= members->document.revision ||
 	    now - members->fetch.progress < STALL)
@@ -210,8 +210,8 @@
 void medlar_spread_fetch(medlar_client_t *client, medlar_members_t *members,
 			 const medlar_message_t *message, medlar_time_t now)
 {
-	const medlar_entry_t *sender = medlar_members_find(members,
-							   message->from);
+	const medlar_fact_entry_t *sender = medlar_members_find(members,
+								message->from);
 	medlar_str_t text = medlar_buf_str(&members->document.text);
 	medlar_message_t answer = {
 		.kind = MEDLAR_MESSAGE_CHUNK,
@@ -341,8 +341,8 @@
 			 const medlar_message_t *message, medlar_time_t now)
 {
 	const medlar_chunk_t *chunk = &message->chunk;
-	const medlar_entry_t *sender = medlar_members_find(members,
-							   message->from);
+	const medlar_fact_entry_t *sender = medlar_members_find(members,
+								message->from);
 	uint32_t number = chunk->offset / MEDLAR_CHUNK_MAX;
 	uint32_t missing;
 
--- a/libmedlar/sync.c
+++ b/libmedlar/sync.c
@@ -16,7 +16,7 @@
 typedef struct parcel {
 	medlar_client_t *client;
 	medlar_members_t *members;
-	const medlar_entry_t *to;
+	const medlar_fact_entry_t *to;
 	medlar_time_t now;
 	medlar_fact_t facts[MEDLAR_MESSAGE_FACTS_MAX];
 	size_t len;
@@ -38,7 +38,7 @@
 	parcel->room = MEDLAR_MESSAGE_ROOM;
 }
 
-static void add_to_parcel(parcel_t *parcel, const medlar_entry_t *entry)
+static void add_to_parcel(parcel_t *parcel, const medlar_fact_entry_t *entry)
 {
 	medlar_fact_t fact = medlar_fact_of(entry, parcel->now);
 	size_t size = medlar_fact_size(&fact);
@@ -57,7 +57,7 @@
  * @now: current time, ms
  */
 void medlar_sync_start(medlar_client_t *client, medlar_members_t *members,
-		       const medlar_entry_t *with, medlar_time_t now)
+		       const medlar_fact_entry_t *with, medlar_time_t now)
 {
 	medlar_message_t message = {
 		.kind = MEDLAR_MESSAGE_SYNC,
@@ -68,7 +68,7 @@
 }
 
 static void send_list(medlar_client_t *client, medlar_members_t *members,
-		      const medlar_entry_t *to, uint32_t bucket,
+		      const medlar_fact_entry_t *to, uint32_t bucket,
 		      medlar_time_t now)
 {
 	medlar_fact_key_t keys[MEDLAR_MESSAGE_KEYS_MAX];
@@ -81,7 +81,8 @@
 	size_t i;
 
 	for (i = 0; i < table->cap; i++) {
-		const medlar_entry_t *entry = (const void *)table->slots[i];
+		const medlar_fact_entry_t *entry = (const void *)
+							   table->slots[i];
 
 		if (!entry || !entry->digested ||
 		    medlar_fact_bucket(entry) != bucket)
@@ -107,8 +108,8 @@
 void medlar_sync_digests(medlar_client_t *client, medlar_members_t *members,
 			 const medlar_message_t *message, medlar_time_t now)
 {
-	const medlar_entry_t *sender = medlar_members_find(members,
-							   message->from);
+	const medlar_fact_entry_t *sender = medlar_members_find(members,
+								message->from);
 	uint32_t start = (uint32_t)medlar_rand_below(&client->rand,
 						     MEDLAR_FACT_BUCKETS);
 	unsigned different = 0;
@@ -131,7 +132,7 @@
 }
 
 static bool is_listed(const medlar_message_t *message,
-		      const medlar_entry_t *entry)
+		      const medlar_fact_entry_t *entry)
 {
 	size_t i;
 
@@ -148,7 +149,8 @@
 	size_t i;
 
 	for (i = 0; i < table->cap; i++) {
-		const medlar_entry_t *entry = (const void *)table->slots[i];
+		const medlar_fact_entry_t *entry = (const void *)
+							   table->slots[i];
 
 		if (entry && entry->digested &&
 		    medlar_fact_bucket(entry) == message->about &&
@@ -157,8 +159,8 @@
 	}
 }
 
-static const medlar_entry_t *find_key(const medlar_members_t *members,
-				      const medlar_fact_key_t *key)
+static const medlar_fact_entry_t *find_key(const medlar_members_t *members,
+					   const medlar_fact_key_t *key)
 {
 	if (key->kind >= MEDLAR_FACT_KINDS)
 		return NULL;
@@ -191,7 +193,7 @@
 		return;
 	for (i = 0; i < message->keys_len; i++) {
 		const medlar_fact_key_t *key = &message->keys[i];
-		const medlar_entry_t *own = find_key(members, key);
+		const medlar_fact_entry_t *own = find_key(members, key);
 
 		if (!own || own->fact.revision < key->revision)
 			keys[want.keys_len++] = *key;
@@ -227,8 +229,8 @@
 	if (!parcel.to)
 		return;
 	for (i = 0; i < message->keys_len; i++) {
-		const medlar_entry_t *entry = find_key(members,
-						       &message->keys[i]);
+		const medlar_fact_entry_t *entry = find_key(members,
+							    &message->keys[i]);
 
 		if (entry && entry->digested)
 			add_to_parcel(&parcel, entry);
--- a/tests/test_write.c
+++ b/tests/test_write.c
@@ -7,7 +7,7 @@
 
 #include "bench/write_model.h"
 
-#define MS MODEL_US
+#define MS ((medlar_time_t)MODEL_US)
 #define PATIENCE ((medlar_time_t)1000)
 #define MANY 20000
 
