Pace commits by a rate and keep latency low near the store's limit

Change: outcomes wait 20 ms to 1 s for claims by the load; a commit that met a conflict does not queue again, up to three in a row; journals take turns in groups of 4 of 8; the modelled store admits bursts.

--- a/bench/bench_write.c
+++ b/bench/bench_write.c
@@ -11,11 +11,15 @@
 
 #define ROUND_TRIP (4 * MODEL_US)
 #define STORE_WRITES 300.0 /* compare-and-swaps a second */
+#define BUSY 0.8 /* share of them at which latency is measured */
 #define SHARE 0.4 /* of them that writes may use */
 #define PATIENCE MEDLAR_SECOND
 #define RUN_SECONDS 12
 #define WARM_SECONDS 2
 #define SECOND_US ((int64_t)MODEL_US * MEDLAR_SECOND)
+#define THROUGHPUT_PARTITIONS 2048
+#define OFFERED 5500 /* writes a second */
+#define BISECTIONS 12
 #define NO_BOUND NAN
 
 /** struct load - one run */
@@ -190,10 +194,27 @@
 	return (load_t){ instances, partitions, MEDLAR_HOUR, rate, commits };
 }
 
+/* The rate of writes at which the store sees @commits, by bisection. */
+static double find_rate(load_t load, double commits)
+{
+	double lo = 1;
+	double hi = 4000;
+	int i;
+
+	for (i = 0; i < BISECTIONS; i++) {
+		load.rate = sqrt(lo * hi);
+		if (run(&load).commits < commits)
+			lo = load.rate;
+		else
+			hi = load.rate;
+	}
+	return lo;
+}
+
 static void measure_latency(void)
 {
-	load_t idle = load_of(4, 16, 5, 0);
-	load_t busy = load_of(4, 16, 10, 0);
+	load_t idle = load_of(4, 16, 5, STORE_WRITES);
+	load_t busy = load_of(4, 16, 0, STORE_WRITES);
 	figures_t figures = run(&idle);
 
 	row("idle", "claim_latency_median", "store_round_trips", figures.median,
@@ -202,18 +223,16 @@
 	    NO_BOUND);
 	row("idle", "store_writes_per_write", "calls",
 	    figures.commits / figures.ran, 1, NO_BOUND);
-	do {
-		busy.rate *= 1.1;
-		figures = run(&busy);
-	} while (figures.commits < 0.8 * STORE_WRITES && busy.rate < 2000);
+	busy.rate = find_rate(busy, BUSY * STORE_WRITES);
+	figures = run(&busy);
 	row("store_at_80_percent", "claim_latency_median", "store_round_trips",
 	    figures.median, 1, 3);
 	row("store_at_80_percent", "claim_latency_p99", "store_round_trips",
 	    figures.p99, NAN, NO_BOUND);
 	row("store_at_80_percent", "store_writes", "calls/s", figures.commits,
-	    0.8 * STORE_WRITES, NO_BOUND);
+	    BUSY * STORE_WRITES, NO_BOUND);
 	row("store_at_80_percent", "writes", "writes/s", figures.ran,
-	    0.8 * STORE_WRITES, NO_BOUND);
+	    BUSY * STORE_WRITES, NO_BOUND);
 }
 
 static void report_throughput(const char *name, const load_t *load,
@@ -239,27 +258,50 @@
 static void measure_throughput(bool quick)
 {
 	static const int instances[] = { 1, 2, 4, 8, 16 };
-	static const uint32_t partitions[] = { 4, 8, 16, 1024, 8192 };
+	static const uint32_t partitions[] = { 4, 8, 64, 512, 2048, 8192 };
 	double commits = SHARE * STORE_WRITES;
 	char name[32];
-	load_t load = load_of(4, 8192, 5500, commits);
+	load_t load = load_of(4, THROUGHPUT_PARTITIONS, OFFERED, commits);
 	size_t i;
 
 	report_throughput("throughput", &load, 5000);
 	for (i = 0; i < sizeof(instances) / sizeof(instances[0]); i++) {
 		snprintf(name, sizeof(name), "instances_%d", instances[i]);
-		load = load_of(instances[i], 8192, 5500, commits);
+		load = load_of(instances[i], THROUGHPUT_PARTITIONS, OFFERED,
+			       commits);
 		report_throughput(name, &load, NO_BOUND);
 	}
 	for (i = 0; i < sizeof(partitions) / sizeof(partitions[0]); i++) {
 		if (quick && partitions[i] < 1024)
 			continue;
 		snprintf(name, sizeof(name), "partitions_%u", partitions[i]);
-		load = load_of(4, partitions[i], 5500, commits);
+		load = load_of(4, partitions[i], OFFERED, commits);
 		report_throughput(name, &load, NO_BOUND);
 	}
 }
 
+/* How many writes a second the journals hold for a window of an hour. */
+static void measure_capacity(void)
+{
+	medlar_entry_t entry = { .state = MEDLAR_CLAIM_RAN };
+	medlar_rand_t rand = { 1 };
+	medlar_journal_t journal;
+	uint64_t random[2];
+
+	medlar_journal_init(&journal);
+	do {
+		random[0] = medlar_rand_next(&rand);
+		random[1] = medlar_rand_next(&rand);
+		medlar_uuid_make(&entry.key, 1, (const uint8_t *)random);
+	} while (!medlar_journal_claim(&journal, &entry,
+				       MEDLAR_JOURNAL_SIZE_MAX));
+	row("capacity", "entries_of_a_journal", "keys", (double)journal.len,
+	    NAN, NO_BOUND);
+	row("capacity", "writes_for_a_window_of_1h_per_partition", "writes/s",
+	    (double)journal.len * MEDLAR_SECOND / MEDLAR_HOUR, NAN, NO_BOUND);
+	medlar_journal_finish(&journal);
+}
+
 static void print_outage(const model_t *model, const model_request_t *requests,
 			 size_t len, int64_t back)
 {
@@ -291,7 +333,7 @@
 static void measure_outage(void)
 {
 	load_t load = load_of(4, 16, 400, SHARE * STORE_WRITES);
-	size_t cap = 400 * 90;
+	size_t cap = 36000;
 	model_request_t *requests = calloc(cap, sizeof(*requests));
 	model_t model;
 	int64_t back;
@@ -320,6 +362,7 @@
 
 	measure_latency();
 	measure_throughput(quick);
+	measure_capacity();
 	measure_outage();
 	return 0;
 }
--- a/bench/write_model.h
+++ b/bench/write_model.h
@@ -2,8 +2,8 @@
  * DOC: a model of instances, callers, the store and an upstream for writes
  *
  * Runs the real write code on a virtual clock. The store has a latency and
- * limits on reads and writes; what exceeds them queues. Shared by the
- * measurements and the tests of writes.
+ * limits on reads and writes; what exceeds them by more than a burst queues.
+ * Shared by the measurements and the tests of writes.
  */
 #ifndef BENCH_WRITE_MODEL_H
 #define BENCH_WRITE_MODEL_H
@@ -18,7 +18,8 @@
 #define MODEL_SLOTS 16384 /* of the hash table of values */
 #define MODEL_NAME_MAX 64
 #define MODEL_EPOCH ((medlar_time_t)1700000000000)
-#define MODEL_US 1000 /* microseconds in a millisecond */
+#define MODEL_US ((int64_t)1000) /* microseconds in a millisecond */
+#define MODEL_BURST (100 * MODEL_US) /* calls of so long may come at once */
 
 typedef struct model model_t;
 
@@ -31,6 +32,8 @@
 
 /** struct model_call - a store call under way */
 typedef struct model_call {
+	struct model_call *next;
+	struct model_call **link;
 	model_value_t *value;
 	bool cas;
 	uint64_t index;
@@ -74,6 +77,7 @@
 /**
  * struct model - everything
  * @now: virtual time, us
+ * @under_way: store calls that have not returned
  * @round_trip: of a store call, us
  * @writes_limit: compare-and-swaps a second
  * @reads_limit: reads a second
@@ -94,6 +98,7 @@
 	uint64_t order;
 	medlar_rand_t rand;
 	model_value_t *values;
+	model_call_t *under_way;
 	uint64_t index;
 	int64_t round_trip;
 	double writes_limit;
@@ -207,6 +212,15 @@
 	}
 }
 
+static inline void model_free_call(model_call_t *call)
+{
+	*call->link = call->next;
+	if (call->next)
+		call->next->link = call->link;
+	medlar_buf_finish(&call->bytes);
+	free(call);
+}
+
 static inline void model_return(model_t *model, void *data)
 {
 	model_call_t *call = data;
@@ -218,8 +232,7 @@
 
 	(void)model;
 	call->done(&reply, call->done_data);
-	medlar_buf_finish(&call->bytes);
-	free(call);
+	model_free_call(call);
 }
 
 static inline void model_count(model_t *model)
@@ -246,9 +259,11 @@
 		model_at(model, model->now + MODEL_US, model_return, call);
 		return;
 	}
-	if (*next > start)
-		start = *next;
-	*next = start + (int64_t)(MODEL_US * MEDLAR_SECOND / limit);
+	if (*next < start)
+		*next = start;
+	if (*next - MODEL_BURST > start)
+		start = *next - MODEL_BURST;
+	*next += (int64_t)(MODEL_US * MEDLAR_SECOND / limit);
 	call->lost = medlar_rand_unit(&model->rand) < model->lost;
 	/* A call that is lost takes effect at any time, or never. */
 	if (!call->lost || medlar_rand_below(&model->rand, 2))
@@ -266,6 +281,11 @@
 
 	if (!call)
 		abort();
+	call->link = &instance->model->under_way;
+	call->next = instance->model->under_way;
+	if (call->next)
+		call->next->link = &call->next;
+	instance->model->under_way = call;
 	call->value = model_value(instance->model, key);
 	call->done = done;
 	call->done_data = done_data;
@@ -495,6 +515,7 @@
 
 static inline void model_finish(model_t *model)
 {
+	model_call_t *call = model->under_way;
 	size_t i;
 	int j;
 
@@ -502,13 +523,12 @@
 		medlar_writes_finish(&model->instances[j].writes);
 		medlar_client_finish(&model->instances[j].client);
 	}
-	while (model->len > 0) {
-		model_event_t event = model_pop(model);
+	while (call) {
+		model_call_t *next = call->next;
 
-		if (event.fn != model_return)
-			continue;
-		medlar_buf_finish(&((model_call_t *)event.data)->bytes);
-		free(event.data);
+		medlar_buf_finish(&call->bytes);
+		free(call);
+		call = next;
 	}
 	for (i = 0; i < MODEL_SLOTS; i++)
 		medlar_buf_finish(&model->values[i].bytes);
--- a/libmedlar/layout.c
+++ b/libmedlar/layout.c
@@ -3,8 +3,8 @@
  *
  * The layouts that a service has used are kept in the key-value service, each
  * under its position in the list, the generation. A key always belongs to one
- * journal of a layout. With 24 partitions or more the journals take turns: the
- * time in the key selects a group of 8, so that few journals receive new claims
+ * journal of a layout. With 12 partitions or more the journals take turns: the
+ * time in the key selects a group of 4, so that few journals receive new claims
  * and many keys share a commit, while the others only age. More partitions mean
  * shorter turns and smaller values.
  */
@@ -14,7 +14,7 @@
 
 #include "medlar.h"
 
-#define GROUP 8 /* journals that receive claims at a time */
+#define GROUP 4 /* journals that receive claims at a time */
 #define SLICES_MIN 3 /* groups from which journals take turns */
 #define PLACE_SEED 2
 #define LINE_MAX_LEN 96
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1741,6 +1741,8 @@
  * @epoch: Unix time when the clock shows 0
  * @interval: least time between commits in the long run, ms
  * @allowed: when the next commit is due at that rate, ms
+ * @load: share of the commit rate that was in use at @load_time
+ * @load_time: when @load was noted
  * @layouts: layouts known to be in the store
  * @layouts_known: @layouts was read
  * @layouts_busy: a store call for the layouts is in flight
@@ -1763,6 +1765,8 @@
 	medlar_time_t epoch;
 	double interval;
 	double allowed;
+	double load;
+	medlar_time_t load_time;
 	medlar_layouts_t layouts;
 	bool layouts_known;
 	bool layouts_busy;
--- a/libmedlar/partition.c
+++ b/libmedlar/partition.c
@@ -5,12 +5,16 @@
  * back by compare-and-swap. Claims that arrive meanwhile wait for the next
  * commit. Outcomes are not urgent: they wait for claims to share a commit with.
  */
+#include <math.h>
 #include <stdlib.h>
 
 #include "medlar.h"
 
-#define RECORD_DELAY ((medlar_time_t)200) /* ms an outcome waits for claims */
+#define RECORD_DELAY_MIN 20.0 /* ms an outcome waits for claims when idle */
+#define RECORD_DELAY_MAX 1000.0 /* ms it waits at the commit rate */
+#define LOAD_WINDOW 1000.0 /* ms over which the load is averaged */
 #define BURST 4.0 /* commits that may exceed the commit rate at once */
+#define CONFLICTS_PACED 3 /* in a row before the next commit queues */
 
 static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
 		     medlar_time_t now, void *data);
@@ -51,6 +55,23 @@
 			       due);
 }
 
+/* Share of the commit rate that was used of late, 0 to 1. */
+static double load_at(const medlar_writes_t *writes, medlar_time_t now)
+{
+	double age = (double)(now - writes->load_time);
+
+	return fmin(1, writes->load * exp(-age / LOAD_WINDOW));
+}
+
+static medlar_time_t record_due(const medlar_writes_t *writes,
+				medlar_time_t now)
+{
+	double range = RECORD_DELAY_MAX - RECORD_DELAY_MIN;
+
+	return now +
+	       (medlar_time_t)(RECORD_DELAY_MIN + load_at(writes, now) * range);
+}
+
 /* When the commit rate allows the next commit; the slot is taken. */
 static medlar_time_t take_slot(medlar_writes_t *writes, medlar_time_t now)
 {
@@ -58,6 +79,8 @@
 
 	if (writes->interval <= 0)
 		return now;
+	writes->load = load_at(writes, now) + writes->interval / LOAD_WINDOW;
+	writes->load_time = now;
 	if (writes->allowed < (double)now)
 		writes->allowed = (double)now;
 	writes->allowed += writes->interval;
@@ -114,7 +137,7 @@
 	if (claim->want != MEDLAR_WANT_RECORD)
 		wait_or_start(partition, now);
 	else if (!partition->timer.slot)
-		set_timer(partition, now + RECORD_DELAY);
+		set_timer(partition, record_due(partition->writes, now));
 }
 
 static void tell_resolved(medlar_partition_t *partition)
@@ -146,7 +169,7 @@
 	if (has_urgent(partition))
 		wait_or_start(partition, now);
 	else
-		set_timer(partition, now + RECORD_DELAY);
+		set_timer(partition, record_due(partition->writes, now));
 }
 
 static void continue_after_failure(medlar_partition_t *partition)
@@ -159,6 +182,21 @@
 		set_timer(partition, medlar_writes_now(writes) + delay);
 }
 
+/*
+ * After the first conflict the next commit does not queue for the commit rate,
+ * but counts for it. Conflicts in a row queue, so that they can't multiply.
+ */
+static void continue_after_conflict(medlar_partition_t *partition)
+{
+	medlar_writes_t *writes = partition->writes;
+
+	continue_after_failure(partition);
+	if (!partition->timer.slot || partition->failures > CONFLICTS_PACED)
+		return;
+	(void)take_slot(writes, medlar_writes_now(writes));
+	partition->slotted = true;
+}
+
 static void count(medlar_writes_t *writes, medlar_store_status_t status)
 {
 	if (status == MEDLAR_STORE_CONFLICT)
@@ -197,6 +235,8 @@
 	settle_all(partition, status);
 	if (status == MEDLAR_STORE_OK)
 		continue_after_success(partition);
+	else if (status == MEDLAR_STORE_CONFLICT)
+		continue_after_conflict(partition);
 	else
 		continue_after_failure(partition);
 	tell_resolved(partition);
--- a/tests/test_write.c
+++ b/tests/test_write.c
@@ -219,8 +219,8 @@
 	model_run(&model, model.now + 100 * MS);
 	for (i = 0; i < 100; i++)
 		assert_answer(&requests[i], MEDLAR_WRITE_RAN, MEDLAR_OK);
-	/* Two for the first write, one for these. */
-	assert_int_equal(model.instances[0].writes.stats.commits, 3);
+	/* A claim and an outcome of the first, and likewise of all these. */
+	assert_int_equal(model.instances[0].writes.stats.commits, 4);
 	model_finish(&model);
 }
 
