--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1105,6 +1105,7 @@
 	MEDLAR_ATTEMPT_HEDGE,
 	MEDLAR_ATTEMPT_RETRY,
 	MEDLAR_ATTEMPT_REDIRECT,
+	MEDLAR_ATTEMPT_KINDS
 } medlar_attempt_kind_t;
 
 /** enum medlar_reply_status - what the upstream says it did */
@@ -1207,10 +1208,57 @@
 medlar_attempt_kind_t medlar_attempt_kind(const medlar_attempt_t *attempt);
 const uint8_t *medlar_attempt_id(const medlar_attempt_t *attempt);
 uint32_t medlar_attempt_version(const medlar_attempt_t *attempt);
+uint32_t medlar_attempt_generation(const medlar_attempt_t *attempt);
 medlar_time_t medlar_attempt_deadline(const medlar_attempt_t *attempt);
 void *medlar_attempt_data(const medlar_attempt_t *attempt);
 void medlar_attempt_set_data(medlar_attempt_t *attempt, void *data);
 
+/**
+ * struct medlar_query_tuning - mechanisms that can be switched off, to measure
+ * what each one earns
+ * @hedges: a second request when the first one is late
+ * @budget: hedges and retries are paid for; without it they are free
+ * @canaries: an unknown request goes to one shard first
+ * @trials: a request that may crash upstreams is sent alone
+ * @admission: queries wait or are refused when the service is full
+ */
+typedef struct medlar_query_tuning {
+	bool hedges;
+	bool budget;
+	bool canaries;
+	bool trials;
+	bool admission;
+} medlar_query_tuning_t;
+
+/**
+ * struct medlar_query_stats - counters of one service since it was started
+ * @started: queries let in or queued
+ * @refused: queries turned away by medlar_query_start()
+ * @answered: answers given, of any outcome
+ * @sends: attempts of each &enum medlar_attempt_kind
+ * @canaries: first sends that were made ahead of the others
+ * @trials: attempts that were made alone
+ * @restarts: queries begun again at another index version
+ * @late: outcomes that nobody waited for any more
+ * @dropped: replies whose id, version or range was wrong
+ */
+typedef struct medlar_query_stats {
+	uint64_t started;
+	uint64_t refused;
+	uint64_t answered;
+	uint64_t sends[MEDLAR_ATTEMPT_KINDS];
+	uint64_t canaries;
+	uint64_t trials;
+	uint64_t restarts;
+	uint64_t late;
+	uint64_t dropped;
+} medlar_query_stats_t;
+
+void medlar_service_tune(medlar_service_t *service,
+			 const medlar_query_tuning_t *tuning);
+const medlar_query_stats_t *
+medlar_service_stats(const medlar_service_t *service);
+
 /*
  * store.c
  */
@@ -1299,7 +1347,7 @@
 
 /**
  * typedef medlar_submission_fn_t - receives the end of a submission
- * @submission: may be finished in this call
+ * @submission: must not be finished before it is released
  * @error: %MEDLAR_OK: accepted, as @revision. %MEDLAR_ERR_STORE_UNKNOWN: the
  *	commit may yet have taken effect. Any other error: not accepted
  * @revision: revision that was accepted, else the newest one seen
@@ -1309,6 +1357,14 @@
 				       int error, uint64_t revision,
 				       void *data);
 
+/**
+ * typedef medlar_submission_release_fn_t - nothing refers to it any more
+ * @submission: may be finished and its memory released in this call
+ * @data: from medlar_submission_start()
+ */
+typedef void (*medlar_submission_release_fn_t)(medlar_submission_t *submission,
+					       void *data);
+
 /**
  * struct medlar_submission_params - a change of one section
  * @section: section that is replaced
@@ -1317,6 +1373,10 @@
  * @answers: the new answers of the section, JSON
  * @time: current time since 1970, ms
  * @timeout: time after which the submission is given up, ms
+ * @done: called once with the result
+ * @release: called once, after @done
+ * @error: receives what is wrong with the answers; NULL for the client's
+ * @data: passed to @done, @release and @error
  */
 typedef struct medlar_submission_params {
 	medlar_section_t section;
@@ -1325,6 +1385,10 @@
 	medlar_str_t answers;
 	medlar_time_t time;
 	medlar_time_t timeout;
+	medlar_submission_fn_t done;
+	medlar_submission_release_fn_t release;
+	medlar_error_fn_t error;
+	void *data;
 } medlar_submission_params_t;
 
 /*
@@ -1332,8 +1396,10 @@
  */
 struct medlar_submission_ {
 	medlar_client_t *client;
+	medlar_client_t reporter;
 	const medlar_store_t *store;
 	medlar_submission_fn_t done;
+	medlar_submission_release_fn_t release;
 	void *data;
 	medlar_section_t section;
 	medlar_buf_t author;
@@ -1353,6 +1419,7 @@
 	medlar_time_t backoff;
 	medlar_time_t now;
 	void (*resume)(medlar_submission_t *submission);
+	bool base_known;
 	bool waiting;
 	bool ambiguous;
 	bool ended;
@@ -1362,9 +1429,7 @@
 			    medlar_submission_t *submission,
 			    const medlar_store_t *store,
 			    const medlar_submission_params_t *params,
-			    medlar_submission_fn_t done, void *data,
 			    medlar_time_t now);
-bool medlar_submission_idle(const medlar_submission_t *submission);
 void medlar_submission_finish(medlar_submission_t *submission);
 
 /*
