Measure from the questionnaire, and count complete answers as goodput

Cause: the examples start from questionnaires now; partial answers counted as goodput, so that a client that loses half of each answer looked fast.

Change: the path measurement has a questionnaire, the configuration case submits revisions, goodput counts complete answers and writes that ran.

--- a/bench/cases.sh
+++ b/bench/cases.sh
@@ -306,11 +306,20 @@
 	for revision in 2 3 4 5 6 7 8 9 10 11
 	do
 		start=$(date +%s%3N)
-		fleet_configure "$fleet_dir/config.json" "$revision"
+		sed "s/\"deadline_ms\": 2000/\"deadline_ms\": $((2000 + revision))/" \
+			"$fleet_dir/questionnaire.json" >"$work/revision.json"
+		"$build/medlarctl" --server "http://$fleet_entry" \
+			questionnaire submit "$work/revision.json" \
+			--section product --base $((revision - 1)) \
+			--token-file "$fleet_dir/product.token" \
+			>"$work/submit.log" 2>&1 || {
+			echo "bench: revision $revision was refused" >&2
+			return
+		}
 		for entry in $fleet_entries
 		do
 			until curl -s -m 2 "http://$entry/v1/status" |
-				grep -q "\"revision\":$revision,"
+				grep -q "\"revision\":$revision[,}]"
 			do
 				sleep 0.01
 			done
--- a/cli/load_report.c
+++ b/cli/load_report.c
@@ -87,7 +87,10 @@
 	add(summary, "max_ms", load_series_quantile(&stats->latency, 1));
 	add(summary, "refused_p99_ms",
 	    load_series_quantile(&stats->refused, 0.99));
-	add(summary, "goodput", (double)stats->latency.len / seconds);
+	add(summary, "goodput",
+	    (double)(stats->outcomes[LOAD_COMPLETE] +
+		     stats->outcomes[LOAD_RAN]) /
+		    seconds);
 	add(summary, "coverage", ratio(stats->coverage, reads));
 	add(summary, "sends_per_needed",
 	    ratio((double)stats->sends, (double)stats->needed));
