--- a/bench/cases.sh
+++ b/bench/cases.sh
@@ -397,7 +397,7 @@
 		'' 1
 }
 
-# usage: deployment_cases DEPLOYMENT SERVICE WRITE_SERVICE SHARDS
+# usage: deployment_cases DEPLOYMENT SERVICE WRITE_SERVICE
 deployment_cases() {
 	deployment=$1 service=$2 write_service=$3
 	case $deployment in
