Let two checkouts run the end-to-end tests at once

Cause: tests of two checkouts met on the same ports, and one deployment talked to the stand-ins of the other.

Change: E2E_BASE moves the ports; a stand-in that could not start fails the start of the deployment.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -73,9 +73,17 @@
 	fleet_run upstream "$fleet_build/fake-upstream" \
 		"$fleet_dir/upstreams.json"
 	fleet_wait "http://$fleet_control/stats" || return 1
+	fleet_alive platform && fleet_alive upstream || return 1
 	fleet_configure
 }
 
+# Succeeds if the program NAME runs; it may have found its ports in use.
+fleet_alive() {
+	kill -0 "$(fleet_pid_of "$1")" 2>/dev/null && return 0
+	echo "$1 has ended, see $fleet_dir/$1.log" >&2
+	return 1
+}
+
 # Makes a token for each role and lists its hash in the settings.
 fleet_make_operators() {
 	fleet_operators=
--- a/tests/tap.sh
+++ b/tests/tap.sh
@@ -2,6 +2,8 @@
 # Frame of the end-to-end tests: a deployment, loads, and TAP lines.
 #
 # usage: . tests/tap.sh; tap_start BUILD NAME SERVICE
+#
+# E2E_BASE moves the TCP ports, so that two checkouts can test at once.
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
 
@@ -23,7 +25,7 @@
 	rm -rf "$dir"
 	trap 'tap_end' EXIT
 	trap 'exit 1' INT TERM
-	fleet_prepare "$build" kraisorn "$dir" 23000
+	fleet_prepare "$build" kraisorn "$dir" "${E2E_BASE:-23000}"
 	fleet_start && fleet_settle "$service" || exit 1
 }
 
