Retry on new connections after one went silent, and test the daemon whole

When a connection goes silent, idle ones of the same peer that are older than the lost request are closed, and retries of the service use new connections for 10 s. The new end-to-end test also found a service used after its release when a second signal cuts a request. 12 cases pass plain, under ASan with UBSan, and under TSan.

--- a/medlard/http.c
+++ b/medlard/http.c
@@ -234,6 +234,8 @@
 		return MEDLAR_ERR_NOMEM;
 	curl_easy_setopt(call->easy, CURLOPT_URL, url);
 	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT,
+			 request->fresh ? 1L : 0L);
 	set_method(call, request->method);
 	return MEDLAR_OK;
 }
@@ -303,6 +305,8 @@
 		reply.status = (int)status;
 		reply.body = medlar_buf_str(&call->reply);
 	}
+	if (end == HTTP_SILENT)
+		http_conns_distrust(peer, call->sent_at);
 	if (call->sent)
 		reply.took = http->loop->now - call->sent_at;
 	call->done(call, &reply, call->data);
--- a/medlard/http.h
+++ b/medlard/http.h
@@ -70,6 +70,7 @@
  * @until: absolute time at which the call is given up, ms
  * @silence: longest time without a byte once sent, ms
  * @reply_max: longest body accepted, bytes
+ * @fresh: use a new connection
  * @on_header: called for each header of the reply; may be NULL
  * @done: called exactly once, never from within http_start()
  * @data: passed to both
@@ -83,6 +84,7 @@
 	medlar_time_t until;
 	medlar_time_t silence;
 	size_t reply_max;
+	bool fresh;
 	http_header_fn_t on_header;
 	http_done_fn_t done;
 	void *data;
--- a/medlard/http_conn.c
+++ b/medlard/http_conn.c
@@ -124,6 +124,23 @@
 		close_idle(peer, peer->limit);
 }
 
+/**
+ * http_conns_distrust() - close idle connections that have not been used lately
+ * @peer: peer of which a connection went silent
+ * @since: when the request was sent that got no answer, ms
+ *
+ * Whatever lost track of one connection is likely to have lost others.
+ */
+void http_conns_distrust(http_peer_t *peer, medlar_time_t since)
+{
+	http_t *http = peer->http;
+
+	for (size_t i = 0; i < http->conns_len; i++)
+		if (is_idle(http->conns[i], peer) &&
+		    http->conns[i]->idle_since < since)
+			http_conn_kill(http->conns[i]);
+}
+
 static curl_socket_t open_socket(void *data, curlsocktype purpose,
 				 struct curl_sockaddr *address)
 {
--- a/medlard/http_internal.h
+++ b/medlard/http_internal.h
@@ -90,6 +90,7 @@
 http_conn_t *http_conn_at(http_t *http, int fd);
 void http_conn_kill(http_conn_t *conn);
 void http_conns_trim(http_peer_t *peer);
+void http_conns_distrust(http_peer_t *peer, medlar_time_t since);
 
 /* http.c */
 void http_reap(http_t *http);
--- a/medlard/service.c
+++ b/medlard/service.c
@@ -91,8 +91,11 @@
 			 worker->settings->threads;
 	service->policy = *policy;
 	memcpy(service->name, policy->name, sizeof(service->name));
-	service->link = (upstream_link_t){ &worker->upstream, &service->core,
-					   &service->policy };
+	service->link = (upstream_link_t){
+		.upstream = &worker->upstream,
+		.service = &service->core,
+		.policy = &service->policy,
+	};
 	service->number = worker->services_len;
 	if (is_owner(service) && init_core(worker, service)) {
 		free(service);
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -15,7 +15,9 @@
 /* How long a reply may come after the deadline of its request. */
 #define DRAIN_MAX (5 * MEDLAR_SECOND)
 #define CANCEL_MAX (1 * MEDLAR_SECOND)
-#define PROBE_MAX (2 * MEDLAR_SECOND)
+
+/* How long retries use new connections after one was found silent. */
+#define DISTRUST_TIME (10 * MEDLAR_SECOND)
 
 /**
  * struct pending - an attempt under way
@@ -189,16 +191,34 @@
 	wire_header(name, value, &pending->wire);
 }
 
+static void note_silent(upstream_link_t *link)
+{
+	metrics_add(link->upstream->metrics, METRIC_UPSTREAM_SILENT, 1);
+	link->silent_at = link->upstream->http->loop->now;
+}
+
+/* After a silent connection, a retry does not trust an idle one. */
+static bool needs_fresh(const pending_t *pending, medlar_time_t now)
+{
+	medlar_time_t silent_at = pending->link->silent_at;
+
+	return silent_at > 0 && now - silent_at < DISTRUST_TIME &&
+	       medlar_attempt_kind(pending->attempt) == MEDLAR_ATTEMPT_RETRY;
+}
+
 static void on_done(http_call_t *call, const http_reply_t *reply, void *data)
 {
 	pending_t *pending = data;
-	upstream_t *upstream = pending->link->upstream;
-	medlar_time_t now = upstream->http->loop->now;
+	upstream_t *upstream;
+	medlar_time_t now;
 
+	/* The service is gone by then. */
 	if (reply->end == HTTP_DROPPED) {
 		free(pending);
 		return;
 	}
+	upstream = pending->link->upstream;
+	now = upstream->http->loop->now;
 	if (reply->end == HTTP_REPLY)
 		wire_finish(&pending->wire, reply->status, reply->body);
 	if (is_usable(pending, reply)) {
@@ -211,8 +231,7 @@
 	} else {
 		metrics_add(upstream->metrics, METRIC_UPSTREAM_FAULTS, 1);
 		if (reply->end == HTTP_SILENT)
-			metrics_add(upstream->metrics, METRIC_UPSTREAM_SILENT,
-				    1);
+			note_silent(pending->link);
 		if (reply->end == HTTP_REPLY)
 			http_close_connection(call);
 		medlar_attempt_fail(upstream->client, pending->attempt,
@@ -311,6 +330,7 @@
 		.until = medlar_attempt_deadline(attempt) + DRAIN_MAX,
 		.silence = pending->link->policy->silence,
 		.reply_max = pending->link->upstream->reply_max,
+		.fresh = needs_fresh(pending, now),
 		.on_header = on_header,
 		.done = on_done,
 		.data = pending,
--- a/medlard/upstream.h
+++ b/medlard/upstream.h
@@ -31,11 +31,13 @@
  * @upstream: upstream side of its worker
  * @service: the service
  * @policy: its policy in force
+ * @silent_at: when a connection was last found silent, ms; 0 for never
  */
 typedef struct upstream_link {
 	upstream_t *upstream;
 	medlar_service_t *service;
 	const medlar_policy_t *policy;
+	medlar_time_t silent_at;
 } upstream_link_t;
 
 int upstream_init(upstream_t *upstream, http_t *http, medlar_client_t *client,
--- /dev/null
+++ b/tests/e2e_daemon.sh
@@ -0,0 +1,199 @@
+#!/bin/sh
+# A whole daemon between the stand-ins: what it serves, survives and says.
+#
+# usage: tests/e2e_daemon.sh BUILD
+# shellcheck disable=SC2317 # functions are called through await and trap
+set -u
+build=$1
+dir=$build/e2e-daemon
+platform=127.0.0.1:24600
+control=127.0.0.1:24601
+entry=127.0.0.1:24602
+count=0 failed=0
+
+# usage: result STATUS NAME
+result() {
+	count=$((count + 1))
+	if test "$1" -eq 0
+	then
+		echo "ok $count - $2"
+	else
+		echo "not ok $count - $2"
+		failed=1
+	fi
+}
+
+# Waits until a command succeeds, for at most 20 seconds.
+await() {
+	tries=400
+	while ! "$@" >/dev/null 2>&1
+	do
+		tries=$((tries - 1))
+		test "$tries" -gt 0 || return 1
+		sleep 0.05
+	done
+}
+
+# usage: search DEADLINE_MS
+search() {
+	curl -s -m 10 -d "{\"query\":{\"text\":\"rain\"},\"deadline_ms\":$1}" \
+		"http://$entry/v1/services/poems/search"
+}
+
+# usage: is_complete ANSWER...
+is_complete() {
+	for answer
+	do
+		case $answer in
+		'{"outcome":"complete"'*'"coverage":1,'*'"missing":[]'*)
+			;;
+		*)
+			printf '# %.300s\n' "$answer"
+			return 1 ;;
+		esac
+	done
+}
+
+has_slots() {
+	curl -s -m 2 "http://$entry/v1/status" | grep -q '"slots":[1-9]'
+}
+
+logged() {
+	grep -q "$1" "$dir/medlard.log"
+}
+
+# usage: knob WHERE ARGUMENTS
+knob() {
+	curl -s -m 5 -X POST "http://$1?$2" >/dev/null
+}
+
+# usage: write_settings FILE LEVEL THREADS
+write_settings() {
+	cat >"$1" <<-EOF
+	{
+		"name": "e1", "zone": "z1", // one of three
+		"listen": [{ "host": "127.0.0.1", "port": 24602 }],
+		"platform": { "host": "127.0.0.1", "port": 24600,
+			"list_ms": 200 },
+		"threads": $3,
+		"log_level": "$2"
+	}
+	EOF
+}
+
+start_stand_ins() {
+	cat >"$dir/upstreams.json" <<-EOF
+	{ "platform": "$platform", "control_port": 24601, "threads": 1,
+	  "zones": ["z1", "z2", "z3"],
+	  "services": [{ "name": "poems", "shards": 5, "replicas": 3,
+		"port": 24610, "slots": 4, "connections": 25, "connect_ms": 1,
+		"mean_ms": 5, "sigma": 0.2, "version": 7, "queue": 8 }] }
+	EOF
+	"$build/fake-platform" -p 24600 >"$dir/platform.log" 2>&1 &
+	platform_pid=$!
+	await curl -s -m 1 "http://$platform/v1/kv/medlar/config" || return 1
+	"$build/fake-upstream" "$dir/upstreams.json" \
+		>"$dir/upstream.log" 2>&1 &
+	upstream_pid=$!
+	curl -s -X PUT --data-binary @- \
+		"http://$platform/v1/kv/medlar/config?cas=0" >/dev/null <<-EOF
+	{"revision":1,"config":{"revision":1,"instances":1,
+	 "address_ttl_ms":300,"services":[{"name":"poems","writes":false,
+	 "shards":5,"priority":"coverage","deadline_ms":3000,"target_ms":500,
+	 "target_quantile":0.99,"coverage_min":0.5,"extra_load":1,
+	 "hedge_quantile":0.95,"slots":4,"connections":25,
+	 "connect_cost_ms":1,"queue_max":64,"eject_max":0.34,
+	 "slow_start_ms":0,"idle_max_ms":30000,"silence_ms":300,
+	 "window_ms":60000,"partitions":1}]}}
+	EOF
+}
+
+start_daemon() {
+	write_settings "$dir/medlard.json" info 2
+	"$build/medlard" --config "$dir/medlard.json" 2>"$dir/medlard.log" &
+	daemon_pid=$!
+	await curl -sf -m 1 "http://$entry/readyz" && await has_slots
+}
+
+stop_all() {
+	kill "$daemon_pid" "$upstream_pid" "$platform_pid" 2>/dev/null
+	wait
+}
+
+rm -rf "$dir"
+mkdir -p "$dir"
+daemon_pid='' upstream_pid='' platform_pid=''
+trap stop_all EXIT
+start_stand_ins && start_daemon
+result $? 'ready_once_configured_and_listed'
+
+is_complete "$(search 2000)" "$(search 2000)"
+result $? 'a_search_is_complete'
+
+test "$(curl -s -m 5 "http://$entry/v1/upstreams" |
+	grep -o '"state":"live"' | wc -l)" -eq 15
+result $? 'upstreams_are_shown'
+
+write_settings "$dir/wrong.json" loud 99
+"$build/medlard" --check-config --config "$dir/wrong.json" 2>"$dir/wrong.log"
+test $? -eq 1 && grep -q 'wrong.json:6: threads' "$dir/wrong.log" &&
+	grep -q 'wrong.json:7: log_level' "$dir/wrong.log"
+result $? 'every_error_in_the_settings_is_printed'
+
+write_settings "$dir/medlard.json" info 1
+kill -HUP "$daemon_pid"
+await logged 'event=reload needs_restart=threads' &&
+	await logged 'event=reload log_level=6'
+result $? 'a_reload_says_what_needs_a_restart'
+
+knob "$control/knobs" 'mean_ms=1000'
+curl -s -m 0.2 -d '{"query":1}' "http://$entry/v1/services/poems/search"
+knob "$control/knobs" 'mean_ms=5'
+cancels() {
+	curl -s -m 2 "http://$entry/metrics" |
+		grep -q '^medlard_answers_cancelled_total{service="poems"} 1$'
+}
+await cancels
+result $? 'a_caller_that_closes_cancels_its_request'
+
+search 2000 >/dev/null
+knob "$control/act" 'replica=0&silent=1'
+knob "$control/act" 'replica=1&silent=1'
+knob "$control/act" 'replica=2&silent=1'
+is_complete "$(search 2500)" "$(search 2500)" "$(search 2500)" &&
+	! logged 'event=eject'
+result $? 'silent_connections_lose_no_query_and_no_replica'
+
+knob "$platform/knobs" 'down=1'
+await logged 'event=store state=down' && is_complete "$(search 2000)"
+result $? 'reads_go_on_without_the_platform'
+knob "$platform/knobs" 'down=0'
+await logged 'event=store state=up'
+result $? 'the_platform_is_found_again'
+
+kill -TERM "$daemon_pid"
+await logged 'event=stop state=leaving'
+curl -s -m 2 "http://$entry/readyz" | grep -q 'leaving' &&
+	is_complete "$(search 2000)" &&
+	curl -s -m 2 "http://$entry/v1/addresses" | grep -q '"addresses":\[\]'
+result $? 'an_instance_that_leaves_serves_and_is_not_given_out'
+wait "$daemon_pid"
+test $? -eq 0 && ! logged 'event=cut'
+result $? 'a_graceful_stop_cuts_nothing_and_succeeds'
+
+start_daemon
+knob "$control/knobs" 'mean_ms=2000'
+search 3000 >/dev/null &
+search_pid=$!
+in_flight() {
+	curl -s -m 2 "http://$entry/v1/status" | grep -q '"in_flight":[1-9]'
+}
+await in_flight
+kill -TERM "$daemon_pid"
+await logged 'event=stop state=leaving'
+kill -TERM "$daemon_pid"
+wait "$daemon_pid"
+test $? -eq 0 && logged 'event=cut path=/v1/services/poems/search'
+result $? 'a_second_signal_cuts_and_names_what_it_cuts'
+wait "$search_pid"
+exit "$failed"
