Run writes through the daemon

Cause: writes had a core and no way from a caller to an upstream.

Change: each service with writes has a writer in the worker that owns it. It parses the key, claims through the key-value service, waits in a bounded line for a replica, sends with request id, key and claim token, and answers ran, not_run or unknown. GET /v1/writes/KEY shows what the journals hold. A planned stop waits until outcomes are recorded.

--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1851,6 +1851,7 @@
 void medlar_writes_set_policy(medlar_writes_t *writes,
 			      const medlar_policy_t *policy, uint64_t revision);
 void medlar_writes_set_commits(medlar_writes_t *writes, double commits);
+void medlar_writes_set_epoch(medlar_writes_t *writes, medlar_time_t epoch);
 void medlar_writes_walk(medlar_writes_t *writes, medlar_claim_t *claim,
 			medlar_time_t now);
 void medlar_writes_reload(medlar_writes_t *writes, medlar_claim_t *claim);
--- a/libmedlar/writes.c
+++ b/libmedlar/writes.c
@@ -106,6 +106,16 @@
 	writes->interval = commits > 0 ? (double)MEDLAR_SECOND / commits : 0;
 }
 
+/**
+ * medlar_writes_set_epoch() - follow a change of the system's clock
+ * @writes: writes
+ * @epoch: Unix time in milliseconds when the clock of the timers shows 0
+ */
+void medlar_writes_set_epoch(medlar_writes_t *writes, medlar_time_t epoch)
+{
+	writes->epoch = epoch;
+}
+
 /**
  * medlar_writes_now() - current time on the clock of the timers
  * @writes: writes
--- a/medlard/answer.c
+++ b/medlard/answer.c
@@ -187,3 +187,29 @@
 		medlar_buf_add(out, MEDLAR_STR("null"));
 	medlar_buf_add(out, MEDLAR_STR("}\n"));
 }
+
+/**
+ * answer_write() - body for the answer of a write
+ * @out: the body is appended to it
+ * @answer: answer
+ */
+void answer_write(medlar_buf_t *out, const medlar_write_answer_t *answer)
+{
+	static const char *const names[] = {
+		[MEDLAR_WRITE_UNKNOWN] = "unknown",
+		[MEDLAR_WRITE_RAN] = "ran",
+		[MEDLAR_WRITE_NOT_RUN] = "not_run",
+	};
+
+	medlar_buf_printf(
+		out, "{\"outcome\":\"%s\",\"result\":", names[answer->outcome]);
+	medlar_buf_add(out, answer->result.len > 0 ? answer->result
+						   : MEDLAR_STR("null"));
+	medlar_buf_printf(out, ",\"replayed\":%s,\"error\":",
+			  answer->replayed ? "true" : "false");
+	if (answer->error)
+		add_error(out, answer->error, NULL);
+	else
+		medlar_buf_add(out, MEDLAR_STR("null"));
+	medlar_buf_add(out, MEDLAR_STR("}\n"));
+}
--- a/medlard/caller.c
+++ b/medlard/caller.c
@@ -13,7 +13,7 @@
 #include "medlard/caller.h"
 #include "medlard/operators.h"
 #include "medlard/status.h"
-#include "medlard/worker.h"
+#include "medlard/writer.h"
 
 #define HEADERS_MAX ((size_t)16 << 10)
 #define CONNECTION_MEMORY ((size_t)64 << 10)
@@ -29,6 +29,7 @@
 	{ "GET", "/v1/status", status_services },
 	{ "GET", "/v1/upstreams", status_upstreams },
 	{ "GET", "/v1/suspects", status_suspects },
+	{ "GET", "/v1/writes/", writer_show },
 };
 
 static const route_t operator_routes[] = {
--- a/medlard/service.c
+++ b/medlard/service.c
@@ -6,7 +6,7 @@
 
 #include "medlard/answer.h"
 #include "medlard/control.h"
-#include "medlard/worker.h"
+#include "medlard/writer.h"
 
 static void on_send(medlar_attempt_t *attempt, void *data)
 {
@@ -102,9 +102,20 @@
 	return service;
 }
 
-static int update(worker_t *worker, const medlar_policy_t *policy)
+static size_t count_writers(const medlar_config_t *config)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < config->len; i++)
+		count += config->services[i].writes;
+	return count;
+}
+
+static int update(worker_t *worker, const medlar_config_t *config,
+		  const medlar_policy_t *policy)
 {
 	service_t *service = find_known(worker, policy->name);
+	int error;
 
 	if (!service)
 		service = add(worker, policy);
@@ -114,8 +125,12 @@
 	service->policy = *policy;
 	if (!is_owner(service))
 		return MEDLAR_OK;
-	return medlar_service_set_policy(&worker->client, &service->core,
-					 policy);
+	error = medlar_service_set_policy(&worker->client, &service->core,
+					  policy);
+	if (error)
+		return error;
+	return writer_configure(service, config->revision,
+				count_writers(config));
 }
 
 /**
@@ -135,7 +150,7 @@
 	for (size_t i = 0; i < worker->services_len; i++)
 		worker->services[i]->enabled = false;
 	for (size_t i = 0; i < config->len; i++) {
-		int failed = update(worker, &config->services[i]);
+		int failed = update(worker, config, &config->services[i]);
 
 		if (failed)
 			error = failed;
@@ -172,6 +187,7 @@
 		service_t *service = worker->services[i];
 
 		if (is_owner(service)) {
+			writer_free(service->writer);
 			each_replica(service, forget);
 			medlar_service_finish(&worker->client, &service->core);
 		}
@@ -303,8 +319,15 @@
 	request_reply(request, status);
 }
 
-static medlar_time_t deadline_of(const request_t *request,
-				 const medlar_policy_t *policy)
+/**
+ * service_deadline() - by when a caller needs its answer
+ * @request: request whose body has been read
+ * @policy: policy of the service
+ *
+ * Return: absolute time, ms.
+ */
+medlar_time_t service_deadline(const request_t *request,
+			       const medlar_policy_t *policy)
 {
 	medlar_time_t asked = request->args.deadline;
 
@@ -330,7 +353,7 @@
 		.fingerprint = medlar_fingerprint(
 			medlar_str_from(service->name),
 			kind_name(request->kind), args->query),
-		.deadline = deadline_of(request, &service->policy),
+		.deadline = service_deadline(request, &service->policy),
 		.target = request->arrived + service->policy.target,
 		.at_least = args->at_least,
 		.keys = args->keys,
@@ -358,13 +381,19 @@
 {
 	request_t *request = data;
 	worker_t *worker = request->at;
+	service_t *service;
 
 	(void)call;
-	if (request->service < worker->services_len)
-		start_query(request, worker->services[request->service]);
-	else
+	if (request->service >= worker->services_len) {
 		request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
 			       MEDLAR_ERR_UNAVAILABLE, "");
+		return;
+	}
+	service = worker->services[request->service];
+	if (request->kind == MEDLAR_KIND_WRITE)
+		writer_handle(service, request);
+	else
+		start_query(request, service);
 }
 
 /**
--- a/medlard/service.h
+++ b/medlard/service.h
@@ -10,6 +10,8 @@
 #include "medlard/request.h"
 #include "medlard/upstream.h"
 
+typedef struct writer writer_t;
+
 /**
  * struct service - a service as one worker knows it
  * @worker: the worker that knows it
@@ -22,6 +24,7 @@
  * @link: data of the core's actions
  * @metrics: its counters, or NULL
  * @core: its state; used by the owner only
+ * @writer: its writes; NULL unless this worker owns them
  */
 struct service {
 	worker_t *worker;
@@ -34,6 +37,7 @@
 	upstream_link_t link;
 	service_metrics_t *metrics;
 	medlar_service_t core;
+	writer_t *writer;
 };
 
 int service_configure(worker_t *worker, const medlar_config_t *config);
@@ -41,6 +45,8 @@
 void service_finish_all(worker_t *worker);
 void service_handle(request_t *request);
 void service_cancel(request_t *request);
+medlar_time_t service_deadline(const request_t *request,
+			       const medlar_policy_t *policy);
 void service_set_list(service_t *service, const medlar_replica_info_t *infos,
 		      size_t len);
 
--- a/medlard/stop.c
+++ b/medlard/stop.c
@@ -11,6 +11,7 @@
 
 #include "medlard/control.h"
 #include "medlard/stop.h"
+#include "medlard/writer.h"
 
 #define CHECK_PERIOD ((medlar_time_t)50)
 
@@ -108,7 +109,8 @@
 	count_note_t *note = data;
 
 	(void)call;
-	note->count = note->worker->in_flight_len;
+	note->count = note->worker->in_flight_len +
+		      writer_pending(note->worker);
 	handoff_post(&note->control->inbox, &note->call, on_counted, note);
 }
 
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -103,7 +103,13 @@
 	http_peer_release(peer);
 }
 
-static bool is_json(medlar_str_t text)
+/**
+ * upstream_is_json() - tell whether a reply can be part of an answer
+ * @text: body of the reply
+ *
+ * Return: true for exactly one JSON value.
+ */
+bool upstream_is_json(medlar_str_t text)
 {
 	struct json_tokener *tokener = json_tokener_new();
 	struct json_object *value;
@@ -131,7 +137,7 @@
 	if (reply->end != HTTP_REPLY || pending->wire.bad)
 		return false;
 	return pending->wire.reply.status != MEDLAR_REPLY_OK ||
-	       pending->cancelled || is_json(reply->body);
+	       pending->cancelled || upstream_is_json(reply->body);
 }
 
 /* A connection that carries replies to something else is out of step. */
--- a/medlard/upstream.h
+++ b/medlard/upstream.h
@@ -41,5 +41,6 @@
 http_peer_t *upstream_peer(upstream_link_t *link, medlar_replica_t *replica);
 void upstream_adjust(upstream_link_t *link, medlar_replica_t *replica);
 void upstream_forget(medlar_replica_t *replica);
+bool upstream_is_json(medlar_str_t text);
 
 #endif /* MEDLARD_UPSTREAM_H */
--- /dev/null
+++ b/medlard/writer.c
@@ -0,0 +1,288 @@
+/**
+ * DOC: writes of one service: callers
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "medlard/answer.h"
+#include "medlard/clock.h"
+#include "medlard/writer.h"
+
+/*
+ * Share of the calls of this instance to the key-value service that may be
+ * commits; each also reads.
+ */
+#define COMMIT_SHARE 0.3
+
+static const service_metric_t outcome_metrics[] = {
+	[MEDLAR_WRITE_UNKNOWN] = SERVICE_METRIC_UNKNOWN,
+	[MEDLAR_WRITE_RAN] = SERVICE_METRIC_COMPLETE,
+	[MEDLAR_WRITE_NOT_RUN] = SERVICE_METRIC_NOT_RUN,
+};
+
+static void set_random(uint8_t *out, size_t len, void *data)
+{
+	(void)data;
+	randombytes_buf(out, len);
+}
+
+static medlar_time_t get_now(void *data)
+{
+	const writer_t *writer = data;
+
+	return writer->service->worker->loop.now;
+}
+
+/**
+ * writer_release() - end one of the reasons to keep a write
+ * @writing: write; freed with the last one
+ */
+void writer_release(writing_t *writing)
+{
+	writer_t *writer = writing->writer;
+
+	if (--writing->holds > 0)
+		return;
+	if (writing->prev)
+		writing->prev->next = writing->next;
+	else
+		writer->head = writing->next;
+	if (writing->next)
+		writing->next->prev = writing->prev;
+	medlar_buf_finish(&writing->body);
+	free(writing);
+}
+
+static unsigned status_of(medlar_write_outcome_t outcome, int error)
+{
+	if (outcome == MEDLAR_WRITE_RAN)
+		return MHD_HTTP_OK;
+	if (outcome == MEDLAR_WRITE_UNKNOWN)
+		return MHD_HTTP_BAD_GATEWAY;
+	if (error == MEDLAR_ERR_DEADLINE)
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	return answer_error_status(error);
+}
+
+/* Answer the caller; @writing is not used afterwards. */
+static void tell(writer_t *writer, request_t *request,
+		 const medlar_write_answer_t *answer)
+{
+	const worker_t *worker = writer->service->worker;
+	service_metrics_t *metrics = writer->service->metrics;
+
+	metrics_service_add(metrics, outcome_metrics[answer->outcome], 1);
+	metrics_service_took(metrics, worker->loop.now - request->arrived);
+	answer_write(&request->answer, answer);
+	request_reply(request, status_of(answer->outcome, answer->error));
+}
+
+static void on_answer(medlar_write_t *write,
+		      const medlar_write_answer_t *answer, void *data)
+{
+	writing_t *writing = medlar_write_data(write);
+	request_t *request = writing->request;
+
+	writing->request = NULL;
+	tell(data, request, answer);
+	writer_release(writing);
+}
+
+static const medlar_writes_ops_t ops = {
+	.dispatch = writer_dispatch,
+	.answer = on_answer,
+	.found = writer_found,
+	.random = set_random,
+	.now = get_now,
+};
+
+static int create(service_t *service, uint64_t revision)
+{
+	worker_t *worker = service->worker;
+	writer_t *writer = calloc(1, sizeof(*writer));
+	const medlar_writes_params_t params = {
+		.policy = &service->policy,
+		.revision = revision,
+		.store = &worker->store,
+		.ops = &ops,
+		.data = writer,
+		.epoch = clock_wall() - worker->loop.now,
+	};
+
+	if (!writer)
+		return MEDLAR_ERR_NOMEM;
+	writer->service = service;
+	medlar_writes_init(&worker->client, &writer->core, &params);
+	writer_send_init(writer);
+	service->writer = writer;
+	return MEDLAR_OK;
+}
+
+/**
+ * writer_configure() - bring the writes of a service up to date
+ * @service: service that this worker owns
+ * @revision: revision of the configuration
+ * @writers: services with writes, which share the commit rate
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int writer_configure(service_t *service, uint64_t revision, size_t writers)
+{
+	const platform_settings_t *platform =
+		&service->worker->settings->platform;
+	int error = MEDLAR_OK;
+
+	if (!service->policy.writes)
+		return MEDLAR_OK;
+	if (!service->writer)
+		error = create(service, revision);
+	if (error)
+		return error;
+	medlar_writes_set_policy(&service->writer->core, &service->policy,
+				 revision);
+	medlar_writes_set_commits(&service->writer->core,
+				  COMMIT_SHARE * (double)platform->rate /
+					  (double)writers);
+	return MEDLAR_OK;
+}
+
+/**
+ * writer_free() - release the writes of a service
+ * @writer: writer of a worker whose thread has ended, or NULL
+ *
+ * A write that is being sent is released with its HTTP call.
+ */
+void writer_free(writer_t *writer)
+{
+	writing_t *next;
+
+	if (!writer)
+		return;
+	medlar_writes_finish(&writer->core);
+	medlar_timer_clear(&writer->service->worker->client, &writer->timer);
+	for (writing_t *at = writer->head; at; at = next) {
+		next = at->next;
+		at->writer = NULL;
+		medlar_buf_finish(&at->body);
+		if (!at->call)
+			free(at);
+	}
+	free(writer);
+}
+
+/**
+ * writer_pending() - what is left to do for writes
+ * @worker: worker
+ *
+ * Return: writes that run or whose outcome is yet to be recorded.
+ */
+size_t writer_pending(const worker_t *worker)
+{
+	size_t pending = 0;
+
+	for (size_t i = 0; i < worker->services_len; i++) {
+		const writer_t *writer = worker->services[i]->writer;
+
+		if (writer)
+			pending += writer->core.writes_len;
+	}
+	return pending;
+}
+
+static writing_t *add(writer_t *writer, request_t *request)
+{
+	writing_t *writing = calloc(1, sizeof(*writing));
+
+	if (!writing)
+		return NULL;
+	medlar_buf_init(&writing->body);
+	medlar_buf_add(&writing->body, request->args.query);
+	if (writing->body.error) {
+		free(writing);
+		return NULL;
+	}
+	writing->writer = writer;
+	writing->request = request;
+	writing->holds = 1;
+	memcpy(writing->key, request->key, sizeof(writing->key));
+	writing->fingerprint = medlar_fingerprint(
+		medlar_str_from(writer->service->name), MEDLAR_STR("write"),
+		request->args.query);
+	writing->next = writer->head;
+	if (writing->next)
+		writing->next->prev = writing;
+	writer->head = writing;
+	return writing;
+}
+
+static int start(writer_t *writer, request_t *request,
+		 medlar_write_params_t *params)
+{
+	worker_t *worker = writer->service->worker;
+	writing_t *writing;
+	int error;
+
+	if (writer->line_len >= writer->service->policy.queue_max)
+		return MEDLAR_ERR_OVERLOAD;
+	writing = add(writer, request);
+	if (!writing)
+		return MEDLAR_ERR_NOMEM;
+	params->data = writing;
+	writing->deadline = params->deadline;
+	error = MEDLAR_ERR_CONVICTED;
+	if (medlar_suspects_look(&worker->suspects, writing->fingerprint,
+				 worker->loop.now) != MEDLAR_VERDICT_CONVICTED)
+		error = medlar_write_start(&writer->core, params,
+					   &writing->write);
+	if (error)
+		writer_release(writing);
+	else
+		metrics_service_add(writer->service->metrics,
+				    SERVICE_METRIC_NEEDED, 1);
+	return error;
+}
+
+static void refuse(writer_t *writer, request_t *request, int error)
+{
+	const medlar_write_answer_t answer = {
+		.outcome = medlar_write_refusal(error),
+		.error = error,
+	};
+
+	tell(writer, request, &answer);
+}
+
+/**
+ * writer_handle() - run a write
+ * @service: service that this worker owns
+ * @request: request that is at this worker
+ */
+void writer_handle(service_t *service, request_t *request)
+{
+	writer_t *writer = service->writer;
+	medlar_write_params_t params = {
+		.deadline = service_deadline(request, &service->policy),
+	};
+	int error;
+
+	if (!writer) {
+		request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+			       MEDLAR_ERR_UNAVAILABLE, "");
+		return;
+	}
+	error = medlar_uuid_parse(medlar_str_from(request->key), &params.key);
+	if (request->key[0] == '\0')
+		error = MEDLAR_ERR_MISSING;
+	if (error) {
+		request_refuse(request, answer_error_status(error), error,
+			       "Idempotency-Key");
+		return;
+	}
+	medlar_writes_set_epoch(&writer->core,
+				clock_wall() - service->worker->loop.now);
+	error = start(writer, request, &params);
+	if (error)
+		refuse(writer, request, error);
+}
