--- a/medlard/worker.h
+++ b/medlard/worker.h
@@ -41,8 +41,7 @@
  * @services: services in the order of their numbers
  * @services_len: how many
  * @store: the platform's key-value service, through the control thread
- * @instances: entry instances that are not leaving, this one among them
- *	unless it is leaving
+ * @instances: entry instances, this one among them
  * @instances_len: how many
  * @peers: hashes of the names of all instances, sorted
  * @peers_len: how many
@@ -50,8 +49,6 @@
  * @started: when the process started, ms
  * @config: configuration in force
  * @configured: there is one
- * @busy_with: request whose query is being started or cancelled, until its
- *	answer comes
  * @in_flight: requests without an answer, newest first
  * @in_flight_len: how many
  * @leaving: the process is shutting down: new callers are sent elsewhere
@@ -85,7 +82,6 @@
 	medlar_time_t started;
 	medlar_config_t config;
 	bool configured;
-	request_t *busy_with;
 	request_t *in_flight;
 	size_t in_flight_len;
 	bool leaving;
--- a/medlard/writer_send.c
+++ b/medlard/writer_send.c
@@ -111,7 +111,7 @@
 	    writing->tried_len < WRITER_TRIED_MAX)
 		writing->tried[writing->tried_len++] = writing->replica;
 	learn(writing, executed);
-	if (!upstream_is_json(result))
+	if (!upstream_is_json(&worker_of(writing)->upstream, result))
 		result = MEDLAR_STR("");
 	medlar_write_reply(writing->write, executed, result);
 }
