--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -144,8 +144,16 @@
 	upstream->tokener = NULL;
 }
 
-static bool is_json(struct json_tokener *tokener, medlar_str_t text)
+/**
+ * upstream_is_json() - tell whether a reply can be part of an answer
+ * @upstream: upstream side of the calling worker
+ * @text: body of the reply
+ *
+ * Return: true for exactly one JSON value.
+ */
+bool upstream_is_json(upstream_t *upstream, medlar_str_t text)
 {
+	struct json_tokener *tokener = upstream->tokener;
 	struct json_object *value;
 
 	if (text.len == 0 || text.len > INT32_MAX)
@@ -165,7 +173,7 @@
 		return false;
 	return pending->wire.reply.status != MEDLAR_REPLY_OK ||
 	       pending->cancelled ||
-	       is_json(pending->link->upstream->tokener, reply->body);
+	       upstream_is_json(pending->link->upstream, reply->body);
 }
 
 /* A connection that carries replies to something else is out of step. */
