Keep connections to replicas open ahead of need

A new connection costs 1 to 6 ms, and the first search after a start opened 30. Up to two connections a replica, within its share, are now opened with each reading of the instance list.

--- a/medlard/service.c
+++ b/medlard/service.c
@@ -253,8 +253,10 @@
 	}
 	replica = medlar_service_find_replica(&service->core,
 					      medlar_str_hash(name, 0));
-	if (replica)
-		upstream_adjust(&service->link, replica);
+	if (!replica)
+		return;
+	upstream_adjust(&service->link, replica);
+	upstream_warm(&service->link, replica);
 }
 
 /**
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -16,6 +16,9 @@
 #define DRAIN_MAX (5 * MEDLAR_SECOND)
 #define CANCEL_MAX (1 * MEDLAR_SECOND)
 
+/* Idle connections that are kept open to a replica. */
+#define WARM_MAX 2
+
 /* How long retries use new connections after one was found silent. */
 #define DISTRUST_TIME (10 * MEDLAR_SECOND)
 
@@ -420,3 +423,41 @@
 	else
 		http_give_up(pending->call);
 }
+
+static uint32_t warm_wanted(const medlar_replica_t *replica)
+{
+	medlar_share_t share = medlar_replica_share(replica);
+	uint32_t wanted = share.slots < share.connections ? share.slots
+							  : share.connections;
+
+	return wanted < WARM_MAX ? wanted : WARM_MAX;
+}
+
+/**
+ * upstream_warm() - open a connection ahead of need
+ * @link: service of the replica
+ * @replica: replica
+ *
+ * Asks for the health of the replica on a new connection, which then stays
+ * open for requests. Does nothing while the replica is busy, is not used, or
+ * has enough open connections.
+ */
+void upstream_warm(upstream_link_t *link, medlar_replica_t *replica)
+{
+	medlar_time_t now = link->upstream->http->loop->now;
+	http_peer_t *peer = upstream_peer(link, replica);
+	const http_request_t request = {
+		.method = "GET",
+		.path = "/v1/health",
+		.until = now + CANCEL_MAX,
+		.silence = link->policy->silence,
+		.reply_max = link->upstream->reply_max,
+		.fresh = true,
+		.done = ignore_reply,
+	};
+
+	if (!peer || peer->busy > 0 || peer->open >= warm_wanted(replica) ||
+	    !medlar_replica_usable(replica, now))
+		return;
+	(void)http_start(peer, &request, NULL);
+}
--- a/medlard/upstream.h
+++ b/medlard/upstream.h
@@ -47,6 +47,7 @@
 void upstream_cancel(medlar_attempt_t *attempt, upstream_link_t *link);
 http_peer_t *upstream_peer(upstream_link_t *link, medlar_replica_t *replica);
 void upstream_adjust(upstream_link_t *link, medlar_replica_t *replica);
+void upstream_warm(upstream_link_t *link, medlar_replica_t *replica);
 void upstream_forget(medlar_replica_t *replica);
 
 #endif /* MEDLARD_UPSTREAM_H */
