Read the configuration and the partition maps with one watch

docs/PLATFORM.md keeps the maps under medlar/config/maps/, so that one watch of the prefix sees both. The daemon had two watches, and it, the upstream stand-in and the load tool used the former keys. A map is posted only when its epoch is new.

--- a/cli/load_directory.c
+++ b/cli/load_directory.c
@@ -140,7 +140,7 @@
 	(void)client;
 	(void)timer;
 	(void)now;
-	if (get(directory, "/v1/kv/medlar/maps/", on_map, directory))
+	if (get(directory, "/v1/kv/medlar/config/maps/", on_map, directory))
 		abort();
 }
 
--- a/medlard/directory.c
+++ b/medlard/directory.c
@@ -11,7 +11,7 @@
 #include "medlard/control.h"
 #include "medlard/wire.h"
 
-#define MAPS_PREFIX "medlar/maps/"
+#define MAPS_PREFIX "medlar/config/maps/"
 #define CONFIG_FILE "medlar/config"
 
 /**
@@ -222,7 +222,7 @@
 	service->number = directory->services_len;
 	services[directory->services_len++] = service;
 	/* Maps read before the service was known are read again. */
-	directory->maps_watch.index = 0;
+	directory->watch.index = 0;
 	medlar_timer_init(&service->timer, read_list, service);
 	(void)medlar_timer_set(&control->client, &service->timer,
 			       control->loop.now);
@@ -264,26 +264,6 @@
 			     medlar_str_from(medlar_error_name(error))));
 }
 
-static void on_map(medlar_str_t key, medlar_str_t value, uint64_t index,
-		   void *data)
-{
-	directory_t *directory = data;
-	size_t prefix = strlen(MAPS_PREFIX);
-	const listed_service_t *service;
-	text_note_t *note;
-
-	(void)index;
-	if (key.len <= prefix)
-		return;
-	service = find_listed(directory, (medlar_str_t){ key.ptr + prefix,
-							 key.len - prefix });
-	note = service ? new_note(value, service->number) : NULL;
-	if (note)
-		control_post(directory->control,
-			     owner_of(directory->control, note->number),
-			     use_map, note);
-}
-
 /**
  * directory_offer_config() - use a configuration if it is newer
  * @directory: directory
@@ -312,10 +292,6 @@
 		trace_config(directory, revision, source, error);
 		return error;
 	}
-	if (directory->revision == 0)
-		(void)store_watch_start(
-			&directory->maps_watch, &directory->control->store,
-			"/v1/kv/" MAPS_PREFIX "?recurse", on_map, directory);
 	directory->revision = revision;
 	directory->address_ttl = parsed.address_ttl;
 	medlar_buf_reset(&directory->config);
@@ -327,16 +303,39 @@
 	return MEDLAR_OK;
 }
 
-static void on_config(medlar_str_t key, medlar_str_t value, uint64_t index,
-		      void *data)
+static bool is_newer_map(listed_service_t *service, medlar_str_t map)
+{
+	uint64_t epoch;
+
+	if (!wire_parse_number(args_member(map, MEDLAR_STR("epoch")), INT64_MAX,
+			       &epoch) ||
+	    epoch <= service->epoch)
+		return false;
+	service->epoch = epoch;
+	return true;
+}
+
+static void read_map(directory_t *directory, medlar_str_t name,
+		     medlar_str_t map)
+{
+	listed_service_t *service = find_listed(directory, name);
+	text_note_t *note;
+
+	if (!service || !is_newer_map(service, map))
+		return;
+	note = new_note(map, service->number);
+	if (note)
+		control_post(directory->control,
+			     owner_of(directory->control, note->number),
+			     use_map, note);
+}
+
+static void read_config(directory_t *directory, medlar_str_t value)
 {
-	directory_t *directory = data;
 	medlar_str_t revision = args_member(value, MEDLAR_STR("revision"));
 	medlar_str_t config = args_member(value, MEDLAR_STR("config"));
 	uint64_t number;
 
-	(void)key;
-	(void)index;
 	if (!wire_parse_number(revision, INT64_MAX, &number) ||
 	    config.len == 0) {
 		trace_config(directory, 0, MEDLAR_STR("store"),
@@ -347,6 +346,20 @@
 				     MEDLAR_STR("store"));
 }
 
+static void on_key(medlar_str_t key, medlar_str_t value, uint64_t index,
+		   void *data)
+{
+	size_t prefix = strlen(MAPS_PREFIX);
+
+	(void)index;
+	if (medlar_str_equal(key, MEDLAR_STR(CONFIG_FILE)))
+		read_config(data, value);
+	else if (key.len > prefix && memcmp(key.ptr, MAPS_PREFIX, prefix) == 0)
+		read_map(data,
+			 (medlar_str_t){ key.ptr + prefix, key.len - prefix },
+			 value);
+}
+
 /**
  * directory_init() - start to read what the platform says
  * @directory: memory of the caller
@@ -365,8 +378,9 @@
 			   medlar_str_from(control->settings.zone));
 	if (instances_init(directory))
 		return MEDLAR_ERR_NOMEM;
-	return store_watch_start(&directory->config_watch, &control->store,
-				 "/v1/kv/medlar/config", on_config, directory);
+	return store_watch_start(&directory->watch, &control->store,
+				 "/v1/kv/" CONFIG_FILE "?recurse", on_key,
+				 directory);
 }
 
 /**
@@ -378,9 +392,7 @@
 	medlar_client_t *client = &directory->control->client;
 
 	instances_finish(directory);
-	store_watch_stop(&directory->config_watch);
-	if (directory->revision > 0)
-		store_watch_stop(&directory->maps_watch);
+	store_watch_stop(&directory->watch);
 	for (size_t i = 0; i < directory->services_len; i++) {
 		medlar_timer_clear(client, &directory->services[i]->timer);
 		free(directory->services[i]);
--- a/medlard/directory.h
+++ b/medlard/directory.h
@@ -18,6 +18,7 @@
  * @control: owner
  * @policy: policy in force
  * @number: number of the service
+ * @epoch: newest partition map posted; 0 for none
  * @timer: next reading
  * @failures: readings that failed in a row
  */
@@ -25,6 +26,7 @@
 	control_t *control;
 	medlar_policy_t policy;
 	size_t number;
+	uint64_t epoch;
 	medlar_timer_t timer;
 	uint32_t failures;
 } listed_service_t;
@@ -36,8 +38,7 @@
  * @config: text of the configuration in force
  * @revision: its revision; 0 for none
  * @address_ttl: how long callers keep an address answer, ms
- * @config_watch: watch of the configuration
- * @maps_watch: watch of the partition maps
+ * @watch: watch of the configuration and the partition maps
  * @services: by number
  * @services_len: how many
  * @instances: entry instances, this one included
@@ -54,8 +55,7 @@
 	medlar_buf_t config;
 	uint64_t revision;
 	medlar_time_t address_ttl;
-	store_watch_t config_watch;
-	store_watch_t maps_watch;
+	store_watch_t watch;
 	listed_service_t **services;
 	size_t services_len;
 	instance_t *instances;
--- a/tests/fakes/fake-upstream.c
+++ b/tests/fakes/fake-upstream.c
@@ -144,7 +144,7 @@
 	service->map_changed = false;
 	write_map(service, &body);
 	fake_upstream_unlock(upstream);
-	medlar_buf_printf(&path, "/v1/kv/medlar/maps/%s", service->name);
+	medlar_buf_printf(&path, "/v1/kv/medlar/config/maps/%s", service->name);
 	if (changed)
 		done = put(registrar, path.ptr, &body);
 	if (!done) {
--- a/tests/test_fuzz_port.c
+++ b/tests/test_fuzz_port.c
@@ -83,7 +83,7 @@
 	"{\"query\":{\"a\":[",
 	"5\r\n{\"quer\r\n0\r\n\r\n",
 	"[{\"Key\":\"medlar/config\",\"ModifyIndex\":1,\"Value\":\"e30=\"}]",
-	"[{\"Key\":\"medlar/maps/s\",\"ModifyIndex\":2,\"Value\":\"!!\"}]",
+	"[{\"Key\":\"medlar/config/maps/s\",\"ModifyIndex\":2,\"Value\":\"!!\"}]",
 	"\"\xff\xfe",
 };
 
