List the keys of the platform stand-in by name

Cause: a read of a prefix gave the keys in the order of their creation, so instances met the partition maps before the configuration that names their services, dropped them, and told epoch 0.

Change: keep the keys in the order of their names, as the published service does.

Conclusion: answers tell epoch 1 again in scripts/demo.

--- a/tests/fakes/common_kv.c
+++ b/tests/fakes/common_kv.c
@@ -60,9 +60,14 @@
 static fake_kv_item_t *add(fake_kv_t *kv, const char *key)
 {
 	fake_kv_item_t *item;
+	size_t at = 0;
 
 	kv->items = grow(kv->items, kv->len, sizeof(*kv->items));
-	item = &kv->items[kv->len++];
+	while (at < kv->len && strcmp(kv->items[at].key, key) < 0)
+		at++;
+	item = &kv->items[at];
+	memmove(item + 1, item, (kv->len++ - at) * sizeof(*item));
+	memset(item, 0, sizeof(*item));
 	item->key = strdup(key);
 	item->created = kv->index + 1;
 	return item;
--- a/tests/fakes/common_kv.h
+++ b/tests/fakes/common_kv.h
@@ -39,7 +39,7 @@
 
 /**
  * struct fake_kv - the table
- * @items: keys in order of their creation
+ * @items: keys in the order of their names
  * @len: number of keys
  * @sessions: live leases
  * @sessions_len: how many
