--- a/bench/cases.sh
+++ b/bench/cases.sh
@@ -316,14 +316,7 @@
 			echo "bench: revision $revision was refused" >&2
 			return
 		}
-		for entry in $fleet_entries
-		do
-			until curl -s -m 2 "http://$entry/v1/status" |
-				grep -q "\"revision\":$revision[,}]"
-			do
-				sleep 0.01
-			done
-		done
+		fleet_in_force "$revision"
 		took=$(($(date +%s%3N) - start))
 		test "$took" -le "$worst" || worst=$took
 	done
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -157,6 +157,25 @@
 	done
 }
 
+# Waits up to 20 s until every entry instance obeys the revision $1.
+fleet_in_force() {
+	for fleet_e in $fleet_entries
+	do
+		fleet_tries=0
+		until curl -s -m 2 "http://$fleet_e/v1/status" |
+			grep -q "\"revision\":$1[,}]"
+		do
+			fleet_tries=$((fleet_tries + 1))
+			if test "$fleet_tries" -ge 2000
+			then
+				echo "$fleet_e does not obey revision $1" >&2
+				return 1
+			fi
+			sleep 0.01
+		done
+	done
+}
+
 # Prints a fresh idempotency key, a UUID of version 7.
 fleet_key() {
 	fleet_ms=$(date +%s%3N)
