Show that the load tool's checks can fail

Cause: the end-to-end tests trust the checks of medlarload.

Change: a test runs the naive client against crossed replies, half published versions, a lost shard and slow writes, and expects each fault to be found. Measurements start a deployment once a case, not twice.

--- a/bench/cases.sh
+++ b/bench/cases.sh
@@ -101,7 +101,6 @@
 	ours shard "$half"
 	naive shard "$half"
 	read_rows "$deployment/shard-lost" shard "$deadline_ms" ''
-	begin
 }
 
 case_zone_lost() {
@@ -119,7 +118,6 @@
 	naive zone-after "$half"
 	read_rows "$deployment/zone-lost" zone '' ''
 	read_rows "$deployment/zone-lost-after" zone-after '' ''
-	begin
 }
 
 case_silent() {
@@ -168,7 +166,6 @@
 	naive versions "$half"
 	wait "$loser"
 	read_rows "$deployment/versions-change" versions '' ''
-	begin
 }
 
 case_repartition() {
@@ -199,7 +196,6 @@
 		num("after_drain_ms") > most { most = num("after_drain_ms") }
 		END { print most + 0 }')" '' 2000
 	read_rows "$deployment/drain-list-lags-30s" drain '' ''
-	begin
 }
 
 case_crossed() {
@@ -226,7 +222,6 @@
 		{ deaths[num("shard")] += num("deaths") }
 		END { for (s in deaths) if (deaths[s] > most) most = deaths[s]
 			print most + 0 }')" '' 2
-	begin
 }
 
 # What any replica saw at most, over all cases since the last start.
@@ -279,7 +274,6 @@
 	do
 		kill -KILL "$(fleet_pid_of "medlard-$n")"
 	done
-	begin
 }
 
 case_instance_killed() {
@@ -296,7 +290,6 @@
 	row control "$deployment/instance-killed" p99-after ms \
 		"$(get "$work/killed-after.ours" p99_ms)" '' \
 		"$(calc "1.3 * $steady_p99")"
-	begin
 }
 
 # Time until all instances obey a new configuration.
--- a/tests/tap.sh
+++ b/tests/tap.sh
@@ -18,17 +18,33 @@
 	exit "$tap_status"
 }
 
-# Starts kraisorn on ports of its own; the test ends with tap_end.
-tap_start() {
+# Prepares kraisorn on ports of its own; the test ends with tap_end.
+tap_prepare() {
 	build=$1 service=$3
 	dir=$build/e2e/$2
 	rm -rf "$dir"
 	trap 'tap_end' EXIT
 	trap 'exit 1' INT TERM
 	fleet_prepare "$build" kraisorn "$dir" "${E2E_BASE:-23000}"
+}
+
+# Starts the whole deployment: BUILD NAME SERVICE
+tap_start() {
+	tap_prepare "$@"
 	fleet_start && fleet_settle "$service" || exit 1
 }
 
+# Starts the stand-ins only, and waits until the replicas are listed.
+tap_start_stand_ins() {
+	tap_prepare "$@"
+	fleet_start_stand_ins || exit 1
+	until curl -s -m 5 "http://$fleet_platform/v1/health/service/$service" |
+		grep -q "\"$service-9-2\""
+	do
+		sleep 0.1
+	done
+}
+
 # Reports the case $1: it passes if the rest, a command, succeeds.
 check() {
 	tap_count=$((tap_count + 1))
