--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -73,9 +73,17 @@
 	fleet_run upstream "$fleet_build/fake-upstream" \
 		"$fleet_dir/upstreams.json"
 	fleet_wait "http://$fleet_control/stats" || return 1
+	fleet_alive platform && fleet_alive upstream || return 1
 	fleet_configure
 }
 
+# Succeeds if the program NAME runs; it may have found its ports in use.
+fleet_alive() {
+	kill -0 "$(fleet_pid_of "$1")" 2>/dev/null && return 0
+	echo "$1 has ended, see $fleet_dir/$1.log" >&2
+	return 1
+}
+
 # Makes a token for each role and lists its hash in the settings.
 fleet_make_operators() {
 	fleet_operators=
@@ -149,6 +157,25 @@
 	done
 }
 
+# Waits up to 20 s until every entry instance obeys the revision $1.
+fleet_in_force() {
+	for fleet_e in $fleet_entries
+	do
+		fleet_tries=0
+		until curl -s -m 2 "http://$fleet_e/v1/status" |
+			grep -q "\"revision\":$1[,}]"
+		do
+			fleet_tries=$((fleet_tries + 1))
+			if test "$fleet_tries" -ge 2000
+			then
+				echo "$fleet_e does not obey revision $1" >&2
+				return 1
+			fi
+			sleep 0.01
+		done
+	done
+}
+
 # Prints a fresh idempotency key, a UUID of version 7.
 fleet_key() {
 	fleet_ms=$(date +%s%3N)
