--- a/libmedlar/admission.c
+++ b/libmedlar/admission.c
@@ -185,6 +185,7 @@
 	}
 	if (!victim)
 		return false;
+	medlar_admission_remove(victim);
 	medlar_query_end(client, victim, MEDLAR_ERR_OVERLOAD, now);
 	return true;
 }
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -37,12 +37,14 @@
 	WORLD_BAD_ID,
 	WORLD_BAD_VERSION,
 	WORLD_BAD_RANGE,
-	WORLD_FATES
+	WORLD_FATES,
+	WORLD_CANCELLED = WORLD_FATES
 } world_fate_t;
 
 /**
  * struct world_call - a request on its way
- * @attempt: attempt of the core
+ * @attempt: attempt of the core, or NULL for a request of another client
+ * @owner: the other client's own
  * @at: replica
  * @took_us: time of service
  * @fate: what becomes of it
@@ -51,12 +53,14 @@
  * @range: keys that it asks
  * @serving: it holds a slot of the replica
  * @timed: an event will end it
+ * @cancelling: an event will cancel it
  * @dead: its outcome was reported
  * @next: next call in flight at the replica
  * @body: payload of the reply: version, first key, end of keys
  */
 struct world_call {
 	medlar_attempt_t *attempt;
+	void *owner;
 	world_replica_t *at;
 	int64_t took_us;
 	world_fate_t fate;
@@ -65,6 +69,7 @@
 	medlar_range_t range;
 	bool serving;
 	bool timed;
+	bool cancelling;
 	bool dead;
 	world_call_t *next;
 	char body[64];
@@ -125,6 +130,7 @@
  * @len: how many
  * @mean_us: mean time of service
  * @decide: sets took_us and fate of a call; NULL for the standard model
+ * @ended: told of the end of a call without attempt
  * @answered: told of each answer before the query is finished; may be NULL
  * @data: the user's own
  * @answers: answers by outcome
@@ -146,6 +152,7 @@
 	size_t len;
 	double mean_us;
 	world_decide_t decide;
+	world_decide_t ended;
 	world_answer_t answered;
 	void *data;
 	uint64_t answers[MEDLAR_OUTCOME_CANCELLED + 1];
@@ -226,7 +233,7 @@
 static inline void world_fill_reply(world_call_t *call, uint32_t moved_to,
 				    medlar_reply_t *reply)
 {
-	static const medlar_reply_status_t statuses[WORLD_FATES] = {
+	static const medlar_reply_status_t statuses[] = {
 		MEDLAR_REPLY_OK,
 		MEDLAR_REPLY_NOT_EXECUTED,
 		MEDLAR_REPLY_WRONG_VERSION,
@@ -238,7 +245,11 @@
 	memcpy(reply->id, medlar_attempt_id(call->attempt), sizeof(reply->id));
 	reply->version = call->version;
 	reply->range = call->range;
-	reply->status = statuses[call->fate];
+	reply->status = MEDLAR_REPLY_OK;
+	if (call->fate <= WORLD_ERROR)
+		reply->status = statuses[call->fate];
+	if (call->fate == WORLD_CANCELLED)
+		reply->status = MEDLAR_REPLY_CANCELLED;
 	reply->moved_to = moved_to;
 	reply->load.utilization = -1;
 	reply->load.queue = -1;
@@ -248,7 +259,7 @@
 		 (unsigned long long)call->range.lo,
 		 (unsigned long long)call->range.hi);
 	reply->body = medlar_str_from(call->body);
-	if (call->fate >= WORLD_BAD_ID)
+	if (call->fate != WORLD_ANSWER)
 		reply->body = MEDLAR_STR("not the payload asked for");
 	if (call->fate == WORLD_BAD_ID)
 		reply->id[0] ^= 1;
@@ -266,7 +277,9 @@
 
 	call->fate = fate;
 	world->live--;
-	if (fate == WORLD_REFUSE) {
+	if (!call->attempt) {
+		world->ended(world, call);
+	} else if (fate == WORLD_REFUSE) {
 		medlar_attempt_fail(&world->client, call->attempt,
 				    MEDLAR_FAULT_REFUSED, now);
 	} else if (fate == WORLD_RESET || fate == WORLD_CRASH) {
@@ -297,6 +310,13 @@
 	world_end_later(world, call);
 }
 
+/* Frees a call whose outcome was reported, unless an event still has it. */
+static inline void world_release(world_call_t *call)
+{
+	if (!call->timed && !call->cancelling)
+		free(call);
+}
+
 /* All in flight at a replica is reset; it may take requests again at once. */
 static inline void world_crash(world_t *world, world_replica_t *replica)
 {
@@ -312,8 +332,35 @@
 		calls = call->next;
 		call->dead = true;
 		world_report(world, call, WORLD_RESET);
-		if (!call->timed)
-			free(call);
+		world_release(call);
+	}
+}
+
+static inline void world_unqueue(world_replica_t *replica, unsigned at)
+{
+	replica->queued--;
+	memmove(replica->queue + at, replica->queue + at + 1,
+		(replica->queued - at) * sizeof(world_call_t *));
+}
+
+/* The call gives up its slot, which the next in the queue gets. */
+static inline void world_leave(world_t *world, world_call_t *call)
+{
+	world_replica_t *replica = call->at;
+	unsigned i;
+
+	world_unlink(call);
+	for (i = 0; i < replica->queued; i++)
+		if (replica->queue[i] == call)
+			world_unqueue(replica, i--);
+	if (!call->serving)
+		return;
+	replica->busy--;
+	if (replica->queued > 0) {
+		world_call_t *next = replica->queue[0];
+
+		world_unqueue(replica, 0);
+		world_serve(world, next);
 	}
 }
 
@@ -322,30 +369,20 @@
 	world_call_t *call = (world_call_t *)data;
 	world_replica_t *replica = call->at;
 
+	call->timed = false;
 	if (call->dead) {
-		free(call);
+		world_release(call);
 		return;
 	}
 	if (call->fate == WORLD_CRASH) {
 		world_crash(world, replica);
-		free(call);
 		return;
 	}
-	if (call->serving) {
-		replica->busy--;
-		replica->executed += call->fate == WORLD_ANSWER;
-	}
-	world_unlink(call);
-	if (replica->queued > 0 && call->serving) {
-		world_call_t *next = replica->queue[0];
-
-		replica->queued--;
-		memmove(replica->queue, replica->queue + 1,
-			replica->queued * sizeof(world_call_t *));
-		world_serve(world, next);
-	}
+	call->dead = true;
+	replica->executed += call->serving && call->fate == WORLD_ANSWER;
+	world_leave(world, call);
 	world_report(world, call, call->fate);
-	free(call);
+	world_release(call);
 }
 
 static inline double world_exponential(world_t *world)
@@ -389,39 +426,31 @@
 	return false;
 }
 
-static inline void world_send(medlar_attempt_t *attempt, void *data)
+/** world_submit() - a call reaches its replica */
+static inline void world_submit(world_t *world, world_call_t *call)
 {
-	world_t *world = (world_t *)data;
-	world_call_t *call = (world_call_t *)calloc(1, sizeof(*call));
-	medlar_query_t *query = medlar_attempt_query(attempt);
+	world_replica_t *replica = call->at;
 
-	if (!call)
-		abort();
-	call->attempt = attempt;
-	call->at = world_replica_of(attempt);
-	call->version = medlar_attempt_version(attempt);
-	call->fingerprint = medlar_query_params(query)->fingerprint;
-	call->range = medlar_attempt_range(attempt);
-	call->next = call->at->calls;
-	call->at->calls = call;
+	call->next = replica->calls;
+	replica->calls = call;
 	world->live++;
 	if (world->decide)
 		world->decide(world, call);
 	else
 		world_standard(world, call);
-	if (call->at->dead)
+	if (replica->dead)
 		call->fate = WORLD_REFUSE;
 	else if (call->fate == WORLD_ANSWER &&
-		 !world_serves(call->at, call->version))
+		 !world_serves(replica, call->version))
 		call->fate = WORLD_WRONG_VERSION;
 	if (call->fate != WORLD_ANSWER && call->fate != WORLD_CRASH) {
 		if (call->fate != WORLD_SILENCE)
 			call->took_us = WORLD_MS;
 		world_end_later(world, call);
-	} else if (call->at->busy < call->at->info.slots) {
+	} else if (replica->busy < replica->info.slots) {
 		world_serve(world, call);
-	} else if (call->at->queued < WORLD_QUEUE_MAX) {
-		call->at->queue[call->at->queued++] = call;
+	} else if (replica->queued < WORLD_QUEUE_MAX) {
+		replica->queue[replica->queued++] = call;
 	} else {
 		call->fate = WORLD_SHED;
 		call->took_us = WORLD_MS;
@@ -429,10 +458,44 @@
 	}
 }
 
+static inline void world_send(medlar_attempt_t *attempt, void *data)
+{
+	world_call_t *call = (world_call_t *)calloc(1, sizeof(*call));
+	medlar_query_t *query = medlar_attempt_query(attempt);
+
+	if (!call)
+		abort();
+	call->attempt = attempt;
+	call->at = world_replica_of(attempt);
+	call->version = medlar_attempt_version(attempt);
+	call->fingerprint = medlar_query_params(query)->fingerprint;
+	call->range = medlar_attempt_range(attempt);
+	medlar_attempt_set_data(attempt, call);
+	world_submit((world_t *)data, call);
+}
+
+static inline void world_cancelled(world_t *world, void *data)
+{
+	world_call_t *call = (world_call_t *)data;
+
+	if (!call->dead) {
+		call->dead = true;
+		world_leave(world, call);
+		world_report(world, call, WORLD_CANCELLED);
+	}
+	call->cancelling = false;
+	world_release(call);
+}
+
+/* The replica learns of it half a millisecond later, and stops at once. */
 static inline void world_cancel(medlar_attempt_t *attempt, void *data)
 {
-	(void)attempt;
-	((world_t *)data)->cancels++;
+	world_t *world = (world_t *)data;
+	world_call_t *call = (world_call_t *)medlar_attempt_data(attempt);
+
+	world->cancels++;
+	call->cancelling = true;
+	world_at(world, world->now_us + WORLD_MS / 2, world_cancelled, call);
 }
 
 static inline void world_answer(medlar_query_t *query, void *data)
--- a/tests/prop_query.cc
+++ b/tests/prop_query.cc
@@ -7,7 +7,7 @@
 
 #define SHARDS 5
 #define REPLICAS 3
-#define QUERIES 20
+#define QUERIES 60
 
 /* What the test knows of one query. */
 struct asked {
@@ -145,7 +145,8 @@
 	medlar_query_params_t params = {};
 
 	params.fingerprint = begin->fingerprint;
-	params.caller = begin->fingerprint;
+	params.caller = begin->fingerprint % 4;
+	params.kind = below(world, 2) ? MEDLAR_KIND_SEARCH : MEDLAR_KIND_LOOKUP;
 	params.deadline = world_now(world) + 20 + (int64_t)below(world, 300);
 	params.target = world_now(world) + 60;
 	if (medlar_query_start(&world->client, &world->service, &params,
@@ -157,6 +158,7 @@
 static void run(uint64_t seed, const trouble &faults, bool changing)
 {
 	static const world_fn_t changes[] = { repartition, publish, toggle };
+	uint64_t length_us = 10000 + seed % 300000;
 	medlar_policy_t policy;
 	asked queries[QUERIES];
 	start starts[QUERIES];
@@ -174,9 +176,9 @@
 	world.answered = check_answer;
 	world.data = const_cast<trouble *>(&faults);
 	for (unsigned i = 0; i < QUERIES; i++) {
-		int64_t due = world.now_us + (int64_t)below(&world, 400000);
+		int64_t due = world.now_us + (int64_t)below(&world, length_us);
 
-		starts[i] = { &queries[i], 1 + below(&world, 8) };
+		starts[i] = { &queries[i], 1 + below(&world, 40) };
 		world_at(&world, due, ask, &starts[i]);
 		if (below(&world, 5) == 0)
 			world_at(&world, due + 5000, cancel, &queries[i]);
