--- a/libmedlar/hedge.c
+++ b/libmedlar/hedge.c
@@ -128,9 +128,8 @@
 {
 	const medlar_queries_t *queries = query->queries;
 
-	if (!queries->tuning.hedges || query->gate != MEDLAR_GATE_OPEN)
-		return false;
-	return part->attempts && !part->attempts->next;
+	return queries->tuning.hedges && part->attempts &&
+	       !part->attempts->next;
 }
 
 /**
@@ -140,8 +139,9 @@
  * @part: a part of it that is due
  * @now: current time
  *
- * When no replica is idle or the budget has nothing left, it is tried again
- * later, so that the latest parts get what the budget earns.
+ * When no replica is idle, the budget has nothing left, or the request is not
+ * known to be harmless yet, it is tried again later, so that the latest parts
+ * get what the budget earns.
  */
 void medlar_hedge(medlar_client_t *client, medlar_query_t *query,
 		  medlar_part_t *part, medlar_time_t now)
@@ -153,7 +153,8 @@
 	if (!may_hedge(query, part))
 		return;
 	part->kind = MEDLAR_ATTEMPT_HEDGE;
-	if (medlar_part_send(client, query, part, now) == MEDLAR_OK) {
+	if (query->gate == MEDLAR_GATE_OPEN &&
+	    medlar_part_send(client, query, part, now) == MEDLAR_OK) {
 		part->due = MEDLAR_DUE_NONE;
 		return;
 	}
