Bound the wait for admission by the rate measured while queries wait

The rate now counts only while queries wait; a query is refused at once when it would wait over 20 ms, or take over half of its time left behind those that run and wait.

--- a/libmedlar/admission.c
+++ b/libmedlar/admission.c
@@ -18,8 +18,12 @@
 #define RATE_WEIGHT 0.5
 /* A query is let in against the estimates this often, to correct them, ms. */
 #define PROBE_TIME 100
-/* Share of the time left that a query may spend waiting. */
-#define WAIT_SHARE 0.5
+/* How long a measured rate is believed, ms. */
+#define RATE_FRESH MEDLAR_SECOND
+/* Longest expected wait in the queue, so that refusals come at once, ms. */
+#define WAIT_MAX 20
+/* Share of the time left that a query may be expected to take. */
+#define TIME_SHARE 0.5
 /* Share of the policy's deadline after which a queue counts as old. */
 #define OLD_SHARE 0.25
 #define MEDIAN 0.5
@@ -79,21 +83,18 @@
 	return medlar_latency_quantile(&queries->service->latency, MEDIAN, 0);
 }
 
-static double rate_now(const medlar_admission_t *admission, medlar_time_t now)
-{
-	medlar_time_t passed = now - admission->rated;
-
-	if (passed <= 2 * RATE_TIME)
-		return admission->rate;
-	return (double)admission->ended / (double)passed;
-}
-
-static double expected_wait(const medlar_admission_t *admission,
-			    medlar_time_t now)
+/* Whether a query that comes now would wait or take too long. */
+static bool takes_too_long(const medlar_queries_t *queries, medlar_time_t left,
+			   medlar_time_t now)
 {
-	double rate = rate_now(admission, now);
+	const medlar_admission_t *admission = &queries->admission;
+	double waiting = (double)admission->len + 1;
+	double before = waiting + (double)queries->running.len;
 
-	return rate > 0 ? (double)(admission->len + 1) / rate : 0;
+	if (admission->rate <= 0 || now - admission->rate_at > RATE_FRESH)
+		return false;
+	return waiting / admission->rate > WAIT_MAX ||
+	       before / admission->rate > TIME_SHARE * (double)left;
 }
 
 /**
@@ -101,21 +102,27 @@
  * @queries: queries of a service
  * @count: how many
  * @now: current time
+ *
+ * While queries wait, the rate of endings is what the service can do.
  */
 void medlar_admission_ended(medlar_queries_t *queries, size_t count,
 			    medlar_time_t now)
 {
 	medlar_admission_t *admission = &queries->admission;
-	medlar_time_t passed = now - admission->rated;
+	medlar_time_t passed = now - admission->busy_at;
+	double weight = admission->rate > 0 ? RATE_WEIGHT : 1;
 	double rate;
 
+	if (admission->len == 0)
+		return;
 	admission->ended += count;
 	if (passed < RATE_TIME)
 		return;
 	rate = (double)admission->ended / (double)passed;
-	admission->rate += RATE_WEIGHT * (rate - admission->rate);
+	admission->rate += weight * (rate - admission->rate);
+	admission->rate_at = now;
 	admission->ended = 0;
-	admission->rated = now;
+	admission->busy_at = now;
 }
 
 /**
@@ -204,9 +211,8 @@
 	medlar_queries_t *queries = query->queries;
 	medlar_admission_t *admission = &queries->admission;
 	unsigned lane = lane_of(&query->params);
-	double left = (double)(query->finish_by - now - typical_time(queries));
 
-	if (expected_wait(admission, now) > WAIT_SHARE * left)
+	if (takes_too_long(queries, query->finish_by - now, now))
 		return MEDLAR_ERR_OVERLOAD;
 	if (admission->len >= queries->service->policy.queue_max &&
 	    !make_place(client, queries, query, now))
@@ -215,7 +221,10 @@
 	    admission->served[lane] < admission->clock)
 		admission->served[lane] = admission->clock;
 	medlar_query_list_add(&admission->lanes[lane], query);
-	admission->len++;
+	if (admission->len++ == 0) {
+		admission->busy_at = now;
+		admission->ended = 0;
+	}
 	query->state = MEDLAR_QUERY_QUEUED;
 	medlar_query_arm(client, query,
 			 query->finish_by - typical_time(queries));
--- a/libmedlar/queries.c
+++ b/libmedlar/queries.c
@@ -23,7 +23,7 @@
 		return MEDLAR_ERR_NOMEM;
 	queries->service = service;
 	queries->placed = service->map.epoch;
-	queries->admission.rated = now;
+	(void)now;
 	queries->tuning = (medlar_query_tuning_t){
 		.hedges = true,
 		.budget = true,
--- a/libmedlar/query.h
+++ b/libmedlar/query.h
@@ -275,9 +275,10 @@
  * @room: parts that may be open at once
  * @sized: when @room was worked out, ms
  * @admitted: when a query was last let in, ms
- * @rate: parts ended per ms, a moving average
- * @ended: parts ended since @rated
- * @rated: when @rate was last updated, ms
+ * @rate: queries ended per ms while others waited, a moving average
+ * @rate_at: when @rate was last updated, ms
+ * @ended: queries ended since @busy_at
+ * @busy_at: since when queries have waited, or @rate was updated, ms
  */
 typedef struct medlar_admission {
 	medlar_query_list_t lanes[MEDLAR_LANES];
@@ -288,8 +289,9 @@
 	medlar_time_t sized;
 	medlar_time_t admitted;
 	double rate;
+	medlar_time_t rate_at;
 	size_t ended;
-	medlar_time_t rated;
+	medlar_time_t busy_at;
 } medlar_admission_t;
 
 /**
