Let one query of an unknown fingerprint go ahead of its copies

A test in which a caller sends a request 50 times that crashes one shard only lost 7 replicas: the canary succeeded in another shard, copies in flight then killed the replicas of that shard one by one, and a copy whose own part was not the one that had died cleared the suspect by a trial in another shard. Copies now wait for the first query of a fingerprint until it is complete, and a trial is made in the shard that lost its replica.

--- a/libmedlar/gate.c
+++ b/libmedlar/gate.c
@@ -4,7 +4,9 @@
  * A request that is not known to be harmless goes to one shard first, its
  * canary, and to the others once that has replied. All instances choose the
  * same canary, so that simultaneous sendings of one request meet at the same
- * replica. After a death, each request that was in flight is sent again only in
+ * replica. Until one query of a fingerprint is complete, others of the same
+ * fingerprint wait for it, so that at most one replica runs it in each shard.
+ * After a death, each request that was in flight is sent again only in
  * a trial: one at a time, to a replica that has nothing else in flight.
  */
 #include "query.h"
@@ -13,7 +15,9 @@
 #define CANARIES_MAX 2
 /* Shards looked at for a canary that can be sent at once. */
 #define CANARY_SHARDS 3
-/* How often a query waiting for a trial looks at it, ms. */
+/* Hedge delays that a query waits for one of the same fingerprint. */
+#define FOLLOW_DELAYS 4
+/* How often a query that waits for another one looks at it, ms. */
 #define TRIAL_CHECK 5
 /* Time after which a suspect told by a peer is tried here, ms. */
 #define PEER_TRIAL_TIME MEDLAR_SECOND
@@ -157,23 +161,26 @@
 	return false;
 }
 
-/* The part that lost a replica, or else any. */
+/*
+ * The part whose shard lost a replica; any other, only if the query has no part
+ * of a suspected shard that could still tell.
+ */
 static medlar_part_t *part_to_try(medlar_query_t *query)
 {
 	medlar_part_t *any = NULL;
+	bool flying = false;
 	size_t i;
 
 	for (i = 0; i < query->len; i++) {
 		medlar_part_t *part = &query->parts[i];
 
-		if (part->state != MEDLAR_PART_HELD)
-			continue;
-		if (part->suspect)
+		if (part->suspect && part->state == MEDLAR_PART_HELD)
 			return part;
-		if (!any)
+		flying = flying || (part->suspect && part->attempts);
+		if (!any && part->state == MEDLAR_PART_HELD)
 			any = part;
 	}
-	return any;
+	return flying ? NULL : any;
 }
 
 static void send_trial(medlar_client_t *client, medlar_query_t *query,
@@ -225,6 +232,38 @@
 	return count;
 }
 
+/* The query of the same fingerprint that goes ahead of this one. */
+static const medlar_query_t *pioneer_of(const medlar_query_t *query)
+{
+	const medlar_query_t *other = query->queries->running.head;
+
+	for (; other; other = other->next)
+		if (other != query && other->pioneer &&
+		    other->params.fingerprint == query->params.fingerprint)
+			return other;
+	return NULL;
+}
+
+/* Waits for the pioneer to end, but not for long. */
+static void follow(medlar_client_t *client, medlar_query_t *query,
+		   medlar_time_t now)
+{
+	medlar_queries_t *queries = query->queries;
+	uint64_t fingerprint = query->params.fingerprint;
+	medlar_time_t patience = FOLLOW_DELAYS * medlar_hedge_delay(queries);
+
+	if (*proven_slot(queries, fingerprint) == fingerprint) {
+		release(client, query, now);
+	} else if (!pioneer_of(query) ||
+		   now - query->answer.started > patience) {
+		query->pioneer = true;
+		send_canary(client, query, now);
+	} else {
+		query->gate_due = now + TRIAL_CHECK;
+		medlar_query_arm(client, query, query->gate_due);
+	}
+}
+
 /**
  * medlar_gate_missed() - a canary was not taken in by any replica
  * @client: client
@@ -234,7 +273,7 @@
 void medlar_gate_missed(medlar_client_t *client, medlar_query_t *query,
 			medlar_time_t now)
 {
-	if (query->gate != MEDLAR_GATE_CANARY)
+	if (query->gate != MEDLAR_GATE_CANARY || !query->pioneer)
 		return;
 	query->gate_due = now;
 	medlar_query_arm(client, query, now);
@@ -260,7 +299,9 @@
 		return;
 	}
 	query->gate_due = MEDLAR_TIME_NEVER;
-	if (canaries_in_flight(query) < CANARIES_MAX)
+	if (!query->pioneer)
+		follow(client, query, now);
+	else if (canaries_in_flight(query) < CANARIES_MAX)
 		send_canary(client, query, now);
 }
 
@@ -298,6 +339,7 @@
 	medlar_suspect_entry_t entry;
 
 	query->trying = false;
+	query->pioneer = false;
 	if (suspects && queries->tuning.trials &&
 	    medlar_suspects_get(suspects, fingerprint, now, &entry) &&
 	    entry.verdict == MEDLAR_VERDICT_SUSPECT) {
@@ -311,7 +353,7 @@
 	}
 	query->gate = MEDLAR_GATE_CANARY;
 	query->probe = (uint32_t)(fingerprint % query->len);
-	send_canary(client, query, now);
+	follow(client, query, now);
 }
 
 static bool has_suspect_part(const medlar_query_t *query)
@@ -320,7 +362,8 @@
 
 	for (i = 0; i < query->len; i++)
 		if (query->parts[i].suspect &&
-		    query->parts[i].state == MEDLAR_PART_HELD)
+		    query->parts[i].state != MEDLAR_PART_DONE &&
+		    query->parts[i].state != MEDLAR_PART_FAILED)
 			return true;
 	return false;
 }
@@ -339,10 +382,10 @@
 	medlar_queries_t *queries = query->queries;
 	uint64_t fingerprint = query->params.fingerprint;
 
-	part->suspect = false;
 	if (query->gate == MEDLAR_GATE_TRIAL) {
-		if (!trial)
+		if (!trial && !part->suspect)
 			return;
+		part->suspect = false;
 		if (!has_suspect_part(query) && queries->service->suspects)
 			medlar_suspects_success(queries->service->suspects,
 						fingerprint);
@@ -350,13 +393,14 @@
 		medlar_gate_advance(client, query, now);
 		return;
 	}
-	*proven_slot(queries, fingerprint) = fingerprint;
+	if (query->open == 0)
+		*proven_slot(queries, fingerprint) = fingerprint;
 	if (query->gate == MEDLAR_GATE_CANARY)
 		release(client, query, now);
 }
 
 /* Parts that were to be sent are held back until a trial has succeeded. */
-static void hold(medlar_client_t *client, medlar_query_t *query,
+static void hold(medlar_client_t *client, medlar_query_t *query, uint32_t shard,
 		 medlar_time_t now)
 {
 	size_t i;
@@ -364,6 +408,8 @@
 	for (i = 0; i < query->len; i++) {
 		medlar_part_t *part = &query->parts[i];
 
+		if (part->shard == shard)
+			part->suspect = true;
 		if (part->state != MEDLAR_PART_WAITING &&
 		    part->state != MEDLAR_PART_PAUSED)
 			continue;
@@ -413,7 +459,7 @@
 			query->doom = MEDLAR_ERR_CONVICTED;
 			medlar_query_arm(client, query, now);
 		} else if (query->gate != MEDLAR_GATE_TRIAL) {
-			hold(client, query, now);
+			hold(client, query, death->shard, now);
 		}
 	}
 }
--- a/libmedlar/query.h
+++ b/libmedlar/query.h
@@ -173,6 +173,7 @@
  * @state: see &enum medlar_query_state
  * @gate: see &enum medlar_gate
  * @trying: a trial is in flight
+ * @pioneer: it goes ahead of others with the same fingerprint
  * @lost: a shard has no replica left that serves the version
  */
 struct medlar_query_ {
@@ -205,6 +206,7 @@
 	uint8_t state;
 	uint8_t gate;
 	bool trying;
+	bool pioneer;
 	bool lost;
 };
 
