--- a/libmedlar/admission.c
+++ b/libmedlar/admission.c
@@ -83,12 +83,28 @@
 	return medlar_latency_quantile(&queries->service->latency, MEDIAN, 0);
 }
 
+/* Queries that run before a new one of a lane, the lanes being served in turn. */
+static size_t queries_ahead(const medlar_admission_t *admission, unsigned lane)
+{
+	size_t turns = admission->lanes[lane].len + 1;
+	size_t ahead = turns - 1;
+	unsigned i;
+
+	for (i = 0; i < MEDLAR_LANES; i++) {
+		size_t len = admission->lanes[i].len;
+
+		if (i != lane)
+			ahead += len < turns ? len : turns;
+	}
+	return ahead;
+}
+
 /* Whether a query that comes now would wait or take too long. */
-static bool takes_too_long(const medlar_queries_t *queries, medlar_time_t left,
-			   medlar_time_t now)
+static bool takes_too_long(const medlar_queries_t *queries, unsigned lane,
+			   medlar_time_t left, medlar_time_t now)
 {
 	const medlar_admission_t *admission = &queries->admission;
-	double waiting = (double)admission->len + 1;
+	double waiting = (double)queries_ahead(admission, lane) + 1;
 	double before = waiting + (double)queries->running.len;
 
 	if (admission->rate <= 0 || now - admission->rate_at > RATE_FRESH)
@@ -212,7 +228,7 @@
 	medlar_admission_t *admission = &queries->admission;
 	unsigned lane = lane_of(&query->params);
 
-	if (takes_too_long(queries, query->finish_by - now, now))
+	if (takes_too_long(queries, lane, query->finish_by - now, now))
 		return MEDLAR_ERR_OVERLOAD;
 	if (admission->len >= queries->service->policy.queue_max &&
 	    !make_place(client, queries, query, now))
--- a/libmedlar/attempt.c
+++ b/libmedlar/attempt.c
@@ -212,9 +212,8 @@
 	if (ended.query && ended.trial)
 		ended.query->trying = false;
 	/* A cancelled request would have taken at least as long. */
-	if (result == MEDLAR_RESULT_OK ||
-	    (result == MEDLAR_RESULT_CANCELLED &&
-	     took >= medlar_hedge_delay(queries)))
+	if (result == MEDLAR_RESULT_OK || (result == MEDLAR_RESULT_CANCELLED &&
+					   took >= medlar_hedge_delay(queries)))
 		medlar_hedge_learn(queries, took, now);
 	medlar_pool_put_attempt(queries, attempt);
 	medlar_replica_done(client, replica, result, took, now);
