--- a/medlard/http_internal.h
+++ b/medlard/http_internal.h
@@ -6,6 +6,9 @@
 
 #include "medlard/http.h"
 
+/** Headers that are added to each request. */
+#define HTTP_HEADERS_OWN 2
+
 /**
  * struct http_conn - a connection of the HTTP client
  * @http: owner
@@ -30,7 +33,8 @@
  * @next: next waiting or spare call
  * @older: call that was allocated before this one
  * @easy: libcurl's handle
- * @headers: header lines of the request
+ * @lines: header lines of the request, each with a terminator
+ * @headers: list of them for libcurl
  * @body: body of the request
  * @reply: body of the reply
  * @timer: fires at the end of the silence bound
@@ -53,7 +57,8 @@
 	http_call_t *next;
 	http_call_t *older;
 	CURL *easy;
-	struct curl_slist *headers;
+	medlar_buf_t lines;
+	struct curl_slist headers[HTTP_HEADERS_MAX + HTTP_HEADERS_OWN];
 	medlar_buf_t body;
 	medlar_buf_t reply;
 	medlar_timer_t timer;
@@ -72,13 +77,21 @@
 	bool abandoned;
 };
 
+/* http_peer.c */
+void http_peer_admit(http_call_t *call);
+void http_peer_leave_line(http_call_t *call);
+void http_peer_pump(http_peer_t *peer);
+void http_peer_check(http_peer_t *peer);
+
+/* http_conn.c */
 int http_conns_init(http_t *http);
 void http_conns_finish(http_t *http);
 void http_conns_setup(http_call_t *call);
 http_conn_t *http_conn_at(http_t *http, int fd);
 void http_conn_kill(http_conn_t *conn);
 void http_conns_trim(http_peer_t *peer);
+
+/* http.c */
 void http_reap(http_t *http);
-void http_peer_check(http_peer_t *peer);
 
 #endif /* MEDLARD_HTTP_INTERNAL_H */
