Carry messages between instances by ONC RPC over UDP

Cause: the membership of the core needs a transport that never blocks the control thread and accepts nothing from strangers.

Change: peer.x and its XDR code; messages are sealed with a protocol version and a keyed hash, bounded in size, and sent as calls without a reply. The library's client waits for a reply or does not send at all with no time to wait, so calls are encoded with the library's codec and sent on the server's own socket. Calls that fail the check or do not decode are counted and dropped. Facts gain the replica and shard of a death; a service tells its program of replicas that leave; member.c is split into member.c and roster.c.

--- a/libmedlar/fact.c
+++ b/libmedlar/fact.c
@@ -17,7 +17,7 @@
 #define FADE (10 * MEDLAR_SECOND)
 
 /* Encoded bytes of a fact, and of an address without its texts. */
-#define FACT_SIZE 40
+#define FACT_SIZE 52
 #define INFO_SIZE 36
 
 static uint64_t mix(uint64_t z)
--- a/libmedlar/internal.h
+++ b/libmedlar/internal.h
@@ -228,7 +228,9 @@
 size_t medlar_fact_size(const medlar_fact_t *fact);
 uint32_t medlar_fact_bucket(const medlar_entry_t *entry);
 
-/* member.c */
+/* roster.c */
+bool medlar_entry_is_live(const medlar_entry_t *entry);
+int medlar_members_list(medlar_members_t *members, medlar_entry_t *entry);
 medlar_member_state_t medlar_entry_state(const medlar_entry_t *entry);
 uint64_t medlar_entry_incarnation(const medlar_entry_t *entry);
 medlar_entry_t *medlar_members_find(const medlar_members_t *members,
@@ -236,6 +238,9 @@
 medlar_entry_t *medlar_members_random(medlar_client_t *client,
 				      medlar_members_t *members,
 				      medlar_reach_t reach);
+void medlar_members_forget(medlar_members_t *members, medlar_entry_t *entry);
+
+/* member.c */
 int medlar_members_learn(medlar_client_t *client, medlar_members_t *members,
 			 const medlar_fact_t *fact, uint32_t sends,
 			 medlar_time_t now);
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -895,11 +895,13 @@
  * @cancel: the reply to @attempt is no longer needed; its slot stays in use
  *	until medlar_attempt_reply() or medlar_attempt_fail() is called
  * @answer: @query has ended; the query may be finished in this call
+ * @leaving: a replica was found to be leaving; may be NULL
  */
 typedef struct medlar_service_ops {
 	void (*send)(medlar_attempt_t *attempt, void *data);
 	void (*cancel)(medlar_attempt_t *attempt, void *data);
 	void (*answer)(medlar_query_t *query, void *data);
+	void (*leaving)(const medlar_replica_t *replica, void *data);
 } medlar_service_ops_t;
 
 /**
@@ -992,6 +994,7 @@
  * @replica: the last replica that died, 0 when told by a peer
  * @shard: shard of @replica
  * @local: this instance itself saw the death
+ * @pardoned: an operator lifted the verdict
  * @died: when the death was noticed
  * @until: when the entry expires
  */
@@ -1002,6 +1005,7 @@
 	uint64_t replica;
 	uint32_t shard;
 	bool local;
+	bool pardoned;
 	medlar_time_t died;
 	medlar_time_t until;
 } medlar_suspect_entry_t;
@@ -1282,6 +1286,7 @@
 	MEDLAR_FACT_MEMBER, /* an instance, by its id */
 	MEDLAR_FACT_DRAIN, /* a replica that is leaving, by its id */
 	MEDLAR_FACT_VERDICT, /* a request, by its fingerprint */
+	MEDLAR_FACT_SUCCESS, /* a suspected request that did no harm, likewise */
 	MEDLAR_FACT_KINDS
 } medlar_fact_kind_t;
 
@@ -1308,8 +1313,10 @@
  * @subject: identifies what it is about
  * @revision: of two facts about a subject the higher one holds. A replica's
  *	incarnation; the time of a verdict; see &enum medlar_member_state
- * @value: of a verdict, 1 convicted or 0 pardoned; of a member, 1 when it
- *	left by itself; else 0
+ * @value: of a verdict, &enum medlar_verdict, where clear means pardoned; of
+ *	a member, 1 when it left by itself; else 0
+ * @other: of a verdict, the replica that died; else 0
+ * @place: of a verdict, the shard of that replica; else 0
  * @ttl: how long it holds, ms; %MEDLAR_TIME_NEVER without end
  * @member: address of an instance, or NULL when not told
  */
@@ -1318,6 +1325,8 @@
 	uint64_t subject;
 	uint64_t revision;
 	uint64_t value;
+	uint64_t other;
+	uint32_t place;
 	medlar_time_t ttl;
 	const medlar_member_info_t *member;
 } medlar_fact_t;
@@ -1421,7 +1430,7 @@
 } medlar_message_t;
 
 /*
- * member.c, probe.c, sync.c, spread.c
+ * member.c, roster.c, probe.c, sync.c, spread.c
  */
 
 /**
@@ -1465,6 +1474,7 @@
 typedef struct medlar_members {
 	medlar_members_ops_t ops;
 	medlar_member_info_t self;
+	uint64_t id;
 	uint64_t incarnation;
 	medlar_member_state_t state;
 	medlar_facts_t facts;
--- a/libmedlar/member.c
+++ b/libmedlar/member.c
@@ -10,16 +10,11 @@
 
 #include "internal.h"
 
-#define PERIOD_STEP ((medlar_time_t)80)
-#define ROUND ((medlar_time_t)240)
-#define ROUNDS_SPARE 4
 #define DEAD_TTL (10 * MEDLAR_MINUTE)
 #define DRAIN_TTL_MAX (10 * MEDLAR_MINUTE)
 #define VERDICT_TTL_MAX (24 * MEDLAR_HOUR)
 #define JOINING (10 * MEDLAR_SECOND)
-#define ALONE_AFTER (5 * MEDLAR_SECOND)
 #define RESULT_SENDS 2
-#define LIST_CAP_MIN 16
 
 static const char *const state_names[MEDLAR_MEMBER_STATES] = {
 	[MEDLAR_MEMBER_ALIVE] = "alive",
@@ -43,37 +38,6 @@
 	[MEDLAR_MESSAGE_CHUNK] = medlar_spread_chunk,
 };
 
-static unsigned bits_of(size_t number)
-{
-	unsigned bits = 0;
-
-	for (; number > 0; number >>= 1)
-		bits++;
-	return bits;
-}
-
-/**
- * medlar_members_period() - time between two probes
- * @instances: size of the fleet
- *
- * Return: a time in milliseconds; grows with the logarithm of the size.
- */
-medlar_time_t medlar_members_period(size_t instances)
-{
-	return PERIOD_STEP * bits_of(instances);
-}
-
-/**
- * medlar_members_hold() - time within which news reaches every instance
- * @instances: size of the fleet
- *
- * Return: a time in milliseconds.
- */
-medlar_time_t medlar_members_hold(size_t instances)
-{
-	return ROUND * (bits_of(instances) + ROUNDS_SPARE);
-}
-
 static uint64_t id_of(const medlar_member_info_t *info)
 {
 	uint64_t id = medlar_str_hash(medlar_str_from(info->name), 0);
@@ -81,11 +45,6 @@
 	return id ? id : 1;
 }
 
-static uint64_t self_id(const medlar_members_t *members)
-{
-	return id_of(&members->self);
-}
-
 /* The region is the part of the zone's name before the last hyphen. */
 static uint64_t region_of(const char *zone)
 {
@@ -95,91 +54,6 @@
 	return medlar_str_hash((medlar_str_t){ zone, len }, 0);
 }
 
-/**
- * medlar_entry_state() - what is believed of an instance
- * @entry: fact about it
- *
- * Return: its state.
- */
-medlar_member_state_t medlar_entry_state(const medlar_entry_t *entry)
-{
-	return entry->fact.revision % MEDLAR_MEMBER_STATES;
-}
-
-/**
- * medlar_entry_incarnation() - incarnation of an instance
- * @entry: fact about it
- *
- * Return: the incarnation; 0 for an instance that was never heard of.
- */
-uint64_t medlar_entry_incarnation(const medlar_entry_t *entry)
-{
-	return entry->fact.revision / MEDLAR_MEMBER_STATES;
-}
-
-static bool is_live(const medlar_entry_t *entry)
-{
-	return entry->fact.revision > 0 && entry->info &&
-	       medlar_entry_state(entry) != MEDLAR_MEMBER_DEAD;
-}
-
-/**
- * medlar_members_find() - look up an instance
- * @members: membership
- * @id: hash of its name
- *
- * Return: the fact about it, or NULL.
- */
-medlar_entry_t *medlar_members_find(const medlar_members_t *members,
-				    uint64_t id)
-{
-	return medlar_facts_find(&members->facts, MEDLAR_FACT_MEMBER, id);
-}
-
-static bool is_within(const medlar_members_t *members,
-		      const medlar_entry_t *entry, medlar_reach_t reach)
-{
-	const medlar_entry_t *self = medlar_members_find(members,
-							 self_id(members));
-
-	if (entry == self || !entry->info)
-		return false;
-	if (reach == MEDLAR_REACH_ALL)
-		return true;
-	if (!is_live(entry))
-		return false;
-	if (reach == MEDLAR_REACH_ZONE)
-		return entry->zone == self->zone;
-	return entry->region == self->region;
-}
-
-/**
- * medlar_members_random() - choose an instance to talk to
- * @client: client
- * @members: membership
- * @reach: how far away it may be; all includes those taken for dead and those
- *	never heard of. When there is none, those farther away are tried
- *
- * Return: the fact about it, or NULL.
- */
-medlar_entry_t *medlar_members_random(medlar_client_t *client,
-				      medlar_members_t *members,
-				      medlar_reach_t reach)
-{
-	size_t start = medlar_rand_below(&client->rand, members->len);
-	size_t i;
-
-	for (; reach <= MEDLAR_REACH_ALL; reach++)
-		for (i = 0; i < members->len; i++) {
-			medlar_entry_t *entry =
-				members->list[(start + i) % members->len];
-
-			if (is_within(members, entry, reach))
-				return entry;
-		}
-	return NULL;
-}
-
 static void trace(medlar_client_t *client, const medlar_members_t *members,
 		  const medlar_entry_t *entry)
 {
@@ -195,46 +69,12 @@
 		MEDLAR_NUM("live", members->live));
 }
 
-static int list(medlar_members_t *members, medlar_entry_t *entry)
-{
-	size_t cap = members->cap ? 2 * members->cap : LIST_CAP_MIN;
-	medlar_entry_t **grown;
-
-	if (members->len == members->cap) {
-		grown = realloc(members->list, cap * sizeof(medlar_entry_t *));
-		if (!grown)
-			return MEDLAR_ERR_NOMEM;
-		members->list = grown;
-		members->cap = cap;
-	}
-	members->list[members->len++] = entry;
-	return MEDLAR_OK;
-}
-
-/**
- * medlar_members_forget() - forget a fact, and the instance it is about
- * @members: membership
- * @entry: a fact that has ended; freed
- */
-void medlar_members_forget(medlar_members_t *members, medlar_entry_t *entry)
-{
-	size_t i;
-
-	if (entry->fact.kind == MEDLAR_FACT_MEMBER) {
-		for (i = 0; members->list[i] != entry; i++)
-			;
-		members->list[i] = members->list[--members->len];
-		members->generation++;
-	}
-	medlar_facts_drop(&members->facts, entry);
-}
-
 static int put_self(medlar_client_t *client, medlar_members_t *members,
 		    medlar_time_t now)
 {
 	const medlar_fact_t fact = {
 		.kind = MEDLAR_FACT_MEMBER,
-		.subject = self_id(members),
+		.subject = members->id,
 		.revision = members->incarnation * MEDLAR_MEMBER_STATES +
 			    members->state,
 		.value = members->state == MEDLAR_MEMBER_DEAD,
@@ -266,12 +106,12 @@
 {
 	medlar_entry_t *entry = medlar_members_find(members, fact->subject);
 	bool known = entry != NULL;
-	bool was_live = known && is_live(entry);
+	bool was_live = known && medlar_entry_is_live(entry);
 	int news = medlar_facts_put(&members->facts, fact, sends, now, &entry);
 
 	if (news <= 0)
 		return news;
-	if (!known && list(members, entry)) {
+	if (!known && medlar_members_list(members, entry)) {
 		medlar_facts_drop(&members->facts, entry);
 		return MEDLAR_ERR_NOMEM;
 	}
@@ -281,7 +121,7 @@
 		entry->zone = medlar_str_hash(
 			medlar_str_from(entry->info->zone), 0);
 	}
-	members->live += is_live(entry);
+	members->live += medlar_entry_is_live(entry);
 	members->live -= was_live;
 	members->generation++;
 	if (fact->revision > 0)
@@ -293,7 +133,7 @@
 {
 	if (fact->kind == MEDLAR_FACT_DRAIN)
 		return DRAIN_TTL_MAX;
-	if (fact->kind == MEDLAR_FACT_VERDICT)
+	if (fact->kind != MEDLAR_FACT_MEMBER)
 		return VERDICT_TTL_MAX;
 	if (fact->revision % MEDLAR_MEMBER_STATES == MEDLAR_MEMBER_DEAD)
 		return DEAD_TTL;
@@ -306,7 +146,7 @@
 		       members->state;
 
 	return fact->kind != MEDLAR_FACT_MEMBER ||
-	       fact->subject != self_id(members) || fact->revision == own;
+	       fact->subject != members->id || fact->revision == own;
 }
 
 /**
@@ -399,7 +239,7 @@
 	(void)now;
 	if (!to->info)
 		return;
-	message->from = self_id(members);
+	message->from = members->id;
 	message->digest = medlar_facts_digest(&members->facts);
 	message->revision = members->document.revision;
 	members->ops.send(to->info, message, members->ops.data);
@@ -427,7 +267,7 @@
 		facts[len++] = medlar_fact_of(to, now);
 	if (medlar_members_joining(members, now) || to->fact.revision == 0)
 		facts[len++] = medlar_fact_of(
-			medlar_members_find(members, self_id(members)), now);
+			medlar_members_find(members, members->id), now);
 	for (i = 0; i < len; i++)
 		room -= medlar_fact_size(&facts[i]);
 	len += medlar_facts_hot(&members->facts, facts + len,
@@ -457,6 +297,7 @@
 	*members = (medlar_members_t){
 		.ops = *ops,
 		.self = *self,
+		.id = id_of(self),
 		.incarnation = incarnation ? incarnation : 1,
 		.started = now,
 		.joined = MEDLAR_TIME_NEVER,
@@ -509,7 +350,7 @@
 		.member = info,
 	};
 
-	if (fact.subject == self_id(members) ||
+	if (fact.subject == members->id ||
 	    medlar_members_find(members, fact.subject))
 		return MEDLAR_OK;
 	return medlar_members_learn(client, members, &fact, 0, now) < 0
@@ -539,7 +380,7 @@
 	handler_fn_t handler;
 	size_t i;
 
-	if (message->from == self_id(members) || message->kind < 0 ||
+	if (message->from == members->id || message->kind < 0 ||
 	    message->kind >= MEDLAR_MESSAGE_KINDS)
 		return;
 	if (members->joined == MEDLAR_TIME_NEVER)
@@ -553,11 +394,32 @@
 	medlar_spread_heard(client, members, message, now);
 }
 
+/*
+ * A later conviction or pardon overrides whatever is held, a later suspicion
+ * does not override a conviction.
+ */
+static int order_verdict(const medlar_members_t *members, medlar_fact_t *fact)
+{
+	const medlar_entry_t *held = medlar_facts_find(
+		&members->facts, fact->kind, fact->subject);
+
+	if (!held || fact->kind != MEDLAR_FACT_VERDICT)
+		return MEDLAR_OK;
+	if (fact->value == MEDLAR_VERDICT_SUSPECT &&
+	    held->fact.value == MEDLAR_VERDICT_CONVICTED)
+		return MEDLAR_ERR_STALE;
+	if (fact->value != MEDLAR_VERDICT_SUSPECT &&
+	    fact->value != held->fact.value &&
+	    fact->revision <= held->fact.revision)
+		fact->revision = held->fact.revision + 1;
+	return MEDLAR_OK;
+}
+
 /**
  * medlar_members_tell() - tell all instances a fact
  * @client: client
  * @members: membership
- * @fact: a drain or a verdict; copied
+ * @fact: anything but a member; copied
  * @now: current time, ms
  *
  * Return: 1 when it is news, 0 when not, or a negative &enum medlar_error.
@@ -565,7 +427,12 @@
 int medlar_members_tell(medlar_client_t *client, medlar_members_t *members,
 			const medlar_fact_t *fact, medlar_time_t now)
 {
-	return medlar_members_learn(client, members, fact, MEDLAR_NEWS_SENDS,
+	medlar_fact_t told = *fact;
+	int error = order_verdict(members, &told);
+
+	if (error)
+		return error;
+	return medlar_members_learn(client, members, &told, MEDLAR_NEWS_SENDS,
 				    now);
 }
 
@@ -602,103 +469,3 @@
 {
 	set_own_state(client, members, MEDLAR_MEMBER_DEAD, now);
 }
-
-/**
- * medlar_members_count() - number of instances, this one included
- * @members: membership
- *
- * Return: how many medlar_members_get() gives, whatever their state.
- */
-size_t medlar_members_count(const medlar_members_t *members)
-{
-	return members->len;
-}
-
-/**
- * medlar_members_get() - one of the instances
- * @members: membership
- * @index: 0 to medlar_members_count() - 1; the order changes
- * @state: set to what is believed of it
- *
- * Return: how it is reached, or NULL for one that was never heard of.
- */
-const medlar_member_info_t *medlar_members_get(const medlar_members_t *members,
-					       size_t index,
-					       medlar_member_state_t *state)
-{
-	const medlar_entry_t *entry = members->list[index];
-
-	*state = medlar_entry_state(entry);
-	return entry->fact.revision > 0 ? entry->info : NULL;
-}
-
-/**
- * medlar_members_generation() - number of changes to the membership
- * @members: membership
- *
- * Return: a number that grows with each change.
- */
-uint64_t medlar_members_generation(const medlar_members_t *members)
-{
-	return members->generation;
-}
-
-static int compare(const void *a, const void *b)
-{
-	uint64_t first = *(const uint64_t *)a;
-	uint64_t second = *(const uint64_t *)b;
-
-	return (first > second) - (first < second);
-}
-
-/* Whether an instance has died without leaving, as far as is known here. */
-static bool is_lost(const medlar_entry_t *entry)
-{
-	return entry->fact.revision > 0 &&
-	       medlar_entry_state(entry) == MEDLAR_MEMBER_DEAD &&
-	       entry->fact.value == 0;
-}
-
-/**
- * medlar_members_peers() - the instances that share the upstreams
- * @client: client
- * @members: membership
- * @now: current time, ms
- *
- * Instances that were lost still count unless those that are well are more.
- * So the smaller side of a partition never takes over what the other uses.
- *
- * Return: peers for medlar_service_set_peers(), valid until the next call.
- */
-medlar_peers_t medlar_members_peers(medlar_client_t *client,
-				    medlar_members_t *members,
-				    medlar_time_t now)
-{
-	medlar_peers_t peers = { .hold = medlar_members_hold(members->live) };
-	size_t lost = 0;
-	size_t i;
-
-	(void)client;
-	for (i = 0; i < members->len; i++)
-		lost += is_lost(members->list[i]);
-	if (members->len > members->ids_cap) {
-		free(members->ids);
-		members->ids_cap = 2 * members->len;
-		members->ids = calloc(members->ids_cap, sizeof(uint64_t));
-		if (!members->ids)
-			members->ids_cap = 0;
-	}
-	for (i = 0; i < members->len && members->ids; i++) {
-		const medlar_entry_t *entry = members->list[i];
-
-		if (is_live(entry) || (is_lost(entry) && members->live <= lost))
-			members->ids[peers.len++] = entry->fact.subject;
-	}
-	if (peers.len > 0)
-		qsort(members->ids, peers.len, sizeof(uint64_t), compare);
-	peers.ids = members->ids;
-	peers.since = members->joined;
-	if (members->joined == MEDLAR_TIME_NEVER)
-		peers.since = now + ALONE_AFTER;
-	return peers;
-}
--- a/libmedlar/replica.c
+++ b/libmedlar/replica.c
@@ -108,14 +108,17 @@
 static void set_leaving(medlar_client_t *client, medlar_replica_t *replica)
 {
 	const medlar_replica_cold_t *cold = replica->cold;
+	medlar_service_t *service = replica->shard->service;
 	bool leaving = cold->left >= cold->info.incarnation;
 
 	if (replica->leaving == leaving)
 		return;
 	replica->leaving = leaving;
-	replica->shard->service->generation++;
+	service->generation++;
 	medlar_shard_place(replica);
 	trace_leave(client, replica);
+	if (leaving && service->ops.leaving)
+		service->ops.leaving(replica, service->data);
 }
 
 /**
--- a/libmedlar/suspect.c
+++ b/libmedlar/suspect.c
@@ -147,6 +147,7 @@
 		.replica = item->replica,
 		.shard = item->shard,
 		.local = item->local,
+		.pardoned = item->pardoned,
 		.died = item->died,
 		.until = item->until,
 	};
--- /dev/null
+++ b/medlard/peer.c
@@ -0,0 +1,232 @@
+/**
+ * DOC: the transport between instances: ONC RPC over UDP
+ */
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include "medlard/peer.h"
+
+#define DATAGRAM_MAX 2048
+
+/* Bytes of a call without the body of its message. */
+#define CALL_SIZE (40 + 4 + PEER_MAC_LEN)
+
+/*
+ * The library calls the dispatcher without a context of the program's own.
+ * This is the peer on whose behalf the thread is in svc_getreq_common().
+ */
+static _Thread_local peer_t *receiving;
+
+static int parse_address(const char *host, uint16_t port,
+			 struct sockaddr_storage *out, socklen_t *len)
+{
+	struct sockaddr_in *four = (struct sockaddr_in *)out;
+	struct sockaddr_in6 *six = (struct sockaddr_in6 *)out;
+
+	memset(out, 0, sizeof(*out));
+	if (inet_pton(AF_INET, host, &four->sin_addr) == 1) {
+		four->sin_family = AF_INET;
+		four->sin_port = htons(port);
+		*len = sizeof(*four);
+		return MEDLAR_OK;
+	}
+	if (inet_pton(AF_INET6, host, &six->sin6_addr) == 1) {
+		six->sin6_family = AF_INET6;
+		six->sin6_port = htons(port);
+		*len = sizeof(*six);
+		return MEDLAR_OK;
+	}
+	return MEDLAR_ERR_SYNTAX;
+}
+
+static void take(peer_t *peer, const peer_envelope *envelope)
+{
+	peer_letter_t letter;
+	int error = peer_open(peer->key, envelope, &letter);
+
+	if (error) {
+		if (error == MEDLAR_ERR_AUTH)
+			peer->counts.unauthenticated++;
+		else
+			peer->counts.malformed++;
+		LOG_LINE(peer->log, LOG_LEVEL_DEBUG, "peer_drop",
+			 MEDLAR_TEXT("why",
+				     medlar_str_from(medlar_error_name(error))),
+			 MEDLAR_NUM("bytes", envelope->body.body_len));
+		return;
+	}
+	peer->counts.received++;
+	peer->counts.received_bytes += CALL_SIZE + envelope->body.body_len;
+	peer->receive(&letter.message, peer->data);
+	peer_letter_finish(&letter);
+}
+
+/* Calls get no reply, also those that are not understood. */
+static void dispatch(struct svc_req *request, SVCXPRT *transport)
+{
+	peer_envelope envelope = { 0 };
+
+	if (!receiving || request->rq_proc != PEER_SEND ||
+	    !svc_getargs(transport, (xdrproc_t)xdr_peer_envelope,
+			 (char *)&envelope)) {
+		if (receiving)
+			receiving->counts.malformed++;
+		return;
+	}
+	take(receiving, &envelope);
+	svc_freeargs(transport, (xdrproc_t)xdr_peer_envelope,
+		     (char *)&envelope);
+}
+
+static void on_readable(uint32_t events, void *data)
+{
+	peer_t *peer = data;
+
+	(void)events;
+	receiving = peer;
+	svc_getreq_common(peer->fd);
+	receiving = NULL;
+}
+
+static int open_socket(const struct sockaddr_storage *address, socklen_t len)
+{
+	int fd = socket(address->ss_family,
+			SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	if (fd < 0)
+		return -1;
+	if (bind(fd, (const struct sockaddr *)address, len) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static int start_server(peer_t *peer, const struct sockaddr_storage *address,
+			socklen_t len)
+{
+	peer->fd = open_socket(address, len);
+	if (peer->fd < 0)
+		return MEDLAR_ERR_IO;
+	peer->transport = svc_dg_create(peer->fd, DATAGRAM_MAX, DATAGRAM_MAX);
+	if (!peer->transport || !svc_reg(peer->transport, PEER_PROGRAM,
+					 PEER_VERSION, dispatch, NULL))
+		return MEDLAR_ERR_IO;
+	return loop_watch(peer->loop, peer->fd, EPOLLIN, on_readable, peer);
+}
+
+/**
+ * peer_init() - open the sockets and receive
+ * @peer: memory of the caller; must not move
+ * @loop: loop of the control thread
+ * @log: its log
+ * @settings: where to receive, and the shared secret
+ * @receive: called with each message that was authenticated
+ * @data: passed to @receive
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_MISSING without a key, %MEDLAR_ERR_SYNTAX,
+ * %MEDLAR_ERR_RANGE for a short key, or %MEDLAR_ERR_IO.
+ */
+int peer_init(peer_t *peer, loop_t *loop, logger_t *log,
+	      const peer_settings_t *settings, peer_receive_fn_t receive,
+	      void *data)
+{
+	struct sockaddr_storage address;
+	socklen_t len;
+	int error;
+
+	*peer = (peer_t){
+		.loop = loop,
+		.log = log,
+		.receive = receive,
+		.data = data,
+		.fd = -1,
+	};
+	error = peer_key_read(peer->key, settings->key);
+	if (!error)
+		error = parse_address(settings->host, settings->port, &address,
+				      &len);
+	if (!error)
+		error = start_server(peer, &address, len);
+	if (error)
+		peer_finish(peer);
+	return error;
+}
+
+/**
+ * peer_finish() - close the sockets
+ * @peer: transport, or one whose peer_init() failed
+ */
+void peer_finish(peer_t *peer)
+{
+	if (peer->fd >= 0)
+		loop_unwatch(peer->loop, peer->fd);
+	if (peer->transport) {
+		svc_unreg(PEER_PROGRAM, PEER_VERSION);
+		svc_destroy(peer->transport);
+	} else if (peer->fd >= 0) {
+		close(peer->fd);
+	}
+	peer->transport = NULL;
+	peer->fd = -1;
+}
+
+/* Encodes a call; the calls of the library's client would wait for a reply. */
+static size_t encode_call(uint32_t id, peer_envelope *envelope,
+			  char out[DATAGRAM_MAX])
+{
+	struct rpc_msg call = { .rm_xid = id, .rm_direction = CALL };
+	bool encoded;
+	size_t len;
+	XDR xdr;
+
+	call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call.rm_call.cb_prog = PEER_PROGRAM;
+	call.rm_call.cb_vers = PEER_VERSION;
+	call.rm_call.cb_proc = PEER_SEND;
+	call.rm_call.cb_cred = _null_auth;
+	call.rm_call.cb_verf = _null_auth;
+	xdrmem_create(&xdr, out, DATAGRAM_MAX, XDR_ENCODE);
+	encoded = xdr_callmsg(&xdr, &call) && xdr_peer_envelope(&xdr, envelope);
+	len = encoded ? xdr_getpos(&xdr) : 0;
+	xdr_destroy(&xdr);
+	return len;
+}
+
+/**
+ * peer_send() - send a message
+ * @peer: transport
+ * @to: receiver
+ * @message: message
+ *
+ * Return: %MEDLAR_OK when it was sent, which does not tell that it arrives;
+ * %MEDLAR_ERR_SYNTAX for a bad address, %MEDLAR_ERR_TOO_LARGE or
+ * %MEDLAR_ERR_IO.
+ */
+int peer_send(peer_t *peer, const medlar_member_info_t *to,
+	      const medlar_message_t *message)
+{
+	struct sockaddr_storage address;
+	char datagram[DATAGRAM_MAX];
+	char body[PEER_BODY_MAX];
+	peer_envelope envelope;
+	socklen_t address_len;
+	size_t len;
+	int error;
+
+	error = parse_address(to->host, to->peer_port, &address, &address_len);
+	if (!error)
+		error = peer_seal(peer->key, message, body, &envelope);
+	if (error)
+		return error;
+	len = encode_call((uint32_t)++peer->counts.sent, &envelope, datagram);
+	if (len == 0)
+		return MEDLAR_ERR_TOO_LARGE;
+	if (sendto(peer->fd, datagram, len, 0,
+		   (const struct sockaddr *)&address,
+		   address_len) != (ssize_t)len)
+		return MEDLAR_ERR_IO;
+	peer->counts.sent_bytes += len;
+	return MEDLAR_OK;
+}
--- /dev/null
+++ b/medlard/peer.h
@@ -0,0 +1,77 @@
+/**
+ * DOC: the transport between instances: ONC RPC over UDP
+ *
+ * Runs in the control thread. Calls have no reply, so that nothing waits.
+ */
+#ifndef MEDLARD_PEER_H
+#define MEDLARD_PEER_H
+
+#include <netinet/in.h>
+
+#include "medlard/log.h"
+#include "medlard/loop.h"
+#include "medlard/metrics.h"
+#include "medlard/peer_codec.h"
+
+/**
+ * struct peer_counts - what has been sent, received and dropped
+ * @sent: messages sent
+ * @sent_bytes: bytes of them
+ * @received: messages accepted
+ * @received_bytes: bytes of them
+ * @unauthenticated: messages whose MAC was wrong
+ * @malformed: messages that did not decode
+ */
+typedef struct peer_counts {
+	uint64_t sent;
+	uint64_t sent_bytes;
+	uint64_t received;
+	uint64_t received_bytes;
+	uint64_t unauthenticated;
+	uint64_t malformed;
+} peer_counts_t;
+
+typedef void (*peer_receive_fn_t)(const medlar_message_t *message, void *data);
+
+/**
+ * struct peer - the transport of one instance
+ * @loop: loop of the control thread
+ * @log: its log
+ * @key: key of all messages
+ * @receive: called with each message that was authenticated
+ * @data: passed to @receive
+ * @transport: RPC server
+ * @fd: its socket, for sending as well
+ * @counts: what has been sent, received and dropped
+ */
+typedef struct peer {
+	loop_t *loop;
+	logger_t *log;
+	uint8_t key[PEER_KEY_LEN];
+	peer_receive_fn_t receive;
+	void *data;
+	SVCXPRT *transport;
+	int fd;
+	peer_counts_t counts;
+} peer_t;
+
+/**
+ * struct peer_settings - where to receive, and the shared secret
+ * @host: IP address in text form
+ * @port: UDP port
+ * @key: secret in hexadecimal
+ */
+typedef struct peer_settings {
+	const char *host;
+	uint16_t port;
+	medlar_str_t key;
+} peer_settings_t;
+
+int peer_init(peer_t *peer, loop_t *loop, logger_t *log,
+	      const peer_settings_t *settings, peer_receive_fn_t receive,
+	      void *data);
+void peer_finish(peer_t *peer);
+int peer_send(peer_t *peer, const medlar_member_info_t *to,
+	      const medlar_message_t *message);
+
+#endif /* MEDLARD_PEER_H */
--- /dev/null
+++ b/medlard/peer_codec.c
@@ -0,0 +1,325 @@
+/**
+ * DOC: messages between instances as they are sent: XDR with a MAC
+ */
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "medlard/peer_codec.h"
+
+/* Version of the messages; others are not understood. */
+#define PROTOCOL 1
+
+#define SECRET_MAX 64
+
+/* A time without end, as a ttl. */
+#define TTL_NEVER UINT64_MAX
+
+/**
+ * struct draft - a message as XDR wants it
+ * @wire: the message
+ * @facts: its facts
+ * @members: addresses of its facts
+ * @keys: its keys
+ * @chunk: its chunk
+ */
+typedef struct draft {
+	peer_message wire;
+	peer_fact facts[PEER_FACTS_MAX];
+	peer_member members[PEER_FACTS_MAX];
+	peer_key keys[PEER_KEYS_MAX];
+	peer_chunk chunk;
+} draft_t;
+
+/**
+ * peer_key_read() - derive the key of all messages from the shared secret
+ * @key: set to the key
+ * @hex: secret in hexadecimal, at least %PEER_SECRET_MIN bytes
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_MISSING, %MEDLAR_ERR_SYNTAX or
+ * %MEDLAR_ERR_RANGE.
+ */
+int peer_key_read(uint8_t key[PEER_KEY_LEN], medlar_str_t hex)
+{
+	uint8_t secret[SECRET_MAX];
+	const char *end;
+	size_t len;
+
+	if (hex.len == 0)
+		return MEDLAR_ERR_MISSING;
+	if (sodium_hex2bin(secret, sizeof(secret), hex.ptr, hex.len, NULL, &len,
+			   &end) != 0 ||
+	    end != hex.ptr + hex.len)
+		return MEDLAR_ERR_SYNTAX;
+	if (len < PEER_SECRET_MIN)
+		return MEDLAR_ERR_RANGE;
+	crypto_generichash(key, PEER_KEY_LEN, secret, len, NULL, 0);
+	sodium_memzero(secret, sizeof(secret));
+	return MEDLAR_OK;
+}
+
+static void draft_member(const medlar_member_info_t *info, peer_member *out)
+{
+	out->name = (char *)info->name;
+	out->host = (char *)info->host;
+	out->port = info->port;
+	out->peer_port = info->peer_port;
+	out->zone = (char *)info->zone;
+}
+
+static void draft_facts(const medlar_message_t *message, draft_t *draft)
+{
+	size_t i;
+
+	for (i = 0; i < message->facts_len; i++) {
+		const medlar_fact_t *fact = &message->facts[i];
+
+		draft->facts[i] = (peer_fact){
+			.kind = fact->kind,
+			.place = fact->place,
+			.subject = fact->subject,
+			.revision = fact->revision,
+			.value = fact->value,
+			.other = fact->other,
+			.ttl = fact->ttl == MEDLAR_TIME_NEVER
+				       ? TTL_NEVER
+				       : (uint64_t)fact->ttl,
+		};
+		if (!fact->member)
+			continue;
+		draft_member(fact->member, &draft->members[i]);
+		draft->facts[i].member = &draft->members[i];
+	}
+	draft->wire.facts.facts_val = draft->facts;
+	draft->wire.facts.facts_len = (u_int)message->facts_len;
+}
+
+static void draft_keys(const medlar_message_t *message, draft_t *draft)
+{
+	size_t i;
+
+	for (i = 0; i < message->keys_len; i++)
+		draft->keys[i] = (peer_key){
+			.kind = message->keys[i].kind,
+			.subject = message->keys[i].subject,
+			.revision = message->keys[i].revision,
+		};
+	draft->wire.keys.keys_val = draft->keys;
+	draft->wire.keys.keys_len = (u_int)message->keys_len;
+}
+
+static void draft_chunk(const medlar_message_t *message, draft_t *draft)
+{
+	const medlar_chunk_t *chunk = &message->chunk;
+
+	if (message->kind != MEDLAR_MESSAGE_CHUNK &&
+	    message->kind != MEDLAR_MESSAGE_FETCH)
+		return;
+	draft->chunk = (peer_chunk){
+		.base = chunk->base,
+		.prefix = chunk->prefix,
+		.suffix = chunk->suffix,
+		.total = chunk->total,
+		.offset = chunk->offset,
+		.hash = chunk->hash,
+		.bytes = { (u_int)chunk->bytes.len, (char *)chunk->bytes.ptr },
+	};
+	draft->wire.chunk = &draft->chunk;
+}
+
+static void draft_message(const medlar_message_t *message, draft_t *draft)
+{
+	draft->wire = (peer_message){
+		.protocol = PROTOCOL,
+		.kind = message->kind,
+		.from = message->from,
+		.about = message->about,
+		.seq = message->seq,
+		.digest = message->digest,
+		.revision = message->revision,
+	};
+	draft_facts(message, draft);
+	draft_keys(message, draft);
+	draft_chunk(message, draft);
+	if (message->digests) {
+		draft->wire.digests.digests_val = (u_int *)message->digests;
+		draft->wire.digests.digests_len = PEER_DIGESTS_MAX;
+	}
+}
+
+/**
+ * peer_seal() - encode a message and add its MAC
+ * @key: key of all messages
+ * @message: message
+ * @body: memory for the encoded message
+ * @out: set to the envelope, which points to @body
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_TOO_LARGE.
+ */
+int peer_seal(const uint8_t key[PEER_KEY_LEN], const medlar_message_t *message,
+	      char body[PEER_BODY_MAX], peer_envelope *out)
+{
+	draft_t draft = { 0 };
+	bool encoded;
+	XDR xdr;
+
+	if (message->facts_len > PEER_FACTS_MAX ||
+	    message->keys_len > PEER_KEYS_MAX ||
+	    message->chunk.bytes.len > PEER_BYTES_MAX)
+		return MEDLAR_ERR_TOO_LARGE;
+	draft_message(message, &draft);
+	xdrmem_create(&xdr, body, PEER_BODY_MAX, XDR_ENCODE);
+	encoded = xdr_peer_message(&xdr, &draft.wire);
+	out->body.body_val = body;
+	out->body.body_len = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	if (!encoded)
+		return MEDLAR_ERR_TOO_LARGE;
+	crypto_generichash((uint8_t *)out->mac, PEER_MAC_LEN,
+			   (const uint8_t *)body, out->body.body_len, key,
+			   PEER_KEY_LEN);
+	return MEDLAR_OK;
+}
+
+static void take_member(const peer_member *member, medlar_member_info_t *out)
+{
+	snprintf(out->name, sizeof(out->name), "%s", member->name);
+	snprintf(out->host, sizeof(out->host), "%s", member->host);
+	snprintf(out->zone, sizeof(out->zone), "%s", member->zone);
+	out->port = (uint16_t)member->port;
+	out->peer_port = (uint16_t)member->peer_port;
+}
+
+static medlar_time_t take_ttl(uint64_t ttl)
+{
+	return ttl < INT64_MAX ? (medlar_time_t)ttl : MEDLAR_TIME_NEVER;
+}
+
+static void take_facts(peer_letter_t *letter)
+{
+	size_t i;
+
+	for (i = 0; i < letter->wire.facts.facts_len; i++) {
+		const peer_fact *fact = &letter->wire.facts.facts_val[i];
+
+		letter->facts[i] = (medlar_fact_t){
+			.kind = (medlar_fact_kind_t)fact->kind,
+			.place = fact->place,
+			.subject = fact->subject,
+			.revision = fact->revision,
+			.value = fact->value,
+			.other = fact->other,
+			.ttl = take_ttl(fact->ttl),
+		};
+		if (!fact->member)
+			continue;
+		take_member(fact->member, &letter->infos[i]);
+		letter->facts[i].member = &letter->infos[i];
+	}
+	letter->message.facts = letter->facts;
+	letter->message.facts_len = i;
+}
+
+static void take_keys(peer_letter_t *letter)
+{
+	size_t i;
+
+	for (i = 0; i < letter->wire.keys.keys_len; i++) {
+		const peer_key *key = &letter->wire.keys.keys_val[i];
+
+		letter->keys[i] = (medlar_fact_key_t){ key->kind, key->subject,
+						       key->revision };
+	}
+	letter->message.keys = letter->keys;
+	letter->message.keys_len = i;
+}
+
+static void take_chunk(peer_letter_t *letter)
+{
+	const peer_chunk *chunk = letter->wire.chunk;
+
+	if (!chunk)
+		return;
+	letter->message.chunk = (medlar_chunk_t){
+		.base = chunk->base,
+		.prefix = chunk->prefix,
+		.suffix = chunk->suffix,
+		.total = chunk->total,
+		.offset = chunk->offset,
+		.hash = chunk->hash,
+		.bytes = { chunk->bytes.bytes_val, chunk->bytes.bytes_len },
+	};
+}
+
+static void take_message(peer_letter_t *letter)
+{
+	const peer_message *wire = &letter->wire;
+
+	letter->message = (medlar_message_t){
+		.kind = (medlar_message_kind_t)wire->kind,
+		.from = wire->from,
+		.about = wire->about,
+		.seq = wire->seq,
+		.digest = wire->digest,
+		.revision = wire->revision,
+	};
+	take_facts(letter);
+	take_keys(letter);
+	take_chunk(letter);
+	if (wire->digests.digests_len == PEER_DIGESTS_MAX)
+		letter->message.digests = wire->digests.digests_val;
+}
+
+static bool is_well_formed(const peer_message *wire)
+{
+	if (wire->protocol != PROTOCOL || wire->kind >= MEDLAR_MESSAGE_KINDS)
+		return false;
+	for (u_int i = 0; i < wire->facts.facts_len; i++)
+		if (wire->facts.facts_val[i].kind >= MEDLAR_FACT_KINDS)
+			return false;
+	return wire->kind != MEDLAR_MESSAGE_CHUNK || wire->chunk;
+}
+
+/**
+ * peer_open() - check the MAC of a message and decode it
+ * @key: key of all messages
+ * @envelope: what was received
+ * @out: set to the message; peer_letter_finish() releases it
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_AUTH when the MAC is wrong;
+ * %MEDLAR_ERR_PROTOCOL when the message does not decode, or is of another
+ * version.
+ */
+int peer_open(const uint8_t key[PEER_KEY_LEN], const peer_envelope *envelope,
+	      peer_letter_t *out)
+{
+	uint8_t mac[PEER_MAC_LEN];
+	bool decoded;
+	XDR xdr;
+
+	crypto_generichash(mac, sizeof(mac),
+			   (const uint8_t *)envelope->body.body_val,
+			   envelope->body.body_len, key, PEER_KEY_LEN);
+	if (sodium_memcmp(mac, envelope->mac, sizeof(mac)) != 0)
+		return MEDLAR_ERR_AUTH;
+	memset(&out->wire, 0, sizeof(out->wire));
+	xdrmem_create(&xdr, envelope->body.body_val, envelope->body.body_len,
+		      XDR_DECODE);
+	decoded = xdr_peer_message(&xdr, &out->wire);
+	xdr_destroy(&xdr);
+	if (!decoded || !is_well_formed(&out->wire)) {
+		peer_letter_finish(out);
+		return MEDLAR_ERR_PROTOCOL;
+	}
+	take_message(out);
+	return MEDLAR_OK;
+}
+
+/**
+ * peer_letter_finish() - release a message that was received
+ * @letter: from peer_open()
+ */
+void peer_letter_finish(peer_letter_t *letter)
+{
+	xdr_free((xdrproc_t)xdr_peer_message, (char *)&letter->wire);
+}
--- /dev/null
+++ b/medlard/peer_codec.h
@@ -0,0 +1,38 @@
+/**
+ * DOC: messages between instances as they are sent: XDR with a MAC
+ */
+#ifndef MEDLARD_PEER_CODEC_H
+#define MEDLARD_PEER_CODEC_H
+
+#include "libmedlar/medlar.h"
+#include "proto/peer.h"
+
+#define PEER_KEY_LEN 32
+
+/** Bytes of a key in the settings at least, before it is hashed. */
+#define PEER_SECRET_MIN 16
+
+/**
+ * struct peer_letter - a message that was received
+ * @message: the message; points into the other members
+ * @facts: its facts
+ * @infos: addresses of its facts
+ * @keys: its keys
+ * @wire: what XDR allocated
+ */
+typedef struct peer_letter {
+	medlar_message_t message;
+	medlar_fact_t facts[MEDLAR_MESSAGE_FACTS_MAX];
+	medlar_member_info_t infos[MEDLAR_MESSAGE_FACTS_MAX];
+	medlar_fact_key_t keys[MEDLAR_MESSAGE_KEYS_MAX];
+	peer_message wire;
+} peer_letter_t;
+
+int peer_key_read(uint8_t key[PEER_KEY_LEN], medlar_str_t hex);
+int peer_seal(const uint8_t key[PEER_KEY_LEN], const medlar_message_t *message,
+	      char body[PEER_BODY_MAX], peer_envelope *out);
+int peer_open(const uint8_t key[PEER_KEY_LEN], const peer_envelope *envelope,
+	      peer_letter_t *out);
+void peer_letter_finish(peer_letter_t *letter);
+
+#endif /* MEDLARD_PEER_CODEC_H */
--- a/tests/prop_member.cc
+++ b/tests/prop_member.cc
@@ -196,9 +196,11 @@
 {
 	const unsigned count = *rc::gen::inRange(3, 7);
 	Fleet fleet(seed);
-	medlar_fact_t fact = { MEDLAR_FACT_VERDICT, 77,	    0, 0,
-			       MEDLAR_HOUR,	    nullptr };
+	medlar_fact_t fact = {};
 
+	fact.kind = MEDLAR_FACT_VERDICT;
+	fact.subject = 77;
+	fact.ttl = MEDLAR_HOUR;
 	start_all(fleet, count);
 	fleet.loss = 0.3;
 	fleet.run(3 * MEDLAR_SECOND);
@@ -311,6 +313,8 @@
 				medlar_str_hash(medlar_str_from(info.name), 0),
 				1000 * MEDLAR_MEMBER_STATES,
 				0,
+				0,
+				0,
 				MEDLAR_TIME_NEVER,
 				&info
 			};
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -133,8 +133,10 @@
 	};
 	medlar_message_t message = { .kind = MEDLAR_MESSAGE_CHUNK,
 				     .revision = 9 };
-	medlar_fact_t fact = { MEDLAR_FACT_MEMBER, 0,	 4, 0,
-			       MEDLAR_TIME_NEVER,  &info };
+	medlar_fact_t fact = { .kind = MEDLAR_FACT_MEMBER,
+			       .revision = 4,
+			       .ttl = MEDLAR_TIME_NEVER,
+			       .member = &info };
 	medlar_members_t members;
 	medlar_client_t client;
 	size_t i;
