--- a/libmedlar/member.c
+++ b/libmedlar/member.c
@@ -55,7 +55,7 @@
 }
 
 static void trace(medlar_client_t *client, const medlar_members_t *members,
-		  const medlar_entry_t *entry)
+		  const medlar_fact_entry_t *entry)
 {
 	const char *name = entry->info ? entry->info->name : "";
 
@@ -104,7 +104,8 @@
 			const medlar_fact_t *fact, uint32_t sends,
 			medlar_time_t now)
 {
-	medlar_entry_t *entry = medlar_members_find(members, fact->subject);
+	medlar_fact_entry_t *entry = medlar_members_find(members,
+							 fact->subject);
 	bool known = entry != NULL;
 	bool was_live = known && medlar_entry_is_live(entry);
 	int news = medlar_facts_put(&members->facts, fact, sends, now, &entry);
@@ -164,7 +165,7 @@
 			 medlar_time_t now)
 {
 	medlar_fact_t told = *fact;
-	medlar_entry_t *entry;
+	medlar_fact_entry_t *entry;
 	int news;
 
 	if (fact->kind < 0 || fact->kind >= MEDLAR_FACT_KINDS || fact->ttl <= 0)
@@ -198,7 +199,8 @@
  * @now: current time, ms
  */
 void medlar_members_set_state(medlar_client_t *client,
-			      medlar_members_t *members, medlar_entry_t *entry,
+			      medlar_members_t *members,
+			      medlar_fact_entry_t *entry,
 			      medlar_member_state_t state, medlar_time_t now)
 {
 	medlar_fact_t fact = entry->fact;
@@ -232,8 +234,8 @@
  * @now: current time, ms
  */
 void medlar_members_send(medlar_client_t *client, medlar_members_t *members,
-			 const medlar_entry_t *to, medlar_message_t *message,
-			 medlar_time_t now)
+			 const medlar_fact_entry_t *to,
+			 medlar_message_t *message, medlar_time_t now)
 {
 	(void)client;
 	(void)now;
@@ -255,7 +257,7 @@
  */
 void medlar_members_send_news(medlar_client_t *client,
 			      medlar_members_t *members,
-			      const medlar_entry_t *to,
+			      const medlar_fact_entry_t *to,
 			      medlar_message_t *message, medlar_time_t now)
 {
 	medlar_fact_t facts[MEDLAR_MESSAGE_FACTS_MAX];
@@ -400,7 +402,7 @@
  */
 static int order_verdict(const medlar_members_t *members, medlar_fact_t *fact)
 {
-	const medlar_entry_t *held = medlar_facts_find(
+	const medlar_fact_entry_t *held = medlar_facts_find(
 		&members->facts, fact->kind, fact->subject);
 
 	if (!held || fact->kind != MEDLAR_FACT_VERDICT)
--- a/libmedlar/roster.c
+++ b/libmedlar/roster.c
@@ -48,7 +48,7 @@
  *
  * Return: its state.
  */
-medlar_member_state_t medlar_entry_state(const medlar_entry_t *entry)
+medlar_member_state_t medlar_entry_state(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision % MEDLAR_MEMBER_STATES;
 }
@@ -59,7 +59,7 @@
  *
  * Return: the incarnation; 0 for an instance that was never heard of.
  */
-uint64_t medlar_entry_incarnation(const medlar_entry_t *entry)
+uint64_t medlar_entry_incarnation(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision / MEDLAR_MEMBER_STATES;
 }
@@ -70,7 +70,7 @@
  *
  * Return: true unless it is taken for dead or was never heard of.
  */
-bool medlar_entry_is_live(const medlar_entry_t *entry)
+bool medlar_entry_is_live(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision > 0 && entry->info &&
 	       medlar_entry_state(entry) != MEDLAR_MEMBER_DEAD;
@@ -83,16 +83,17 @@
  *
  * Return: the fact about it, or NULL.
  */
-medlar_entry_t *medlar_members_find(const medlar_members_t *members,
-				    uint64_t id)
+medlar_fact_entry_t *medlar_members_find(const medlar_members_t *members,
+					 uint64_t id)
 {
 	return medlar_facts_find(&members->facts, MEDLAR_FACT_MEMBER, id);
 }
 
 static bool is_within(const medlar_members_t *members,
-		      const medlar_entry_t *entry, medlar_reach_t reach)
+		      const medlar_fact_entry_t *entry, medlar_reach_t reach)
 {
-	const medlar_entry_t *self = medlar_members_find(members, members->id);
+	const medlar_fact_entry_t *self = medlar_members_find(members,
+							      members->id);
 
 	if (entry == self || !entry->info)
 		return false;
@@ -114,16 +115,16 @@
  *
  * Return: the fact about it, or NULL.
  */
-medlar_entry_t *medlar_members_random(medlar_client_t *client,
-				      medlar_members_t *members,
-				      medlar_reach_t reach)
+medlar_fact_entry_t *medlar_members_random(medlar_client_t *client,
+					   medlar_members_t *members,
+					   medlar_reach_t reach)
 {
 	size_t start = medlar_rand_below(&client->rand, members->len);
 	size_t i;
 
 	for (; reach <= MEDLAR_REACH_ALL; reach++)
 		for (i = 0; i < members->len; i++) {
-			medlar_entry_t *entry =
+			medlar_fact_entry_t *entry =
 				members->list[(start + i) % members->len];
 
 			if (is_within(members, entry, reach))
@@ -139,13 +140,14 @@
  *
  * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
  */
-int medlar_members_list(medlar_members_t *members, medlar_entry_t *entry)
+int medlar_members_list(medlar_members_t *members, medlar_fact_entry_t *entry)
 {
 	size_t cap = members->cap ? 2 * members->cap : LIST_CAP_MIN;
-	medlar_entry_t **grown;
+	medlar_fact_entry_t **grown;
 
 	if (members->len == members->cap) {
-		grown = realloc(members->list, cap * sizeof(medlar_entry_t *));
+		grown = realloc(members->list,
+				cap * sizeof(medlar_fact_entry_t *));
 		if (!grown)
 			return MEDLAR_ERR_NOMEM;
 		members->list = grown;
@@ -160,7 +162,8 @@
  * @members: membership
  * @entry: a fact that has ended; freed
  */
-void medlar_members_forget(medlar_members_t *members, medlar_entry_t *entry)
+void medlar_members_forget(medlar_members_t *members,
+			   medlar_fact_entry_t *entry)
 {
 	size_t i;
 
@@ -196,7 +199,7 @@
 					       size_t index,
 					       medlar_member_state_t *state)
 {
-	const medlar_entry_t *entry = members->list[index];
+	const medlar_fact_entry_t *entry = members->list[index];
 
 	*state = medlar_entry_state(entry);
 	return entry->fact.revision > 0 ? entry->info : NULL;
@@ -222,7 +225,7 @@
 }
 
 /* Whether an instance has died without leaving, as far as is known here. */
-static bool is_lost(const medlar_entry_t *entry)
+static bool is_lost(const medlar_fact_entry_t *entry)
 {
 	return entry->fact.revision > 0 &&
 	       medlar_entry_state(entry) == MEDLAR_MEMBER_DEAD &&
@@ -259,7 +262,7 @@
 			members->ids_cap = 0;
 	}
 	for (i = 0; i < members->len && members->ids; i++) {
-		const medlar_entry_t *entry = members->list[i];
+		const medlar_fact_entry_t *entry = members->list[i];
 
 		if (medlar_entry_is_live(entry) ||
 		    (is_lost(entry) && members->live <= lost))
