Join the daemon to its peers

Cause: instances knew of each other and of configurations only by the platform, whose list lags and which has outages.

Change: the control thread runs the membership when the settings give a peer port. The instance list seeds it; what it knows is laid over the list, and shares follow it. Configurations go to peers and come from them; drains, suspects, convictions and pardons that a worker finds are told, and those heard are posted to the workers. A replica that is removed from the list is not told to be leaving, so that a gap in the list does no harm. Messages and those dropped are in the metrics.

Conclusion: the daemon no longer needs the store to learn of peers.

--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1448,6 +1448,18 @@
 	MEDLAR_MEMBER_STATES
 } medlar_member_state_t;
 
+/**
+ * struct medlar_member - an instance that was heard of
+ * @info: how it is reached
+ * @incarnation: its start time, ms since 1970, or a little later
+ * @state: what is believed of it
+ */
+typedef struct medlar_member {
+	const medlar_member_info_t *info;
+	uint64_t incarnation;
+	medlar_member_state_t state;
+} medlar_member_t;
+
 /**
  * struct medlar_members_ops - actions that the membership asks for
  * @send: send @message to the instance that @to describes; may be lost
@@ -1542,9 +1554,10 @@
 void medlar_members_stop(medlar_client_t *client, medlar_members_t *members,
 			 medlar_time_t now);
 size_t medlar_members_count(const medlar_members_t *members);
-const medlar_member_info_t *medlar_members_get(const medlar_members_t *members,
-					       size_t index,
-					       medlar_member_state_t *state);
+bool medlar_members_get(const medlar_members_t *members, size_t index,
+			medlar_member_t *out);
+uint64_t medlar_members_known(const medlar_members_t *members,
+			      medlar_fact_kind_t kind, uint64_t subject);
 uint64_t medlar_members_generation(const medlar_members_t *members);
 medlar_peers_t medlar_members_peers(medlar_client_t *client,
 				    medlar_members_t *members,
--- a/libmedlar/roster.c
+++ b/libmedlar/roster.c
@@ -191,18 +191,40 @@
  * medlar_members_get() - one of the instances
  * @members: membership
  * @index: 0 to medlar_members_count() - 1; the order changes
- * @state: set to what is believed of it
+ * @out: set to what is known, valid until the membership changes
  *
- * Return: how it is reached, or NULL for one that was never heard of.
+ * Return: false for an instance that was never heard of.
  */
-const medlar_member_info_t *medlar_members_get(const medlar_members_t *members,
-					       size_t index,
-					       medlar_member_state_t *state)
+bool medlar_members_get(const medlar_members_t *members, size_t index,
+			medlar_member_t *out)
 {
 	const medlar_fact_entry_t *entry = members->list[index];
 
-	*state = medlar_entry_state(entry);
-	return entry->fact.revision > 0 ? entry->info : NULL;
+	if (entry->fact.revision == 0 || !entry->info)
+		return false;
+	*out = (medlar_member_t){
+		.info = entry->info,
+		.incarnation = medlar_entry_incarnation(entry),
+		.state = medlar_entry_state(entry),
+	};
+	return true;
+}
+
+/**
+ * medlar_members_known() - revision of a fact that is held
+ * @members: membership
+ * @kind: what it is about
+ * @subject: identifies what it is about
+ *
+ * Return: the revision; 0 when there is none.
+ */
+uint64_t medlar_members_known(const medlar_members_t *members,
+			      medlar_fact_kind_t kind, uint64_t subject)
+{
+	const medlar_fact_entry_t *entry = medlar_facts_find(&members->facts,
+							     kind, subject);
+
+	return entry ? entry->fact.revision : 0;
 }
 
 /**
--- a/libmedlar/service.c
+++ b/libmedlar/service.c
@@ -286,7 +286,10 @@
 
 	if (!replica)
 		return MEDLAR_ERR_NOT_FOUND;
-	medlar_replica_leave(client, replica, 0, now);
+	(void)client;
+	service->seen = now;
+	replica->leaving = true;
+	medlar_shard_place(replica);
 	medlar_table_remove(&service->table, id);
 	medlar_shard_remove(replica);
 	service->generation++;
--- a/medlard/control.c
+++ b/medlard/control.c
@@ -197,6 +197,9 @@
 		return error;
 	error = store_init(&control->store, &control->http, &control->log,
 			   &control->settings.platform);
+	if (!error)
+		error = peering_init(&control->peering, control);
+	report_start(control, "peers", error);
 	if (!error)
 		error = directory_init(&control->directory, control);
 	for (size_t i = 0; !error && i < control->workers_len; i++)
@@ -209,6 +212,7 @@
 {
 	for (size_t i = 0; i < control->workers_len; i++)
 		worker_join(&control->workers[i]);
+	peering_finish(&control->peering);
 	directory_finish(&control->directory);
 	store_finish(&control->store);
 	for (size_t i = 0; i < control->workers_len; i++)
--- a/medlard/control.h
+++ b/medlard/control.h
@@ -8,6 +8,7 @@
 #define MEDLARD_CONTROL_H
 
 #include "medlard/directory.h"
+#include "medlard/peering.h"
 #include "medlard/store.h"
 #include "medlard/worker.h"
 
@@ -31,6 +32,7 @@
  * @http: HTTP client towards the platform
  * @store: platform client
  * @directory: instance lists, partition maps and configuration
+ * @peering: the other instances
  * @workers: worker threads
  * @workers_len: how many
  * @signals: signalfd
@@ -52,6 +54,7 @@
 	http_t http;
 	store_t store;
 	directory_t directory;
+	peering_t peering;
 	worker_t *workers;
 	size_t workers_len;
 	int signals;
--- a/medlard/directory.c
+++ b/medlard/directory.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #include "medlard/args.h"
-#include "medlard/clock.h"
 #include "medlard/control.h"
 #include "medlard/wire.h"
 
@@ -156,10 +155,12 @@
 		error = listing_parse_replicas(result->body, &directory->zones,
 					       &service->policy, &infos, &len);
 	service->failures = error ? service->failures + 1 : 0;
-	if (!error && len > 0)
+	if (!error && len > 0) {
+		peering_overlay_replicas(&control->peering, infos, len);
 		post_list(service, infos, len);
-	else
+	} else {
 		free(infos);
+	}
 	if (!error && len == 0)
 		LOG_LINE(&control->log, LOG_LEVEL_WARNING, "list_empty",
 			 MEDLAR_TEXT("service",
@@ -322,6 +323,7 @@
 	medlar_buf_add(&directory->config, config);
 	list_services(directory, &parsed);
 	post_config(directory, config);
+	peering_offer_config(&directory->control->peering, revision, config);
 	trace_config(directory, revision, source, MEDLAR_OK);
 	medlar_config_finish(&parsed);
 	return MEDLAR_OK;
@@ -358,7 +360,7 @@
 {
 	*directory = (directory_t){
 		.control = control,
-		.incarnation = clock_wall(),
+		.incarnation = control->peering.incarnation,
 	};
 	medlar_buf_init(&directory->config);
 	(void)zones_number(&directory->zones,
--- a/medlard/instances.c
+++ b/medlard/instances.c
@@ -16,10 +16,15 @@
  * struct instances_note - the list on its way to a worker
  * @items: instances
  * @len: how many
+ * @peers: those that share the upstreams; without ids when only the list is
+ *	known
+ * @ids: memory of @peers
  */
 typedef struct instances_note {
 	instance_t *items;
 	size_t len;
+	medlar_peers_t peers;
+	uint64_t *ids;
 } instances_note_t;
 
 static void use_instances(worker_t *worker, void *data)
@@ -27,15 +32,32 @@
 	instances_note_t *note = data;
 
 	(void)worker_set_instances(worker, note->items, note->len);
+	if (note->ids)
+		(void)worker_set_peers(worker, &note->peers);
 	worker_apply_peers(worker);
+	free(note->ids);
 	free(note->items);
 	free(note);
 }
 
+static void add_peers(const directory_t *directory, instances_note_t *note)
+{
+	medlar_peers_t peers;
+
+	if (!peering_peers(&directory->control->peering, &peers))
+		return;
+	note->ids = calloc(peers.len, sizeof(*note->ids));
+	if (!note->ids)
+		return;
+	memcpy(note->ids, peers.ids, peers.len * sizeof(*note->ids));
+	note->peers = peers;
+	note->peers.ids = note->ids;
+}
+
 static void post_instances(const directory_t *directory, size_t worker)
 {
 	size_t size = directory->instances_len * sizeof(instance_t);
-	instances_note_t *note = malloc(sizeof(*note));
+	instances_note_t *note = calloc(1, sizeof(*note));
 
 	if (!note)
 		return;
@@ -46,6 +68,7 @@
 		return;
 	}
 	memcpy(note->items, directory->instances, size);
+	add_peers(directory, note);
 	control_post(directory->control, worker, use_instances, note);
 }
 
@@ -100,6 +123,9 @@
 	instance_t *self;
 
 	keep_known(directory, items, len);
+	for (size_t i = 0; i < len; i++)
+		peering_seed(&directory->control->peering, &items[i]);
+	(void)peering_overlay(&directory->control->peering, &items, &len);
 	self = find(items, len, name);
 	if (!self)
 		self = &items[len++];
@@ -110,6 +136,21 @@
 	post_all(directory);
 }
 
+/**
+ * instances_refresh() - follow a change of the membership
+ * @directory: directory
+ */
+void instances_refresh(directory_t *directory)
+{
+	size_t len = directory->instances_len;
+	instance_t *items = calloc(len + 1, sizeof(*items));
+
+	if (!items)
+		return;
+	memcpy(items, directory->instances, len * sizeof(*items));
+	set_instances(directory, items, len);
+}
+
 static void on_list(const store_result_t *result, void *data)
 {
 	directory_t *directory = data;
@@ -276,6 +317,7 @@
 				control->settings.name);
 
 	directory->leaving = true;
+	peering_leave(&control->peering);
 	if (self)
 		describe_self(directory, self);
 	post_all(directory);
@@ -303,6 +345,7 @@
 	};
 	const store_result_t failed = { .status = MEDLAR_STORE_DOWN };
 
+	peering_stop(&control->peering);
 	medlar_timer_clear(&control->client, &directory->register_timer);
 	snprintf(path, sizeof(path), "/v1/agent/service/deregister/%s",
 		 control->settings.name);
--- a/medlard/metrics.c
+++ b/medlard/metrics.c
@@ -48,6 +48,18 @@
 	[METRIC_STORE_UNKNOWN] = { "store_unknown_total",
 				   "Calls whose reply was lost." },
 	[METRIC_LOG_DROPPED] = { "log_dropped_total", "Log lines lost." },
+	[METRIC_PEER_SENT] = { "peer_sent_total",
+			       "Messages to other instances." },
+	[METRIC_PEER_SENT_BYTES] = { "peer_sent_bytes_total",
+				     "Bytes of these." },
+	[METRIC_PEER_RECEIVED] = { "peer_received_total",
+				   "Messages of other instances." },
+	[METRIC_PEER_RECEIVED_BYTES] = { "peer_received_bytes_total",
+					 "Bytes of these." },
+	[METRIC_PEER_UNAUTHENTICATED] = { "peer_unauthenticated_total",
+					  "Messages dropped for their key." },
+	[METRIC_PEER_MALFORMED] = { "peer_malformed_total",
+				    "Messages dropped as malformed." },
 };
 
 static const metric_row_t service_rows[SERVICE_METRIC_COUNT] = {
--- a/medlard/peer.c
+++ b/medlard/peer.c
@@ -47,18 +47,20 @@
 	int error = peer_open(peer->key, envelope, &letter);
 
 	if (error) {
-		if (error == MEDLAR_ERR_AUTH)
-			peer->counts.unauthenticated++;
-		else
-			peer->counts.malformed++;
+		metrics_add(peer->metrics,
+			    error == MEDLAR_ERR_AUTH
+				    ? METRIC_PEER_UNAUTHENTICATED
+				    : METRIC_PEER_MALFORMED,
+			    1);
 		LOG_LINE(peer->log, LOG_LEVEL_DEBUG, "peer_drop",
 			 MEDLAR_TEXT("why",
 				     medlar_str_from(medlar_error_name(error))),
 			 MEDLAR_NUM("bytes", envelope->body.body_len));
 		return;
 	}
-	peer->counts.received++;
-	peer->counts.received_bytes += CALL_SIZE + envelope->body.body_len;
+	metrics_add(peer->metrics, METRIC_PEER_RECEIVED, 1);
+	metrics_add(peer->metrics, METRIC_PEER_RECEIVED_BYTES,
+		    CALL_SIZE + envelope->body.body_len);
 	peer->receive(&letter.message, peer->data);
 	peer_letter_finish(&letter);
 }
@@ -72,7 +74,8 @@
 	    !svc_getargs(transport, (xdrproc_t)xdr_peer_envelope,
 			 (char *)&envelope)) {
 		if (receiving)
-			receiving->counts.malformed++;
+			metrics_add(receiving->metrics, METRIC_PEER_MALFORMED,
+				    1);
 		return;
 	}
 	take(receiving, &envelope);
@@ -139,6 +142,7 @@
 	*peer = (peer_t){
 		.loop = loop,
 		.log = log,
+		.metrics = settings->metrics,
 		.receive = receive,
 		.data = data,
 		.fd = -1,
@@ -220,13 +224,14 @@
 		error = peer_seal(peer->key, message, body, &envelope);
 	if (error)
 		return error;
-	len = encode_call((uint32_t)++peer->counts.sent, &envelope, datagram);
+	len = encode_call(++peer->id, &envelope, datagram);
 	if (len == 0)
 		return MEDLAR_ERR_TOO_LARGE;
 	if (sendto(peer->fd, datagram, len, 0,
 		   (const struct sockaddr *)&address,
 		   address_len) != (ssize_t)len)
 		return MEDLAR_ERR_IO;
-	peer->counts.sent_bytes += len;
+	metrics_add(peer->metrics, METRIC_PEER_SENT, 1);
+	metrics_add(peer->metrics, METRIC_PEER_SENT_BYTES, len);
 	return MEDLAR_OK;
 }
--- a/medlard/peer.h
+++ b/medlard/peer.h
@@ -13,24 +13,6 @@
 #include "medlard/metrics.h"
 #include "medlard/peer_codec.h"
 
-/**
- * struct peer_counts - what has been sent, received and dropped
- * @sent: messages sent
- * @sent_bytes: bytes of them
- * @received: messages accepted
- * @received_bytes: bytes of them
- * @unauthenticated: messages whose MAC was wrong
- * @malformed: messages that did not decode
- */
-typedef struct peer_counts {
-	uint64_t sent;
-	uint64_t sent_bytes;
-	uint64_t received;
-	uint64_t received_bytes;
-	uint64_t unauthenticated;
-	uint64_t malformed;
-} peer_counts_t;
-
 typedef void (*peer_receive_fn_t)(const medlar_message_t *message, void *data);
 
 /**
@@ -42,7 +24,8 @@
  * @data: passed to @receive
  * @transport: RPC server
  * @fd: its socket, for sending as well
- * @counts: what has been sent, received and dropped
+ * @metrics: counters of its thread
+ * @id: of the last call
  */
 typedef struct peer {
 	loop_t *loop;
@@ -52,7 +35,8 @@
 	void *data;
 	SVCXPRT *transport;
 	int fd;
-	peer_counts_t counts;
+	metrics_t *metrics;
+	uint32_t id;
 } peer_t;
 
 /**
@@ -60,11 +44,13 @@
  * @host: IP address in text form
  * @port: UDP port
  * @key: secret in hexadecimal
+ * @metrics: counters of the control thread
  */
 typedef struct peer_settings {
 	const char *host;
 	uint16_t port;
 	medlar_str_t key;
+	metrics_t *metrics;
 } peer_settings_t;
 
 int peer_init(peer_t *peer, loop_t *loop, logger_t *log,
--- /dev/null
+++ b/medlard/peering.c
@@ -0,0 +1,431 @@
+/**
+ * DOC: what instances tell each other, between the core and the workers
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "medlard/clock.h"
+#include "medlard/control.h"
+#include "medlard/peering.h"
+
+/**
+ * struct fact_note - a fact on its way between threads
+ * @call: for handing it over
+ * @worker: worker that found it out
+ * @fact: the fact; never about a member
+ */
+typedef struct fact_note {
+	handoff_call_t call;
+	worker_t *worker;
+	medlar_fact_t fact;
+} fact_note_t;
+
+static void tell(handoff_call_t *call, void *data)
+{
+	fact_note_t *note = data;
+	control_t *control = note->worker->control;
+	peering_t *peering = &control->peering;
+
+	(void)call;
+	if (peering->on)
+		(void)medlar_members_tell(&control->client, &peering->members,
+					  &note->fact, control->loop.now);
+	free(note);
+}
+
+/**
+ * peering_post_fact() - tell all instances what a worker found out
+ * @worker: worker; the caller is in its thread
+ * @fact: anything but a member; copied
+ */
+void peering_post_fact(worker_t *worker, const medlar_fact_t *fact)
+{
+	fact_note_t *note = calloc(1, sizeof(*note));
+
+	if (!note)
+		return;
+	note->worker = worker;
+	note->fact = *fact;
+	handoff_post(&worker->control->inbox, &note->call, tell, note);
+}
+
+static void on_suspect(const medlar_suspect_entry_t *entry, void *data)
+{
+	worker_t *worker = data;
+	medlar_fact_t fact = {
+		.kind = MEDLAR_FACT_VERDICT,
+		.subject = entry->fingerprint,
+		.revision = (uint64_t)clock_wall(),
+		.value = entry->verdict,
+		.other = entry->replica,
+		.place = entry->shard,
+		.ttl = entry->until - worker->loop.now,
+	};
+
+	if (entry->verdict == MEDLAR_VERDICT_CLEAR && !entry->pardoned)
+		fact.kind = MEDLAR_FACT_SUCCESS;
+	peering_post_fact(worker, &fact);
+}
+
+/**
+ * peering_watch_suspects() - tell others what a worker finds of its requests
+ * @worker: worker with its table of suspects
+ */
+void peering_watch_suspects(worker_t *worker)
+{
+	medlar_suspects_on_change(&worker->suspects, on_suspect, worker);
+}
+
+static void use_drain(worker_t *worker, const medlar_fact_t *fact)
+{
+	for (size_t i = 0; i < worker->services_len; i++) {
+		service_t *service = worker->services[i];
+		medlar_replica_t *replica;
+
+		if (service->owner != worker->index)
+			continue;
+		replica = medlar_service_find_replica(&service->core,
+						      fact->subject);
+		if (replica)
+			medlar_replica_leave(&worker->client, replica,
+					     (medlar_time_t)fact->revision,
+					     worker->loop.now);
+	}
+}
+
+static void use_verdict(worker_t *worker, const medlar_fact_t *fact)
+{
+	medlar_suspects_t *suspects = &worker->suspects;
+	medlar_time_t now = worker->loop.now;
+	const medlar_death_t death = {
+		.fingerprint = fact->subject,
+		.replica = fact->other,
+		.shard = fact->place,
+	};
+
+	if (fact->value == MEDLAR_VERDICT_CONVICTED)
+		(void)medlar_suspects_convict(suspects, fact->subject,
+					      now + fact->ttl);
+	else if (fact->value == MEDLAR_VERDICT_SUSPECT)
+		(void)medlar_suspects_death(suspects, &death, now);
+	else
+		(void)medlar_suspects_pardon(suspects, fact->subject);
+}
+
+static void use_fact(worker_t *worker, void *data)
+{
+	medlar_fact_t *fact = data;
+
+	/* What others found out is not told again as if found here. */
+	medlar_suspects_on_change(&worker->suspects, NULL, NULL);
+	if (fact->kind == MEDLAR_FACT_DRAIN)
+		use_drain(worker, fact);
+	else if (fact->kind == MEDLAR_FACT_VERDICT)
+		use_verdict(worker, fact);
+	else
+		medlar_suspects_success(&worker->suspects, fact->subject);
+	peering_watch_suspects(worker);
+	free(fact);
+}
+
+static void on_fact(const medlar_fact_t *fact, void *data)
+{
+	const peering_t *peering = data;
+	control_t *control = peering->control;
+
+	if (fact->kind == MEDLAR_FACT_MEMBER)
+		return;
+	LOG_LINE(&control->log, LOG_LEVEL_NOTICE, "fact",
+		 MEDLAR_NUM("kind", fact->kind),
+		 MEDLAR_HEX("subject", fact->subject),
+		 MEDLAR_NUM("revision", fact->revision),
+		 MEDLAR_NUM("value", fact->value));
+	for (size_t i = 0; i < control->workers_len; i++) {
+		medlar_fact_t *copy = malloc(sizeof(*copy));
+
+		if (!copy)
+			return;
+		*copy = *fact;
+		control_post(control, i, use_fact, copy);
+	}
+}
+
+static void on_document(uint64_t revision, medlar_str_t document, void *data)
+{
+	const peering_t *peering = data;
+
+	(void)directory_offer_config(&peering->control->directory, revision,
+				     document, MEDLAR_STR("peer"));
+}
+
+static void on_send(const medlar_member_info_t *to,
+		    const medlar_message_t *message, void *data)
+{
+	peering_t *peering = data;
+
+	/* A message that is not sent is as one that is lost. */
+	(void)peer_send(&peering->peer, to, message);
+}
+
+static void on_receive(const medlar_message_t *message, void *data)
+{
+	peering_t *peering = data;
+	control_t *control = peering->control;
+
+	medlar_members_receive(&control->client, &peering->members, message,
+			       control->loop.now);
+}
+
+/* Tells the workers once a turn when the membership has changed. */
+static void check_members(void *data)
+{
+	peering_t *peering = data;
+	uint64_t generation = medlar_members_generation(&peering->members);
+
+	if (!peering->on || generation == peering->generation)
+		return;
+	peering->generation = generation;
+	instances_refresh(&peering->control->directory);
+}
+
+static medlar_member_info_t info_of(const instance_t *instance)
+{
+	medlar_member_info_t info = {
+		.port = instance->port,
+		.peer_port = instance->peer_port,
+	};
+
+	memcpy(info.name, instance->name, sizeof(info.name));
+	memcpy(info.host, instance->host, sizeof(info.host));
+	memcpy(info.zone, instance->zone, sizeof(info.zone));
+	return info;
+}
+
+/**
+ * peering_init() - start to talk to the other instances
+ * @peering: memory of the caller
+ * @control: control thread with its settings and its loop
+ *
+ * Return: %MEDLAR_OK, also without a port in the settings; or an error of
+ * peer_init(), or %MEDLAR_ERR_NOMEM.
+ */
+int peering_init(peering_t *peering, control_t *control)
+{
+	const settings_t *settings = &control->settings;
+	const endpoint_t *address = settings_address(settings);
+	const peer_settings_t transport = {
+		.host = address->host,
+		.port = (uint16_t)settings->peer_port,
+		.key = medlar_str_from(settings->peer_key),
+		.metrics = &control->metrics,
+	};
+	const medlar_members_ops_t ops = { on_send, on_fact, on_document,
+					   peering };
+	medlar_member_info_t self = {
+		.port = (uint16_t)address->port,
+		.peer_port = (uint16_t)settings->peer_port,
+	};
+	int error;
+
+	*peering = (peering_t){
+		.control = control,
+		.incarnation = clock_wall(),
+	};
+	if (settings->peer_port == 0)
+		return MEDLAR_OK;
+	memcpy(self.name, settings->name, sizeof(self.name));
+	memcpy(self.host, address->host, sizeof(self.host));
+	memcpy(self.zone, settings->zone, sizeof(self.zone));
+	error = peer_init(&peering->peer, &control->loop, &control->log,
+			  &transport, on_receive, peering);
+	if (error)
+		return error;
+	error = medlar_members_init(&control->client, &peering->members, &self,
+				    (uint64_t)peering->incarnation, &ops,
+				    control->loop.now);
+	if (!error)
+		error = loop_hook(&control->loop, check_members, peering);
+	if (error) {
+		peer_finish(&peering->peer);
+		return error;
+	}
+	peering->on = true;
+	return MEDLAR_OK;
+}
+
+/**
+ * peering_finish() - stop to talk
+ * @peering: from peering_init()
+ */
+void peering_finish(peering_t *peering)
+{
+	if (!peering->on)
+		return;
+	peering->on = false;
+	medlar_members_finish(&peering->control->client, &peering->members);
+	peer_finish(&peering->peer);
+}
+
+/**
+ * peering_seed() - tell of an instance from the settings or the list
+ * @peering: peering
+ * @instance: instance
+ */
+void peering_seed(peering_t *peering, const instance_t *instance)
+{
+	medlar_member_info_t info = info_of(instance);
+
+	if (peering->on && instance->peer_port != 0)
+		(void)medlar_members_seed(&peering->control->client,
+					  &peering->members, &info,
+					  peering->control->loop.now);
+}
+
+/**
+ * peering_offer_config() - hold a configuration for the others
+ * @peering: peering
+ * @revision: its revision
+ * @config: its text
+ */
+void peering_offer_config(peering_t *peering, uint64_t revision,
+			  medlar_str_t config)
+{
+	if (peering->on)
+		(void)medlar_members_set_document(
+			&peering->control->client, &peering->members, revision,
+			config, peering->control->loop.now);
+}
+
+static instance_t *find(instance_t *items, size_t len, const char *name)
+{
+	for (size_t i = 0; i < len; i++)
+		if (strcmp(items[i].name, name) == 0)
+			return &items[i];
+	return NULL;
+}
+
+static void lay_over(instance_t *item, const medlar_member_t *member)
+{
+	bool gone = member->state == MEDLAR_MEMBER_LEAVING ||
+		    member->state == MEDLAR_MEMBER_DEAD;
+	medlar_time_t incarnation = (medlar_time_t)member->incarnation;
+
+	if (incarnation < item->incarnation)
+		return;
+	item->leaving = gone;
+	item->incarnation = incarnation;
+}
+
+static instance_t new_item(const medlar_member_t *member)
+{
+	instance_t item = {
+		.port = member->info->port,
+		.peer_port = member->info->peer_port,
+		.incarnation = (medlar_time_t)member->incarnation,
+		.leaving = member->state == MEDLAR_MEMBER_LEAVING,
+	};
+
+	memcpy(item.name, member->info->name, sizeof(item.name));
+	memcpy(item.host, member->info->host, sizeof(item.host));
+	memcpy(item.zone, member->info->zone, sizeof(item.zone));
+	return item;
+}
+
+/**
+ * peering_overlay() - add to a list of instances what is known of them
+ * @peering: peering
+ * @items: the list, allocated; grown when needed
+ * @len: how many
+ *
+ * Of the list and the membership the later incarnation is believed.
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int peering_overlay(const peering_t *peering, instance_t **items, size_t *len)
+{
+	size_t count;
+	instance_t *grown;
+
+	if (!peering->on)
+		return MEDLAR_OK;
+	count = medlar_members_count(&peering->members);
+	grown = realloc(*items, (*len + count + 1) * sizeof(**items));
+	if (!grown)
+		return MEDLAR_ERR_NOMEM;
+	*items = grown;
+	for (size_t i = 0; i < count; i++) {
+		medlar_member_t member;
+		instance_t *item;
+
+		if (!medlar_members_get(&peering->members, i, &member))
+			continue;
+		item = find(grown, *len, member.info->name);
+		if (item)
+			lay_over(item, &member);
+		else if (member.state != MEDLAR_MEMBER_DEAD)
+			grown[(*len)++] = new_item(&member);
+	}
+	return MEDLAR_OK;
+}
+
+/**
+ * peering_overlay_replicas() - mark listed replicas that are known to leave
+ * @peering: peering
+ * @infos: reading of an instance list
+ * @len: how many
+ */
+void peering_overlay_replicas(const peering_t *peering,
+			      medlar_replica_info_t *infos, size_t len)
+{
+	for (size_t i = 0; peering->on && i < len; i++) {
+		uint64_t id = medlar_str_hash(medlar_str_from(infos[i].name),
+					      0);
+		uint64_t left = medlar_members_known(&peering->members,
+						     MEDLAR_FACT_DRAIN, id);
+
+		if (left > 0 && (medlar_time_t)left >= infos[i].incarnation)
+			infos[i].leaving = true;
+	}
+}
+
+/**
+ * peering_peers() - the instances that share the upstreams
+ * @peering: peering
+ * @out: set to them; valid until the next call
+ *
+ * Return: false when the instances do not talk, so that only the list is
+ * known.
+ */
+bool peering_peers(peering_t *peering, medlar_peers_t *out)
+{
+	if (!peering->on)
+		return false;
+	*out = medlar_members_peers(&peering->control->client,
+				    &peering->members,
+				    peering->control->loop.now);
+	return out->len > 0;
+}
+
+/**
+ * peering_leave() - tell that this instance is shutting down
+ * @peering: peering
+ */
+void peering_leave(peering_t *peering)
+{
+	if (peering->on)
+		medlar_members_leave(&peering->control->client,
+				     &peering->members,
+				     peering->control->loop.now);
+}
+
+/**
+ * peering_stop() - tell that this instance has ended its work
+ * @peering: peering
+ */
+void peering_stop(peering_t *peering)
+{
+	if (peering->on)
+		medlar_members_stop(&peering->control->client,
+				    &peering->members,
+				    peering->control->loop.now);
+}
--- /dev/null
+++ b/medlard/peering.h
@@ -0,0 +1,49 @@
+/**
+ * DOC: what instances tell each other, between the core and the workers
+ *
+ * Runs in the control thread, but for peering_post_fact() and
+ * peering_watch_suspects().
+ */
+#ifndef MEDLARD_PEERING_H
+#define MEDLARD_PEERING_H
+
+#include "medlard/listing.h"
+#include "medlard/peer.h"
+
+typedef struct control control_t;
+typedef struct worker worker_t;
+
+/**
+ * struct peering - the other instances
+ * @control: owner
+ * @on: the settings name a port; otherwise everything here does nothing
+ * @peer: transport
+ * @members: membership
+ * @incarnation: start time of this instance, ms since 1970
+ * @generation: of the membership when the workers were last told
+ */
+typedef struct peering {
+	control_t *control;
+	bool on;
+	peer_t peer;
+	medlar_members_t members;
+	medlar_time_t incarnation;
+	uint64_t generation;
+} peering_t;
+
+int peering_init(peering_t *peering, control_t *control);
+void peering_finish(peering_t *peering);
+void peering_seed(peering_t *peering, const instance_t *instance);
+void peering_offer_config(peering_t *peering, uint64_t revision,
+			  medlar_str_t config);
+int peering_overlay(const peering_t *peering, instance_t **items, size_t *len);
+void peering_overlay_replicas(const peering_t *peering,
+			      medlar_replica_info_t *infos, size_t len);
+bool peering_peers(peering_t *peering, medlar_peers_t *out);
+void peering_leave(peering_t *peering);
+void peering_stop(peering_t *peering);
+
+void peering_post_fact(worker_t *worker, const medlar_fact_t *fact);
+void peering_watch_suspects(worker_t *worker);
+
+#endif /* MEDLARD_PEERING_H */
--- a/medlard/service.c
+++ b/medlard/service.c
@@ -8,6 +8,9 @@
 #include "medlard/control.h"
 #include "medlard/worker.h"
 
+/* How long a replica's leaving is told; a later start undoes it. */
+#define DRAIN_TTL (10 * MEDLAR_MINUTE)
+
 static void on_send(medlar_attempt_t *attempt, void *data)
 {
 	upstream_send(attempt, data);
@@ -20,10 +23,25 @@
 
 static void on_answer(medlar_query_t *query, void *data);
 
+static void on_leaving(const medlar_replica_t *replica, void *data)
+{
+	const upstream_link_t *link = data;
+	const medlar_fact_t fact = {
+		.kind = MEDLAR_FACT_DRAIN,
+		.subject = medlar_replica_id(replica),
+		.revision = (uint64_t)medlar_replica_info(replica)->incarnation,
+		.ttl = DRAIN_TTL,
+	};
+
+	if (fact.revision > 0)
+		peering_post_fact(link->worker, &fact);
+}
+
 static const medlar_service_ops_t ops = {
 	.send = on_send,
 	.cancel = on_cancel,
 	.answer = on_answer,
+	.leaving = on_leaving,
 };
 
 static bool is_owner(const service_t *service)
@@ -95,6 +113,7 @@
 		.upstream = &worker->upstream,
 		.service = &service->core,
 		.policy = &service->policy,
+		.worker = worker,
 	};
 	service->number = worker->services_len;
 	if (is_owner(service) && init_core(worker, service)) {
--- a/medlard/upstream.h
+++ b/medlard/upstream.h
@@ -26,18 +26,22 @@
 	struct json_tokener *tokener;
 } upstream_t;
 
+typedef struct worker worker_t;
+
 /**
  * struct upstream_link - what the actions of a service need
  * @upstream: upstream side of its worker
  * @service: the service
  * @policy: its policy in force
  * @silent_at: when a connection was last found silent, ms; 0 for never
+ * @worker: its worker
  */
 typedef struct upstream_link {
 	upstream_t *upstream;
 	medlar_service_t *service;
 	const medlar_policy_t *policy;
 	medlar_time_t silent_at;
+	worker_t *worker;
 } upstream_link_t;
 
 int upstream_init(upstream_t *upstream, http_t *http, medlar_client_t *client,
--- a/medlard/worker.c
+++ b/medlard/worker.c
@@ -70,6 +70,7 @@
 				      (size_t)settings->reply_max);
 	if (error)
 		return error;
+	peering_watch_suspects(worker);
 	store_proxy_init(&worker->store, worker);
 	error = caller_init(worker);
 	if (!error)
@@ -160,6 +161,8 @@
 	worker->instances_len = len;
 	worker->peers = ids;
 	worker->peers_len = len;
+	worker->peers_hold = LIST_PERIODS * worker->settings->platform.list_ms;
+	worker->peers_since = worker->started;
 	for (size_t i = 0; i < len; i++) {
 		kept[i] = instances[i];
 		ids[i] = medlar_str_hash(medlar_str_from(instances[i].name), 0);
@@ -168,6 +171,28 @@
 	return MEDLAR_OK;
 }
 
+/**
+ * worker_set_peers() - replace the instances that share the upstreams
+ * @worker: worker
+ * @peers: what the instances know of each other; copied
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM with the peers as before.
+ */
+int worker_set_peers(worker_t *worker, const medlar_peers_t *peers)
+{
+	uint64_t *ids = calloc(peers->len + 1, sizeof(*ids));
+
+	if (!ids)
+		return MEDLAR_ERR_NOMEM;
+	memcpy(ids, peers->ids, peers->len * sizeof(*ids));
+	free(worker->peers);
+	worker->peers = ids;
+	worker->peers_len = peers->len;
+	worker->peers_hold = peers->hold;
+	worker->peers_since = peers->since;
+	return MEDLAR_OK;
+}
+
 /**
  * worker_apply_peers() - share the upstreams among the known instances
  * @worker: worker
@@ -180,8 +205,8 @@
 	const medlar_peers_t peers = {
 		.ids = worker->peers,
 		.len = worker->peers_len,
-		.hold = LIST_PERIODS * worker->settings->platform.list_ms,
-		.since = worker->started,
+		.hold = worker->peers_hold,
+		.since = worker->peers_since,
 	};
 
 	if (!worker->peers)
--- a/medlard/worker.h
+++ b/medlard/worker.h
@@ -45,6 +45,8 @@
  * @instances_len: how many
  * @peers: hashes of the names of all instances, sorted
  * @peers_len: how many
+ * @peers_hold: time within which a change of them is known everywhere, ms
+ * @peers_since: when this instance joined them, ms
  * @roles: limits guesses at operators' tokens
  * @started: when the process started, ms
  * @config: configuration in force
@@ -78,6 +80,8 @@
 	size_t instances_len;
 	uint64_t *peers;
 	size_t peers_len;
+	medlar_time_t peers_hold;
+	medlar_time_t peers_since;
 	roles_t roles;
 	medlar_time_t started;
 	medlar_config_t config;
@@ -94,6 +98,7 @@
 void worker_finish(worker_t *worker);
 int worker_set_instances(worker_t *worker, const instance_t *instances,
 			 size_t len);
+int worker_set_peers(worker_t *worker, const medlar_peers_t *peers);
 void worker_apply_peers(worker_t *worker);
 
 #endif /* MEDLARD_WORKER_H */
--- /dev/null
+++ b/tests/e2e_peers.sh
@@ -0,0 +1,134 @@
+#!/bin/sh
+# Instances that talk to each other while the store is down.
+#
+# usage: tests/e2e_peers.sh BUILD
+# shellcheck disable=SC2317 # functions are called through await and trap
+set -u
+build=$1
+dir=$build/e2e-peers
+platform=127.0.0.1:26100
+count=0 failed=0
+pids=
+
+# usage: result STATUS NAME
+result() {
+	count=$((count + 1))
+	if test "$1" -eq 0
+	then
+		echo "ok $count - $2"
+	else
+		echo "not ok $count - $2"
+		failed=1
+	fi
+}
+
+# Waits until a command succeeds, for at most 20 seconds.
+await() {
+	tries=400
+	while ! "$@" >/dev/null 2>&1
+	do
+		tries=$((tries - 1))
+		test "$tries" -gt 0 || return 1
+		sleep 0.05
+	done
+}
+
+# usage: put_config REVISION INDEX
+put_config() {
+	curl -s -m 2 -X PUT --data-binary @- \
+		"http://$platform/v1/kv/medlar/config?cas=$2" <<-EOF
+	{"revision":$1,"config":{"revision":$1,"instances":4,
+	 "address_ttl_ms":300,"services":[{"name":"poems","writes":false,
+	 "shards":2,"priority":"coverage","deadline_ms":1000,"target_ms":500,
+	 "target_quantile":0.99,"coverage_min":0.5,"extra_load":0.1,
+	 "hedge_quantile":0.95,"slots":4,"connections":25,
+	 "connect_cost_ms":1,"queue_max":64,"eject_max":0.34,
+	 "slow_start_ms":0,"idle_max_ms":30000,"silence_ms":300,
+	 "window_ms":60000,"partitions":1}]}}
+	EOF
+}
+
+# usage: start NUMBER KEY
+start() {
+	cat >"$dir/e$1.json" <<-EOF
+	{
+		"name": "e$1", "zone": "bkk-$1",
+		"listen": [{ "host": "127.0.0.1", "port": $((26110 + $1)) }],
+		"platform": { "host": "127.0.0.1", "port": 26100,
+			"list_ms": 200 },
+		"threads": 1, "log_level": "info",
+		"peer_port": $((26120 + $1)), "peer_key": "$2",
+		"peers": [
+		{ "name": "e1", "host": "127.0.0.1", "port": 26111,
+			"peer_port": 26121, "zone": "bkk-1" },
+		{ "name": "e2", "host": "127.0.0.1", "port": 26112,
+			"peer_port": 26122, "zone": "bkk-2" }]
+	}
+	EOF
+	"$build/medlard" --config "$dir/e$1.json" 2>"$dir/e$1.log" &
+	eval "pid_$1=$!"
+	pids="$pids $!"
+}
+
+logged() {
+	grep -q "$2" "$dir/e$1.log"
+}
+
+# usage: gives_out NUMBER COUNT
+gives_out() {
+	test "$(curl -s -m 1 "http://127.0.0.1:$((26110 + $1))/v1/addresses" |
+		grep -o '"name"' | wc -l)" -eq "$2"
+}
+
+stop_all() {
+	# shellcheck disable=SC2086 # a list of numbers
+	kill -9 $pids 2>/dev/null
+	wait
+}
+
+key=00112233445566778899aabbccddeeff
+other_key=ff112233445566778899aabbccddeeff
+rm -rf "$dir"
+mkdir -p "$dir"
+trap stop_all EXIT
+"$build/fake-platform" -p 26100 >"$dir/platform.log" 2>&1 &
+platform_pid=$!
+pids=$platform_pid
+await curl -s -m 1 "http://$platform/v1/kv/medlar/config"
+put_config 1 0 >/dev/null
+start 1 $key
+start 2 $key
+await logged 1 'event=config.*revision=1.*source=store' &&
+	await logged 2 'event=config.*revision=1.*source=store' &&
+	await logged 1 'event=member instance=e2 state=alive'
+result $? instances_hear_of_each_other
+
+kill -9 "$platform_pid"
+start 3 $key
+await logged 3 'event=config revision=1 .*source=peer'
+result $? an_instance_started_without_the_store_takes_the_revision_of_peers
+
+await logged 1 'event=member instance=e3 state=alive' &&
+	await gives_out 1 3 && await gives_out 2 3
+result $? an_instance_that_is_not_listed_is_given_out
+
+start 4 $other_key
+sleep 1
+! logged 1 'instance=e4' && ! logged 4 'instance=e1' &&
+	! logged 4 'event=config' &&
+	curl -s -m 1 http://127.0.0.1:26111/metrics |
+	grep -q '^medlard_peer_unauthenticated_total [1-9]'
+result $? an_instance_with_another_key_is_not_heard
+
+kill "$pid_2"
+await logged 1 'event=member instance=e2 state=leaving' &&
+	await logged 3 'event=member instance=e2 state=leaving' &&
+	await gives_out 1 2
+result $? a_planned_stop_is_known_without_the_store
+
+kill -9 "$pid_3"
+await logged 1 'event=member instance=e3 state=dead' && await gives_out 1 1
+result $? a_lost_instance_is_found_without_the_store
+
+echo "1..$count"
+exit "$failed"
--- a/tests/fleet.hh
+++ b/tests/fleet.hh
@@ -173,12 +173,11 @@
 	{
 		for (size_t i = 0; i < medlar_members_count(&node.members);
 		     i++) {
-			medlar_member_state_t state;
-			const medlar_member_info_t *info = medlar_members_get(
-				&node.members, i, &state);
+			medlar_member_t member;
 
-			if (info && info->name == name)
-				return state;
+			if (medlar_members_get(&node.members, i, &member) &&
+			    member.info->name == name)
+				return member.state;
 		}
 		return MEDLAR_MEMBER_STATES;
 	}
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -25,6 +25,7 @@
 	medlar_client_t client;
 	loop_t loop;
 	logger_t log;
+	metrics_t metrics;
 	peer_t peer;
 	medlar_timer_t bound;
 	unsigned received;
@@ -55,7 +56,8 @@
 static void open_end(end_t *end, uint16_t port, const char *key)
 {
 	const peer_settings_t settings = { "127.0.0.1", port,
-					   medlar_str_from(key) };
+					   medlar_str_from(key),
+					   &end->metrics };
 
 	memset(end, 0, sizeof(*end));
 	medlar_client_init(&end->client, MEDLAR_STR("a"), 0, 1);
@@ -240,7 +242,7 @@
 	peer_send(&c.peer, &to, &message);
 	wait_for(&b, 1, WAIT);
 	assert_int_equal(b.received, 1);
-	assert_int_equal(b.peer.counts.unauthenticated, 2);
+	assert_int_equal(b.metrics.counts[METRIC_PEER_UNAUTHENTICATED], 2);
 	close_end(&a);
 	close_end(&b);
 	close_end(&c);
