--- /dev/null
+++ b/tests/e2e_writes.sh
@@ -0,0 +1,190 @@
+#!/bin/sh
+# Writes through four entry instances while the store loses replies, upstreams
+# shed, hold back replies and crash, and an instance is killed. What callers
+# were told is compared with the executions that the upstreams logged.
+#
+# usage: tests/e2e_writes.sh BUILD [WRITES [PORT]]
+# WRITES is the number in each case; ports from PORT are used.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+
+build=$1
+base=${3:-28000}
+rate=100
+seconds=$((${2:-300} / rate))
+service=billing-ledger
+cases=0
+failures=0
+
+# Reports a case in TAP: ok STATUS NAME.
+report() {
+	cases=$((cases + 1))
+	if test "$1" -eq 0
+	then
+		echo "ok $cases - $2"
+	else
+		failures=$((failures + 1))
+		echo "not ok $cases - $2"
+	fi
+}
+
+# Prints the answer to a write. usage: send ENTRY KEY
+send() {
+	curl -s -m 10 -H "Idempotency-Key: $2" -d '{"query":{"renew":1}}' \
+		"http://$1/v1/services/$service/write"
+}
+
+# Sends writes at a constant rate. usage: load SEED
+load() {
+	# shellcheck disable=SC2086
+	"$build/medlarload" --service "$service" --mix 0:0:1 --seed "$1" \
+		--rate "$rate" --duration "$seconds" --callers 20 --resends 3 \
+		--executions "http://$fleet_control/executions" \
+		--json="$fleet_dir/load.json" $fleet_entries >/dev/null 2>&1
+}
+
+# Prints a figure of the last load. usage: figure NAME
+figure() {
+	sed -n "s/.*\"write\":{[^}]*\"$1\":\([0-9.]*\).*/\1/p" \
+		"$fleet_dir/load.json"
+}
+
+# Nothing was doubled, nothing untrue was told, and some writes ran.
+is_true() {
+	for name in doubled untrue_not_run untrue_ran
+	do
+		test "$(figure $name)" = 0 || return 1
+	done
+	test "$(figure ran)" -gt 0
+}
+
+# Runs the load and reports a case. usage: check SEED NAME
+check() {
+	load "$1"
+	is_true
+	report $? "$2"
+	echo "# ran $(figure ran) not_run $(figure not_run)" \
+		"unknown $(figure unknown) no_answer $(figure no_answer)" \
+		"replayed $(figure replayed) resent $(figure resent)"
+}
+
+upstream_knob() {
+	fleet_knob "$fleet_control/knobs?service=$service&$1"
+}
+
+executions_of() {
+	curl -s -m 5 "http://$fleet_control/executions" |
+		grep -c "\"key\":\"$1\""
+}
+
+check_repeat() {
+	key=$(fleet_key)
+	for entry in $fleet_entries
+	do
+		send "$entry" "$key" >>"$fleet_dir/repeat.json"
+		sleep 0.5
+	done
+	test "$(grep -c '"outcome":"ran"' "$fleet_dir/repeat.json")" -eq 4 &&
+		test "$(grep -c '"replayed":true' \
+			"$fleet_dir/repeat.json")" -eq 3 &&
+		test "$(executions_of "$key")" -eq 1
+	report $? replays_the_result_through_every_instance
+	curl -s -m 5 "http://$fleet_entry/v1/writes/$key" |
+		grep -q "\"service\":\"$service\",\"state\":\"ran\""
+	report $? shows_operators_what_is_known
+}
+
+check_refusals() {
+	send "$fleet_entry" not-a-uuid | grep -q '"outcome":"not_run"'
+	report $? refuses_a_malformed_key
+	send "$fleet_entry" 01700000-0000-7000-8000-000000000000 |
+		grep -q '"outcome":"unknown".*"code":"expired"'
+	report $? does_not_claim_to_know_an_expired_key
+}
+
+check_outage() {
+	fleet_knob "$fleet_platform/knobs?down=1"
+	key=$(fleet_key)
+	send "$fleet_entry" "$key" | grep -q '"outcome":"not_run"'
+	told=$?
+	test "$told" -eq 0 && test "$(executions_of "$key")" -eq 0
+	report $? refuses_as_not_run_while_the_store_is_down
+	fleet_knob "$fleet_platform/knobs?down=0"
+	tries=0
+	until send "$fleet_entry" "$(fleet_key)" | grep -q '"outcome":"ran"'
+	do
+		tries=$((tries + 1))
+		test "$tries" -lt 20 || break
+		sleep 0.2
+	done
+	test "$tries" -lt 20
+	report $? runs_writes_again_when_the_store_is_back
+}
+
+# A paused instance may dispatch what it claimed before, and nothing else.
+check_pause() {
+	(
+		sleep 1
+		kill -STOP "$(fleet_pid_of medlard-4)"
+		sleep 1.5
+		kill -CONT "$(fleet_pid_of medlard-4)"
+	) &
+	pauser=$!
+	check 6 tells_the_truth_when_an_instance_is_paused
+	wait "$pauser"
+}
+
+# The outcome is recorded before the instance that knows it ends.
+check_stop() {
+	key=$(fleet_key)
+	send "${fleet_entry%1}3" "$key" >"$fleet_dir/stop.json"
+	kill -TERM "$(fleet_pid_of medlard-3)"
+	fleet_reap medlard-3 && send "$fleet_entry" "$key" |
+		grep -q '"outcome":"ran".*"replayed":true'
+	report $? records_outcomes_before_a_planned_stop
+}
+
+check_faults() {
+	fleet_knob "$fleet_platform/knobs?lose=0.1"
+	check 2 tells_the_truth_while_store_replies_are_lost
+	fleet_knob "$fleet_platform/knobs?lose=0"
+	upstream_knob "shed=0.3&late=0.1&late_ms=500"
+	check 3 tells_the_truth_while_upstreams_shed_and_are_late
+	fleet_knob "$fleet_platform/knobs?lose=0.05"
+	(
+		sleep 1
+		fleet_knob "$fleet_control/act?service=$service&replica=0&die=500"
+		kill -KILL "$(fleet_pid_of medlard-2)"
+	) &
+	killer=$!
+	check 4 tells_the_truth_when_an_instance_is_killed
+	wait "$killer"
+	fleet_knob "$fleet_platform/knobs?lose=0"
+	upstream_knob "shed=0&late=0"
+	# Upstreams crash on every body that holds this digit.
+	fleet_knob "$fleet_control/act?service=$service&crash=7"
+	check 5 tells_the_truth_while_requests_crash_upstreams
+}
+
+trap 'fleet_stop' EXIT
+trap 'exit 1' INT TERM
+rm -rf "$build/e2e-writes-$base"
+fleet_prepare "$build" kraisorn "$build/e2e-writes-$base" "$base"
+fleet_start || exit 1
+tries=0
+until send "$fleet_entry" "$(fleet_key)" | grep -q '"outcome":"ran"'
+do
+	tries=$((tries + 1))
+	test "$tries" -lt 50 || exit 1
+	sleep 0.2
+done
+check_repeat
+check_refusals
+check 1 tells_the_truth_without_faults
+check_outage
+check_pause
+check_stop
+check_faults
+test "$failures" -eq 0
