--- a/bench/bench_query.c
+++ b/bench/bench_query.c
@@ -82,7 +82,9 @@
 
 static void begin(bench_t *bench)
 {
-	const medlar_service_ops_t ops = { send, cancel, answer };
+	const medlar_service_ops_t ops = { .send = send,
+					   .cancel = cancel,
+					   .answer = answer };
 	medlar_policy_t policy;
 
 	memset(bench, 0, sizeof(*bench));
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,6 +7,7 @@
 # fleet_start				start everything and wait until ready
 # fleet_stop				stop everything, by process id
 #
+# $FLEET_PORT_SHIFT, in thousands, is taken from all ports.
 # Afterwards $fleet_platform, $fleet_control and $fleet_entries hold HOST:PORT.
 
 fleet_pids=
@@ -18,7 +19,7 @@
 	test -d "$fleet_example" || fleet_example=bench/$2
 	fleet_from=$(sed -n 's/.*"platform": "127.0.0.1:\([0-9]*\)000".*/\1/p' \
 		"$fleet_example/upstreams.json")
-	fleet_to=$((${4:-${fleet_from}000} / 1000))
+	fleet_to=$((${4:-${fleet_from}000} / 1000 - ${FLEET_PORT_SHIFT:-0}))
 	mkdir -p "$fleet_dir"
 	for fleet_file in "$fleet_example"/*.json
 	do
