--- a/tests/tap.sh
+++ b/tests/tap.sh
@@ -2,8 +2,6 @@
 # Frame of the end-to-end tests: a deployment, loads, and TAP lines.
 #
 # usage: . tests/tap.sh; tap_start BUILD NAME SERVICE
-#
-# E2E_BASE moves the TCP ports, so that two checkouts can test at once.
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
 
@@ -25,7 +23,7 @@
 	rm -rf "$dir"
 	trap 'tap_end' EXIT
 	trap 'exit 1' INT TERM
-	fleet_prepare "$build" kraisorn "$dir" "${E2E_BASE:-23000}"
+	fleet_prepare "$build" kraisorn "$dir" 23000
 }
 
 # Starts the whole deployment: BUILD NAME SERVICE
