Count as goodput only what ends in the time of the run

Cause: answers that came after the last arrival counted, so a queue drained over two seconds made a run of three look faster than the slots allow (337/s of 268/s at twice the capacity).

Change: goodput counts what ends before the end of arrivals.

--- a/cli/load.h
+++ b/cli/load.h
@@ -113,6 +113,7 @@
  * @refused: latency of requests that were told "not run"
  * @outcomes: number of each outcome
  * @faults: number of each fault
+ * @in_time: complete answers, and writes that ran, before the end of arrivals
  * @coverage: sum of the coverage of reads
  * @resent: requests sent again by callers
  * @sends: requests to upstreams
@@ -124,6 +125,7 @@
 	load_series_t refused;
 	uint64_t outcomes[LOAD_OUTCOME_COUNT];
 	uint64_t faults[LOAD_FAULT_COUNT];
+	uint64_t in_time;
 	double coverage;
 	uint64_t resent;
 	uint64_t sends;
--- a/cli/load_report.c
+++ b/cli/load_report.c
@@ -87,10 +87,7 @@
 	add(summary, "max_ms", load_series_quantile(&stats->latency, 1));
 	add(summary, "refused_p99_ms",
 	    load_series_quantile(&stats->refused, 0.99));
-	add(summary, "goodput",
-	    (double)(stats->outcomes[LOAD_COMPLETE] +
-		     stats->outcomes[LOAD_RAN]) /
-		    seconds);
+	add(summary, "goodput", (double)stats->in_time / seconds);
 	add(summary, "coverage", ratio(stats->coverage, reads));
 	add(summary, "sends_per_needed",
 	    ratio((double)stats->sends, (double)stats->needed));
@@ -113,6 +110,7 @@
 		to->outcomes[i] += from->outcomes[i];
 	for (i = 0; i < LOAD_FAULT_COUNT; i++)
 		to->faults[i] += from->faults[i];
+	to->in_time += from->in_time;
 	to->coverage += from->coverage;
 	to->resent += from->resent;
 	to->sends += from->sends;
--- a/cli/load_run.c
+++ b/cli/load_run.c
@@ -156,6 +156,9 @@
 	int i;
 
 	stats->outcomes[result->outcome]++;
+	stats->in_time += load_now() <= load->ends &&
+			  (result->outcome == LOAD_COMPLETE ||
+			   result->outcome == LOAD_RAN);
 	if (result->outcome == LOAD_NOT_RUN)
 		load_series_add(&stats->refused, ms);
 	else if (result->outcome <= LOAD_RAN)
