Wait for each instance to find the store again

Cause: the test asked a second instance before its circuit breaker had found the store back, seen once under load. Conclusion: the outage is told truthfully; the test was early.

--- a/tests/e2e_questionnaire.sh
+++ b/tests/e2e_questionnaire.sh
@@ -112,12 +112,15 @@
 test "$status" -ne 0 && in_force_everywhere 5
 result nothing_is_accepted_while_the_store_is_down $?
 
-tries=0
-until ctl "$3" questionnaire show >/dev/null 2>&1
+for entry in $fleet_entries
 do
-	tries=$((tries + 1))
-	test "$tries" -lt 300 || break
-	sleep 0.1
+	tries=0
+	until ctl "$entry" questionnaire show >/dev/null 2>&1
+	do
+		tries=$((tries + 1))
+		test "$tries" -lt 300 || break
+		sleep 0.1
+	done
 done
 ctl "$3" questionnaire revert 1 --section product \
 	--token-file "$dir/product.token" >/dev/null
