Give each run of the daemon's tests ports of its own

Two runs on one machine shared a port through SO_REUSEPORT, so that each other's daemons answered ("no-replica", epoch 0) in 6 runs of 8. The shares of replicas are worked out again only when the set of instances has changed, not with each reading of the list, which had left a log line five times a second.

--- a/medlard/instances.c
+++ b/medlard/instances.c
@@ -26,8 +26,8 @@
 {
 	instances_note_t *note = data;
 
-	(void)worker_set_instances(worker, note->items, note->len);
-	worker_apply_peers(worker);
+	if (worker_set_instances(worker, note->items, note->len))
+		worker_apply_peers(worker);
 	free(note->items);
 	free(note);
 }
--- a/medlard/worker.c
+++ b/medlard/worker.c
@@ -141,31 +141,35 @@
  * @instances: the list; copied
  * @len: how many
  *
- * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM with the list as before.
+ * Return: whether other instances than before share the upstreams now; false
+ * also without memory, with the list as before.
  */
-int worker_set_instances(worker_t *worker, const instance_t *instances,
-			 size_t len)
+bool worker_set_instances(worker_t *worker, const instance_t *instances,
+			  size_t len)
 {
 	instance_t *kept = calloc(len + 1, sizeof(*kept));
 	uint64_t *ids = calloc(len + 1, sizeof(*ids));
+	bool changed;
 
 	if (!kept || !ids) {
 		free(kept);
 		free(ids);
-		return MEDLAR_ERR_NOMEM;
+		return false;
+	}
+	for (size_t i = 0; i < len; i++) {
+		kept[i] = instances[i];
+		ids[i] = medlar_str_hash(medlar_str_from(instances[i].name), 0);
 	}
+	qsort(ids, len, sizeof(*ids), compare_ids);
+	changed = len != worker->peers_len || !worker->peers ||
+		  memcmp(ids, worker->peers, len * sizeof(*ids)) != 0;
 	free(worker->instances);
 	free(worker->peers);
 	worker->instances = kept;
 	worker->instances_len = len;
 	worker->peers = ids;
 	worker->peers_len = len;
-	for (size_t i = 0; i < len; i++) {
-		kept[i] = instances[i];
-		ids[i] = medlar_str_hash(medlar_str_from(instances[i].name), 0);
-	}
-	qsort(ids, len, sizeof(*ids), compare_ids);
-	return MEDLAR_OK;
+	return changed;
 }
 
 /**
--- a/medlard/worker.h
+++ b/medlard/worker.h
@@ -92,8 +92,8 @@
 int worker_start(worker_t *worker);
 void worker_join(worker_t *worker);
 void worker_finish(worker_t *worker);
-int worker_set_instances(worker_t *worker, const instance_t *instances,
-			 size_t len);
+bool worker_set_instances(worker_t *worker, const instance_t *instances,
+			  size_t len);
 void worker_apply_peers(worker_t *worker);
 
 #endif /* MEDLARD_WORKER_H */
--- a/tests/e2e_daemon.sh
+++ b/tests/e2e_daemon.sh
@@ -6,9 +6,11 @@
 set -u
 build=$1
 dir=$build/e2e-daemon
-platform=127.0.0.1:24600
-control=127.0.0.1:24601
-entry=127.0.0.1:24602
+# Runs at the same time get ports of their own, within 24600 to 25799.
+port=$((24600 + $$ % 30 * 40))
+platform=127.0.0.1:$port
+control=127.0.0.1:$((port + 1))
+entry=127.0.0.1:$((port + 2))
 count=0 failed=0
 
 # usage: result STATUS NAME
@@ -54,8 +56,12 @@
 	done
 }
 
-has_slots() {
-	curl -s -m 2 "http://$entry/v1/status" | grep -q '"slots":[1-9]'
+# The stand-in registers one replica after another.
+sees_all() {
+	test "$(curl -s -m 2 "http://$entry/v1/upstreams" |
+		grep -o '"state":"live"' | wc -l)" -eq 15 &&
+		curl -s -m 2 "http://$entry/v1/status" |
+			grep -q '"slots":[1-9]'
 }
 
 logged() {
@@ -72,8 +78,8 @@
 	cat >"$1" <<-EOF
 	{
 		"name": "e1", "zone": "z1", // one of three
-		"listen": [{ "host": "127.0.0.1", "port": 24602 }],
-		"platform": { "host": "127.0.0.1", "port": 24600,
+		"listen": [{ "host": "127.0.0.1", "port": $((port + 2)) }],
+		"platform": { "host": "127.0.0.1", "port": $port,
 			"list_ms": 200 },
 		"threads": $3,
 		"log_level": "$2"
@@ -83,13 +89,13 @@
 
 start_stand_ins() {
 	cat >"$dir/upstreams.json" <<-EOF
-	{ "platform": "$platform", "control_port": 24601, "threads": 1,
+	{ "platform": "$platform", "control_port": $((port + 1)), "threads": 1,
 	  "zones": ["z1", "z2", "z3"],
 	  "services": [{ "name": "poems", "shards": 5, "replicas": 3,
-		"port": 24610, "slots": 4, "connections": 25, "connect_ms": 1,
+		"port": $((port + 10)), "slots": 4, "connections": 25, "connect_ms": 1,
 		"mean_ms": 5, "sigma": 0.2, "version": 7, "queue": 8 }] }
 	EOF
-	"$build/fake-platform" -p 24600 >"$dir/platform.log" 2>&1 &
+	"$build/fake-platform" -p "$port" >"$dir/platform.log" 2>&1 &
 	platform_pid=$!
 	await curl -s -m 1 "http://$platform/v1/kv/medlar/config" || return 1
 	"$build/fake-upstream" "$dir/upstreams.json" \
@@ -112,7 +118,7 @@
 	write_settings "$dir/medlard.json" info 2
 	"$build/medlard" --config "$dir/medlard.json" 2>"$dir/medlard.log" &
 	daemon_pid=$!
-	await curl -sf -m 1 "http://$entry/readyz" && await has_slots
+	await curl -sf -m 1 "http://$entry/readyz" && await sees_all
 }
 
 stop_all() {
@@ -131,7 +137,7 @@
 result $? 'a_search_is_complete'
 
 test "$(curl -s -m 5 "http://$entry/v1/upstreams" |
-	grep -o '"state":"live"' | wc -l)" -eq 15
+	grep -o '"share":[1-9]' | wc -l)" -eq 15
 result $? 'upstreams_are_shown'
 
 write_settings "$dir/wrong.json" loud 99
--- a/tests/test_fuzz_port.c
+++ b/tests/test_fuzz_port.c
@@ -21,17 +21,19 @@
 
 #include "medlard/control.h"
 
-#define PORT 24500
-#define PLATFORM_PORT 24501
-#define UPSTREAM_PORT 24502
+/* Runs at the same time get ports of their own, within 24100 to 24499. */
+#define PORT_BASE 24100
+#define PORT_SETS 100
+#define PORTS_A_SET 4
+
 #define ROUNDS 400
 #define BYTES_MAX 3000
 #define WAIT_MS 50
 
 static const char settings_text[] =
 	"{\"name\":\"e1\",\"zone\":\"z1\",\"threads\":2,"
-	"\"listen\":[{\"host\":\"127.0.0.1\",\"port\":24500}],"
-	"\"platform\":{\"host\":\"127.0.0.1\",\"port\":24501,"
+	"\"listen\":[{\"host\":\"127.0.0.1\",\"port\":%d}],"
+	"\"platform\":{\"host\":\"127.0.0.1\",\"port\":%d,"
 	"\"list_ms\":100,\"timeout_ms\":200,\"rate\":500},"
 	"\"body_max\":2000,\"request_ms\":1000,\"stop_ms\":200,"
 	"\"log_level\":\"error\"}";
@@ -49,10 +51,10 @@
 
 static const char list_text[] =
 	"[{\"Service\":{\"ID\":\"s-0\",\"Service\":\"s\",\"Address\":"
-	"\"127.0.0.1\",\"Port\":24502,\"Meta\":{\"shard\":\"0\",\"zone\":"
+	"\"127.0.0.1\",\"Port\":%d,\"Meta\":{\"shard\":\"0\",\"zone\":"
 	"\"z1\",\"incarnation\":\"5\",\"versions\":\"7\"}},\"Checks\":[]},"
 	"{\"Service\":{\"ID\":\"s-1\",\"Service\":\"s\",\"Address\":"
-	"\"127.0.0.1\",\"Port\":24502,\"Meta\":{\"shard\":\"1\",\"zone\":"
+	"\"127.0.0.1\",\"Port\":%d,\"Meta\":{\"shard\":\"1\",\"zone\":"
 	"\"z1\",\"incarnation\":\"5\",\"versions\":\"7\"}},\"Checks\":[]},"
 	"{\"Service\":5},7,null]";
 
@@ -130,8 +132,15 @@
 			  strlen(json), json);
 }
 
+/* The ports: of the daemon, then of the platform, then of the upstream. */
+static int port_of(int which)
+{
+	return PORT_BASE + (int)getpid() % PORT_SETS * PORTS_A_SET + which;
+}
+
 static void answer_platform(const char *request, medlar_buf_t *out)
 {
+	char list[2 * sizeof(list_text)];
 	char value[4 * sizeof(config_text)];
 	char json[sizeof(value) + 100];
 
@@ -142,10 +151,11 @@
 		 "[{\"Key\":\"medlar/config\",\"ModifyIndex\":3,"
 		 "\"Value\":\"%s\"}]",
 		 value);
+	snprintf(list, sizeof(list), list_text, port_of(2), port_of(2));
 	if (strstr(request, "/kv/medlar/config"))
 		add_json(out, json);
 	else if (strstr(request, "/health/service/s "))
-		add_json(out, list_text);
+		add_json(out, list);
 	else
 		add_json(out, "[]");
 }
@@ -234,7 +244,7 @@
 
 static int dial(void)
 {
-	struct sockaddr_in address = loopback(PORT);
+	struct sockaddr_in address = loopback((uint16_t)port_of(0));
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
@@ -306,10 +316,10 @@
 	(void)state;
 	file = fopen("build/fuzz-settings.json", "w");
 	assert_non_null(file);
-	(void)fputs(settings_text, file);
+	(void)fprintf(file, settings_text, port_of(0), port_of(1));
 	(void)fclose(file);
-	garbage_start(&platform, PLATFORM_PORT);
-	garbage_start(&upstream, UPSTREAM_PORT);
+	garbage_start(&platform, (uint16_t)port_of(1));
+	garbage_start(&upstream, (uint16_t)port_of(2));
 	assert_int_equal(pthread_create(&daemon, NULL, run_daemon, &result), 0);
 	for (int i = 0; i < 400 && !is_ok("/readyz"); i++)
 		usleep(WAIT_MS * 1000);
