--- a/Makefile
+++ b/Makefile
@@ -119,11 +119,13 @@
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/sbin
 	install -d $(DESTDIR)$(PREFIX)/share/man/man1
+	install -d $(DESTDIR)$(PREFIX)/share/man/man5
 	install -d $(DESTDIR)$(PREFIX)/share/man/man8
 	install -m 755 $(BUILD)/medlard $(DESTDIR)$(PREFIX)/sbin
 	install -m 755 $(BUILD)/medlarctl $(BUILD)/medlarload \
 		$(DESTDIR)$(PREFIX)/bin
 	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.5 $(DESTDIR)$(PREFIX)/share/man/man5
 	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
 
 clean:
