--- a/medlard/store.c
+++ b/medlard/store.c
@@ -16,7 +16,7 @@
 #define BURST_SECONDS 0.5
 #define BREAK_AFTER 5
 #define BACKOFF_MIN ((medlar_time_t)50)
-#define BACKOFF_MAX (2 * MEDLAR_SECOND)
+#define BACKOFF_MAX MEDLAR_SECOND
 #define BACKOFF_SHIFT_MAX 10
 #define WAIT_SLACK ((medlar_time_t)1500)
 
