--- a/libmedlar/hedge.c
+++ b/libmedlar/hedge.c
@@ -12,8 +12,8 @@
 #define DELAY_UNKNOWN 50
 #define DELAY_MIN 2
 #define PAUSE_MIN 2
-#define PAUSE_MAX 50
-#define PAUSE_DOUBLINGS_MAX 4
+#define PAUSE_MAX 200
+#define PAUSE_DOUBLINGS_MAX 6
 /* Share of a full budget that hedges leave to retries. */
 #define RETRY_RESERVE 0.1
 
