--- a/libmedlar/admission.c
+++ b/libmedlar/admission.c
@@ -10,7 +10,7 @@
 #include "query.h"
 
 /* Parts that may be open for each slot: one at work and some to follow. */
-#define ROOM_PER_SLOT 2
+#define ROOM_PER_SLOT 1.6
 /* How often the room is worked out again, ms. */
 #define ROOM_TIME 100
 /* Shortest time over which the rate of ended queries is measured, ms. */
@@ -59,7 +59,7 @@
 		return;
 	for (i = 0; i < service->shards_len; i++)
 		slots += slots_of(service->shards[i]);
-	admission->room = ROOM_PER_SLOT * slots;
+	admission->room = (size_t)(ROOM_PER_SLOT * (double)slots);
 	admission->sized = now;
 }
 
