Decode journals in order and count commits

Change: entries are appended in the order of their keys, and any other order is refused; five counters a service; 20 ms between readings of the layouts.

--- a/bench/bench_write.c
+++ b/bench/bench_write.c
@@ -6,6 +6,7 @@
  * round trip and runs as many writes as the store takes calls.
  */
 #include <math.h>
+#include <time.h>
 
 #include "bench/write_model.h"
 
@@ -19,6 +20,7 @@
 #define SECOND_US ((int64_t)MODEL_US * MEDLAR_SECOND)
 #define THROUGHPUT_PARTITIONS 2048
 #define OFFERED 5500 /* writes a second */
+#define CODEC_ROUNDS 50
 #define BISECTIONS 12
 #define NO_BOUND NAN
 
@@ -280,6 +282,45 @@
 	}
 }
 
+static double seconds(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+	return (double)time.tv_sec + (double)time.tv_nsec * 1e-9;
+}
+
+/* Processor time to read and write a full journal, as each commit does. */
+static void measure_codec(const medlar_journal_t *journal)
+{
+	medlar_journal_t copy;
+	medlar_buf_t value;
+	double start = seconds();
+	double middle;
+	int i;
+
+	medlar_buf_init(&value);
+	medlar_journal_init(&copy);
+	for (i = 0; i < CODEC_ROUNDS; i++) {
+		medlar_buf_reset(&value);
+		medlar_journal_encode(journal, &value);
+	}
+	middle = seconds();
+	for (i = 0; i < CODEC_ROUNDS; i++) {
+		medlar_journal_finish(&copy);
+		if (medlar_journal_decode(&copy, medlar_buf_str(&value)))
+			abort();
+	}
+	row("capacity", "encode_full_journal", "us",
+	    (middle - start) / CODEC_ROUNDS * 1e6, NAN, NO_BOUND);
+	row("capacity", "decode_full_journal", "us",
+	    (seconds() - middle) / CODEC_ROUNDS * 1e6, NAN, NO_BOUND);
+	row("capacity", "memory_of_a_pending_write", "bytes",
+	    (double)sizeof(medlar_write_t), NAN, NO_BOUND);
+	medlar_journal_finish(&copy);
+	medlar_buf_finish(&value);
+}
+
 /* How many writes a second the journals hold for a window of an hour. */
 static void measure_capacity(void)
 {
@@ -299,6 +340,7 @@
 	    NAN, NO_BOUND);
 	row("capacity", "writes_for_a_window_of_1h_per_partition", "writes/s",
 	    (double)journal.len * MEDLAR_SECOND / MEDLAR_HOUR, NAN, NO_BOUND);
+	measure_codec(&journal);
 	medlar_journal_finish(&journal);
 }
 
--- a/libmedlar/journal.c
+++ b/libmedlar/journal.c
@@ -113,6 +113,29 @@
 	return MEDLAR_OK;
 }
 
+/**
+ * medlar_journal_append() - add an entry behind all others
+ * @journal: journal
+ * @entry: the entry; a result is within the results of @journal
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_PROTOCOL when the key is not the highest, or
+ * %MEDLAR_ERR_NOMEM.
+ */
+int medlar_journal_append(medlar_journal_t *journal,
+			  const medlar_entry_t *entry)
+{
+	size_t len = journal->len;
+
+	if (len > 0 &&
+	    compare_keys(&journal->entries[len - 1].key, &entry->key) >= 0)
+		return MEDLAR_ERR_PROTOCOL;
+	if (len == journal->cap && !grow(journal))
+		return MEDLAR_ERR_NOMEM;
+	journal->entries[journal->len++] = *entry;
+	journal->size += medlar_journal_entry_size(entry);
+	return MEDLAR_OK;
+}
+
 /**
  * medlar_journal_claim() - add an entry, or replace one that did not run
  * @journal: journal
--- a/libmedlar/journal_codec.c
+++ b/libmedlar/journal_codec.c
@@ -154,7 +154,7 @@
 		return journal->results.error;
 	reader->at = at + entry.result_len;
 	reader->left -= medlar_journal_entry_size(&entry);
-	return medlar_journal_claim(journal, &entry, SIZE_MAX);
+	return medlar_journal_append(journal, &entry);
 }
 
 static bool is_intact(medlar_str_t value)
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -1841,6 +1841,8 @@
 void medlar_journal_finish(medlar_journal_t *journal);
 medlar_entry_t *medlar_journal_find(const medlar_journal_t *journal,
 				    const medlar_uuid_t *key);
+int medlar_journal_append(medlar_journal_t *journal,
+			  const medlar_entry_t *entry);
 int medlar_journal_claim(medlar_journal_t *journal, const medlar_entry_t *claim,
 			 size_t limit);
 int medlar_journal_record(medlar_journal_t *journal, medlar_entry_t *entry,
@@ -2127,6 +2129,7 @@
  * @layouts: layouts known to be in the store
  * @layouts_known: @layouts was read
  * @layouts_busy: a store call for the layouts is in flight
+ * @layouts_time: when the layouts were last read
  * @layouts_failures: such calls that failed in a row
  * @layouts_index: index of the layouts value last read
  * @layouts_timer: repeats such a call
@@ -2151,6 +2154,7 @@
 	medlar_layouts_t layouts;
 	bool layouts_known;
 	bool layouts_busy;
+	medlar_time_t layouts_time;
 	uint32_t layouts_failures;
 	uint64_t layouts_index;
 	medlar_timer_t layouts_timer;
--- a/libmedlar/writes.c
+++ b/libmedlar/writes.c
@@ -14,6 +14,7 @@
 #define BACKOFF_MIN ((medlar_time_t)4) /* ms */
 #define BACKOFF_MAX ((medlar_time_t)500) /* ms */
 #define BACKOFF_DOUBLINGS 7
+#define RELOAD_MIN ((medlar_time_t)20) /* ms between readings of the layouts */
 #define KEY_MAX_LEN 128
 
 static void load_layouts(medlar_writes_t *writes);
@@ -44,6 +45,7 @@
 		.ops = *params->ops,
 		.data = params->data,
 		.epoch = params->epoch,
+		.layouts_time = -RELOAD_MIN,
 	};
 	medlar_writes_set_commits(writes, params->commits);
 	medlar_timer_init(&writes->layouts_timer, on_layouts_timer, writes);
@@ -232,6 +234,7 @@
 	writes->layouts_busy = false;
 	writes->layouts_failures = 0;
 	writes->layouts_known = true;
+	writes->layouts_time = now;
 	if (layouts->len > writes->layouts.len)
 		writes->layouts = *layouts;
 	writes->waiting = (medlar_claims_t){ 0 };
@@ -289,10 +292,16 @@
  */
 void medlar_writes_reload(medlar_writes_t *writes, medlar_claim_t *claim)
 {
+	medlar_time_t due = writes->layouts_time + RELOAD_MIN;
+
 	medlar_claims_remove(claim);
 	medlar_claims_append(&writes->waiting, claim);
 	writes->layouts_known = false;
-	if (!writes->layouts_timer.slot)
+	if (writes->layouts_timer.slot)
+		return;
+	/* A reading that lags behind the seal is not repeated at once. */
+	if (due <= medlar_writes_now(writes) ||
+	    medlar_timer_set(writes->client, &writes->layouts_timer, due))
 		load_layouts(writes);
 }
 
--- a/medlard/metrics.c
+++ b/medlard/metrics.c
@@ -67,6 +67,16 @@
 				   "Sub-requests sent to upstreams." },
 	[SERVICE_METRIC_NEEDED] = { "service_parts_total",
 				    "Sub-requests needed." },
+	[SERVICE_METRIC_CLAIMS] = { "write_claims_total",
+				    "Write keys claimed." },
+	[SERVICE_METRIC_RECORDS] = { "write_records_total",
+				     "Outcomes of writes recorded." },
+	[SERVICE_METRIC_COMMITS] = { "write_commits_total",
+				     "Commits of write journals tried." },
+	[SERVICE_METRIC_CONFLICTS] = { "write_conflicts_total",
+				       "Commits refused: another was first." },
+	[SERVICE_METRIC_LOST] = { "write_lost_total",
+				  "Commits whose reply was lost." },
 };
 
 /* Upper bounds of the latency buckets in milliseconds. */
--- a/medlard/writer.c
+++ b/medlard/writer.c
@@ -66,13 +66,33 @@
 	return answer_error_status(error);
 }
 
-/* Answer the caller; @writing is not used afterwards. */
+static void show_stats(writer_t *writer)
+{
+	service_metrics_t *metrics = writer->service->metrics;
+	const medlar_writes_stats_t *old = &writer->shown;
+	const medlar_writes_stats_t *stats = &writer->core.stats;
+
+	metrics_service_add(metrics, SERVICE_METRIC_CLAIMS,
+			    stats->claims - old->claims);
+	metrics_service_add(metrics, SERVICE_METRIC_RECORDS,
+			    stats->records - old->records);
+	metrics_service_add(metrics, SERVICE_METRIC_COMMITS,
+			    stats->commits - old->commits);
+	metrics_service_add(metrics, SERVICE_METRIC_CONFLICTS,
+			    stats->conflicts - old->conflicts);
+	metrics_service_add(metrics, SERVICE_METRIC_LOST,
+			    stats->lost - old->lost);
+	writer->shown = *stats;
+}
+
+/* Answer the caller; @request is not used afterwards. */
 static void tell(writer_t *writer, request_t *request,
 		 const medlar_write_answer_t *answer)
 {
 	const worker_t *worker = writer->service->worker;
 	service_metrics_t *metrics = writer->service->metrics;
 
+	show_stats(writer);
 	metrics_service_add(metrics, outcome_metrics[answer->outcome], 1);
 	metrics_service_took(metrics, worker->loop.now - request->arrived);
 	answer_write(&request->answer, answer);
--- a/medlard/writer.h
+++ b/medlard/writer.h
@@ -61,6 +61,7 @@
  * struct writer - the writes of one service
  * @service: the service
  * @core: its write core
+ * @shown: counters of the core that the metrics show
  * @head: all writes
  * @line_first: writes that wait for a replica, oldest first
  * @line_last: newest of them
@@ -70,6 +71,7 @@
 struct writer {
 	service_t *service;
 	medlar_writes_t core;
+	medlar_writes_stats_t shown;
 	writing_t *head;
 	writing_t *line_first;
 	writing_t *line_last;
