--- a/medlard/worker.c
+++ b/medlard/worker.c
@@ -193,6 +193,25 @@
 	return MEDLAR_OK;
 }
 
+/* Equal while sharing the upstreams anew would change nothing. */
+static uint64_t peers_stamp(const worker_t *worker)
+{
+	const uint64_t parts[] = {
+		medlar_str_hash(
+			(medlar_str_t){ (const char *)worker->peers,
+					worker->peers_len *
+						sizeof(*worker->peers) },
+			0),
+		(uint64_t)worker->peers_hold,
+		(uint64_t)worker->peers_since,
+		worker->config.revision,
+		worker->services_len,
+	};
+
+	return medlar_str_hash(
+		(medlar_str_t){ (const char *)parts, sizeof(parts) }, 0);
+}
+
 /**
  * worker_apply_peers() - share the upstreams among the known instances
  * @worker: worker
@@ -208,9 +227,14 @@
 		.hold = worker->peers_hold,
 		.since = worker->peers_since,
 	};
+	uint64_t stamp;
 
 	if (!worker->peers)
 		return;
+	stamp = peers_stamp(worker);
+	if (stamp == worker->peers_stamp)
+		return;
+	worker->peers_stamp = stamp;
 	for (size_t i = 0; i < worker->services_len; i++) {
 		service_t *service = worker->services[i];
 
