--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -894,7 +894,8 @@
  *	medlar_attempt_reply() or medlar_attempt_fail(), also after @cancel
  * @cancel: the reply to @attempt is no longer needed; its slot stays in use
  *	until medlar_attempt_reply() or medlar_attempt_fail() is called
- * @answer: @query has ended; the query may be finished in this call
+ * @answer: @query has ended; the query may be finished in this call. Not called
+ *	after medlar_query_cancel()
  */
 typedef struct medlar_service_ops {
 	void (*send)(medlar_attempt_t *attempt, void *data);
@@ -1096,7 +1097,8 @@
  * @deadline: absolute time by which the caller needs the answer
  * @target: absolute time to answer with what is there; latency-first only
  * @at_least: oldest index version that the caller accepts; 0 for any
- * @keys: hashed keys of a lookup; NULL to ask every range
+ * @keys: hashed keys of a lookup; NULL to ask every range; must stay valid
+ *	until the query is finished
  * @keys_len: how many
  */
 typedef struct medlar_query_params {
