--- a/medlard/status.c
+++ b/medlard/status.c
@@ -27,6 +27,18 @@
 	return service->owner == worker->index && service->enabled;
 }
 
+static void check_service(const worker_t *worker, const service_t *service,
+			  medlar_buf_t *out)
+{
+	if (!service->listed)
+		medlar_buf_printf(out, "not ready: no instance list of %s\n",
+				  service->name);
+	if (!medlar_service_joined(&worker->client, &service->core,
+				   worker->loop.now))
+		medlar_buf_printf(out, "not ready: no share of %s yet\n",
+				  service->name);
+}
+
 static void visit_ready(worker_t *worker, request_t *request)
 {
 	medlar_buf_t *out = &request->answer;
@@ -46,11 +58,8 @@
 		medlar_buf_add(out,
 			       MEDLAR_STR("not ready: no configuration\n"));
 	for (size_t i = 0; i < worker->services_len; i++)
-		if (owns(worker, worker->services[i]) &&
-		    !worker->services[i]->listed)
-			medlar_buf_printf(out,
-					  "not ready: no instance list of %s\n",
-					  worker->services[i]->name);
+		if (owns(worker, worker->services[i]))
+			check_service(worker, worker->services[i], out);
 }
 
 /**
