--- a/medlard/directory.h
+++ b/medlard/directory.h
@@ -76,6 +76,7 @@
 /* instances.c */
 int instances_init(directory_t *directory);
 void instances_finish(directory_t *directory);
+instance_t *instances_find(instance_t *items, size_t len, const char *name);
 void instances_refresh(directory_t *directory);
 void instances_leave(directory_t *directory);
 void instances_deregister(directory_t *directory, store_done_fn_t done,
--- a/medlard/instances.c
+++ b/medlard/instances.c
@@ -94,12 +94,28 @@
 	memcpy(self->zone, settings->zone, sizeof(self->zone));
 }
 
-static instance_t *find(instance_t *items, size_t len, const char *name)
+static int compare_names(const void *a, const void *b)
 {
-	for (size_t i = 0; i < len; i++)
-		if (strcmp(items[i].name, name) == 0)
-			return &items[i];
-	return NULL;
+	const instance_t *first = a;
+	const instance_t *second = b;
+
+	return strcmp(first->name, second->name);
+}
+
+/**
+ * instances_find() - find an instance in a list sorted by name
+ * @items: the list
+ * @len: how many
+ * @name: its name, terminated, at most %MEDLAR_NAME_MAX bytes
+ *
+ * Return: the instance, or NULL.
+ */
+instance_t *instances_find(instance_t *items, size_t len, const char *name)
+{
+	instance_t wanted;
+
+	snprintf(wanted.name, sizeof(wanted.name), "%s", name);
+	return bsearch(&wanted, items, len, sizeof(*items), compare_names);
 }
 
 /* A listing that is older than what is known does not undo a shutdown. */
@@ -108,7 +124,7 @@
 {
 	for (size_t i = 0; i < directory->instances_len; i++) {
 		const instance_t *known = &directory->instances[i];
-		instance_t *listed = find(items, len, known->name);
+		instance_t *listed = instances_find(items, len, known->name);
 
 		if (!listed || listed->incarnation > known->incarnation)
 			continue;
@@ -122,14 +138,17 @@
 	const char *name = directory->control->settings.name;
 	instance_t *self;
 
+	qsort(items, len, sizeof(*items), compare_names);
 	keep_known(directory, items, len);
 	for (size_t i = 0; i < len; i++)
 		peering_seed(&directory->control->peering, &items[i]);
 	(void)peering_overlay(&directory->control->peering, &items, &len);
-	self = find(items, len, name);
+	qsort(items, len, sizeof(*items), compare_names);
+	self = instances_find(items, len, name);
 	if (!self)
 		self = &items[len++];
 	describe_self(directory, self);
+	qsort(items, len, sizeof(*items), compare_names);
 	free(directory->instances);
 	directory->instances = items;
 	directory->instances_len = len;
@@ -313,8 +332,9 @@
 void instances_leave(directory_t *directory)
 {
 	control_t *control = directory->control;
-	instance_t *self = find(directory->instances, directory->instances_len,
-				control->settings.name);
+	instance_t *self = instances_find(directory->instances,
+					  directory->instances_len,
+					  control->settings.name);
 
 	directory->leaving = true;
 	peering_leave(&control->peering);
--- a/medlard/peering.c
+++ b/medlard/peering.c
@@ -8,6 +8,8 @@
 #include "medlard/control.h"
 #include "medlard/peering.h"
 
+#define REFRESH_GAP ((medlar_time_t)50)
+
 /**
  * struct fact_note - a fact on its way between threads
  * @call: for handing it over
@@ -176,15 +178,18 @@
 			       control->loop.now);
 }
 
-/* Tells the workers once a turn when the membership has changed. */
+/* Tells the workers when the membership has changed, within a rate. */
 static void check_members(void *data)
 {
 	peering_t *peering = data;
 	uint64_t generation = medlar_members_generation(&peering->members);
+	medlar_time_t now = peering->control->loop.now;
 
-	if (!peering->on || generation == peering->generation)
+	if (!peering->on || generation == peering->generation ||
+	    now - peering->refreshed < REFRESH_GAP)
 		return;
 	peering->generation = generation;
+	peering->refreshed = now;
 	instances_refresh(&peering->control->directory);
 }
 
@@ -296,14 +301,6 @@
 			config, peering->control->loop.now);
 }
 
-static instance_t *find(instance_t *items, size_t len, const char *name)
-{
-	for (size_t i = 0; i < len; i++)
-		if (strcmp(items[i].name, name) == 0)
-			return &items[i];
-	return NULL;
-}
-
 static void lay_over(instance_t *item, const medlar_member_t *member)
 {
 	bool gone = member->state == MEDLAR_MEMBER_LEAVING ||
@@ -334,7 +331,7 @@
 /**
  * peering_overlay() - add to a list of instances what is known of them
  * @peering: peering
- * @items: the list, allocated; grown when needed
+ * @items: the list sorted by name, allocated; grown when needed
  * @len: how many
  *
  * Of the list and the membership the later incarnation is believed.
@@ -343,6 +340,7 @@
  */
 int peering_overlay(const peering_t *peering, instance_t **items, size_t *len)
 {
+	size_t sorted = *len;
 	size_t count;
 	instance_t *grown;
 
@@ -359,7 +357,7 @@
 
 		if (!medlar_members_get(&peering->members, i, &member))
 			continue;
-		item = find(grown, *len, member.info->name);
+		item = instances_find(grown, sorted, member.info->name);
 		if (item)
 			lay_over(item, &member);
 		else if (member.state != MEDLAR_MEMBER_DEAD)
--- a/medlard/peering.h
+++ b/medlard/peering.h
@@ -21,6 +21,7 @@
  * @members: membership
  * @incarnation: start time of this instance, ms since 1970
  * @generation: of the membership when the workers were last told
+ * @refreshed: when that was, ms
  */
 typedef struct peering {
 	control_t *control;
@@ -29,6 +30,7 @@
 	medlar_members_t members;
 	medlar_time_t incarnation;
 	uint64_t generation;
+	medlar_time_t refreshed;
 } peering_t;
 
 int peering_init(peering_t *peering, control_t *control);
