--- a/medlard/worker.h
+++ b/medlard/worker.h
@@ -47,6 +47,7 @@
  * @peers_len: how many
  * @peers_hold: time within which a change of them is known everywhere, ms
  * @peers_since: when this instance joined them, ms
+ * @peers_stamp: tells what the shares were last worked out from
  * @roles: limits guesses at operators' tokens
  * @started: when the process started, ms
  * @config: configuration in force
@@ -82,6 +83,7 @@
 	size_t peers_len;
 	medlar_time_t peers_hold;
 	medlar_time_t peers_since;
+	uint64_t peers_stamp;
 	roles_t roles;
 	medlar_time_t started;
 	medlar_config_t config;
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,6 +7,7 @@
 # fleet_start				start everything and wait until ready
 # fleet_stop				stop everything, by process id
 #
+# $FLEET_PORT_SHIFT, in thousands, is taken from all ports.
 # Afterwards $fleet_platform, $fleet_control and $fleet_entries hold HOST:PORT.
 
 fleet_pids=
@@ -14,11 +15,13 @@
 # Copies the example to $3; ports move from its thousands to those of $4.
 fleet_prepare() {
 	fleet_build=$1 fleet_deployment=$2 fleet_dir=$3
+	fleet_example=examples/$2
+	test -d "$fleet_example" || fleet_example=bench/$2
 	fleet_from=$(sed -n 's/.*"platform": "127.0.0.1:\([0-9]*\)000".*/\1/p' \
-		"examples/$2/upstreams.json")
-	fleet_to=$((${4:-${fleet_from}000} / 1000))
+		"$fleet_example/upstreams.json")
+	fleet_to=$((${4:-${fleet_from}000} / 1000 - ${FLEET_PORT_SHIFT:-0}))
 	mkdir -p "$fleet_dir"
-	for fleet_file in "examples/$2"/*.json
+	for fleet_file in "$fleet_example"/*.json
 	do
 		sed "s/\\([^0-9]\\)$fleet_from\\([0-9][0-9][0-9]\\)\\([^0-9]\\)/\\1$fleet_to\\2\\3/g" \
 			"$fleet_file" >"$fleet_dir/${fleet_file##*/}"
@@ -71,9 +74,17 @@
 	fleet_run upstream "$fleet_build/fake-upstream" \
 		"$fleet_dir/upstreams.json"
 	fleet_wait "http://$fleet_control/stats" || return 1
+	fleet_alive platform && fleet_alive upstream || return 1
 	fleet_configure
 }
 
+# Succeeds if the program NAME runs; it may have found its ports in use.
+fleet_alive() {
+	kill -0 "$(fleet_pid_of "$1")" 2>/dev/null && return 0
+	echo "$1 has ended, see $fleet_dir/$1.log" >&2
+	return 1
+}
+
 # Makes a token for each role and lists its hash in the settings.
 fleet_make_operators() {
 	fleet_operators=
@@ -147,6 +158,25 @@
 	done
 }
 
+# Waits up to 20 s until every entry instance obeys the revision $1.
+fleet_in_force() {
+	for fleet_e in $fleet_entries
+	do
+		fleet_tries=0
+		until curl -s -m 2 "http://$fleet_e/v1/status" |
+			grep -q "\"revision\":$1[,}]"
+		do
+			fleet_tries=$((fleet_tries + 1))
+			if test "$fleet_tries" -ge 2000
+			then
+				echo "$fleet_e does not obey revision $1" >&2
+				return 1
+			fi
+			sleep 0.01
+		done
+	done
+}
+
 # Prints a fresh idempotency key, a UUID of version 7.
 fleet_key() {
 	fleet_ms=$(date +%s%3N)
