--- a/medlard/addresses.c
+++ b/medlard/addresses.c
@@ -1,59 +1,108 @@
 /**
  * DOC: the answer to callers that ask which instances to use
  *
- * The choice is the core's. Each answer is drawn anew, so that callers that
- * ask again spread over instances that have come since.
+ * A caller gets a few instances, drawn at random so that callers spread. The
+ * ones in its zone come first, and one place is kept for another zone.
  */
 #include <inttypes.h>
-#include <stdlib.h>
 
 #include "medlard/addresses.h"
 #include "medlard/worker.h"
 
+#define WEIGHT_NEAR 100
+#define WEIGHT_FAR 25
 #define TTL_DEFAULT (5 * MEDLAR_SECOND)
 
-static uint64_t hash_of(const char *text)
+static bool in_zone(const instance_t *instance, medlar_str_t zone)
 {
-	return medlar_str_hash(medlar_str_from(text), 0);
+	return medlar_str_equal(medlar_str_from(instance->zone), zone);
 }
 
-static size_t choose(worker_t *worker, const char *zone,
-		     medlar_address_t out[MEDLAR_ADDRESSES_MAX])
+static bool is_chosen(const addresses_choice_t *choice,
+		      const instance_t *instance)
 {
-	medlar_address_t *from = calloc(worker->instances_len + 1,
-					sizeof(*from));
-	size_t len = 0;
-	size_t chosen;
+	for (size_t i = 0; i < choice->len; i++)
+		if (choice->items[i] == instance)
+			return true;
+	return false;
+}
 
-	if (!from)
-		return 0;
-	for (size_t i = 0; i < worker->instances_len; i++) {
-		const instance_t *instance = &worker->instances[i];
+/* Draws one instance that is near, or far, and has not been chosen. */
+static bool draw(addresses_choice_t *choice, const instance_t *instances,
+		 size_t len, medlar_str_t zone, bool near, medlar_rand_t *rand)
+{
+	const instance_t *drawn = NULL;
+	uint64_t seen = 0;
 
-		if (!instance->leaving)
-			from[len++] = (medlar_address_t){
-				.id = hash_of(instance->name),
-				.zone = hash_of(instance->zone),
-				.data = instance,
-			};
+	for (size_t i = 0; i < len; i++) {
+		if (instances[i].leaving ||
+		    in_zone(&instances[i], zone) != near ||
+		    is_chosen(choice, &instances[i]))
+			continue;
+		if (medlar_rand_below(rand, ++seen) == 0)
+			drawn = &instances[i];
 	}
-	chosen = medlar_address_choose(
-		&worker->client, from, len, hash_of(zone),
-		medlar_rand_next(&worker->client.rand), out);
-	free(from);
-	return chosen;
+	if (!drawn)
+		return false;
+	choice->items[choice->len] = drawn;
+	choice->weights[choice->len++] = near ? WEIGHT_NEAR : WEIGHT_FAR;
+	return true;
+}
+
+static void even_out(addresses_choice_t *choice)
+{
+	for (size_t i = 0; i < choice->len; i++)
+		choice->weights[i] = WEIGHT_NEAR;
 }
 
-static void add_item(medlar_buf_t *out, const medlar_address_t *address)
+/**
+ * addresses_choose() - draw instances for a caller
+ * @choice: filled in
+ * @instances: instances; those that are leaving are passed over
+ * @len: how many
+ * @zone: availability zone of the caller, or an empty string
+ * @rand: generator
+ */
+void addresses_choose(addresses_choice_t *choice, const instance_t *instances,
+		      size_t len, medlar_str_t zone, medlar_rand_t *rand)
 {
-	const instance_t *instance = address->data;
+	bool has_near;
 
+	*choice = (addresses_choice_t){ 0 };
+	while (choice->len < ADDRESSES_MAX - 1 &&
+	       draw(choice, instances, len, zone, true, rand))
+		;
+	has_near = choice->len > 0;
+	while (choice->len < ADDRESSES_MAX &&
+	       draw(choice, instances, len, zone, false, rand))
+		;
+	if (choice->len < ADDRESSES_MAX)
+		(void)draw(choice, instances, len, zone, true, rand);
+	if (!has_near)
+		even_out(choice);
+}
+
+static void add_item(medlar_buf_t *out, const instance_t *instance,
+		     unsigned weight)
+{
 	medlar_buf_add(out, MEDLAR_STR("{\"name\":"));
 	medlar_buf_json_string(out, medlar_str_from(instance->name));
 	medlar_buf_printf(out, ",\"host\":\"%s\",\"port\":%u,\"zone\":",
 			  instance->host, instance->port);
 	medlar_buf_json_string(out, medlar_str_from(instance->zone));
-	medlar_buf_printf(out, ",\"weight\":%" PRIu32 "}", address->weight);
+	medlar_buf_printf(out, ",\"weight\":%u}", weight);
+}
+
+static void trace(worker_t *worker, medlar_str_t zone,
+		  const addresses_choice_t *choice)
+{
+	for (size_t i = 0; i < choice->len; i++)
+		MEDLAR_TRACE(
+			&worker->client, MEDLAR_EVENT_ADDRESS,
+			MEDLAR_TEXT("zone", zone),
+			MEDLAR_TEXT("instance",
+				    medlar_str_from(choice->items[i]->name)),
+			MEDLAR_NUM("weight", choice->weights[i]));
 }
 
 /**
@@ -63,21 +112,22 @@
 void addresses_handle(request_t *request)
 {
 	worker_t *worker = request->home;
-	const char *zone = MHD_lookup_connection_value(
+	const char *asked = MHD_lookup_connection_value(
 		request->connection, MHD_GET_ARGUMENT_KIND, "zone");
+	medlar_str_t zone = medlar_str_from(asked ? asked : "");
 	medlar_buf_t *out = &request->answer;
-	medlar_address_t chosen[MEDLAR_ADDRESSES_MAX];
-	medlar_time_t ttl = TTL_DEFAULT;
-	size_t len = choose(worker, zone ? zone : "", chosen);
+	addresses_choice_t choice;
 
-	if (worker->configured)
-		ttl = worker->config.address_ttl;
+	addresses_choose(&choice, worker->instances, worker->instances_len,
+			 zone, &worker->client.rand);
+	trace(worker, zone, &choice);
 	medlar_buf_printf(out, "{\"ttl_ms\":%" PRId64 ",\"addresses\":[",
-			  medlar_address_ttl(&worker->client, ttl));
-	for (size_t i = 0; i < len; i++) {
+			  worker->configured ? worker->config.address_ttl
+					     : TTL_DEFAULT);
+	for (size_t i = 0; i < choice.len; i++) {
 		if (i > 0)
 			medlar_buf_add(out, MEDLAR_STR(","));
-		add_item(out, &chosen[i]);
+		add_item(out, choice.items[i], choice.weights[i]);
 	}
 	medlar_buf_add(out, MEDLAR_STR("]}\n"));
 	request_reply(request, MHD_HTTP_OK);
