Let a repeat wait for the outcome of a running write

Cause: a caller that sent its key again at once, through another instance, was told unknown although the first request was about to end.

Change: a repeat of a claim without outcome, not older than the deadline of the service, reads again until its own deadline.

Conclusion: the result is replayed to such a repeat; a claim of a lost instance is told unknown at once or at the deadline of the repeat.

--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -2215,7 +2215,10 @@
  * @claim: its claim
  * @deadline: by when the caller needs the answer
  * @data: the program's own
- * @timer: fires shortly before the deadline
+ * @timer: fires shortly before the deadline, or to read again
+ * @polls: times that it read again
+ * @polling: the timer is set to read again
+ * @taken: another claim was seen to hold the key
  * @attempts: dispatches made
  * @look: it only reads
  * @in_flight: a dispatch has not ended
@@ -2233,6 +2236,9 @@
 	void *data;
 	medlar_timer_t timer;
 	uint32_t attempts;
+	uint32_t polls;
+	bool polling;
+	bool taken;
 	bool look;
 	bool in_flight;
 	bool answered;
--- a/libmedlar/write.c
+++ b/libmedlar/write.c
@@ -18,6 +18,8 @@
 
 #define ANSWER_MARGIN ((medlar_time_t)5) /* ms kept to send the answer */
 #define DISPATCH_MIN ((medlar_time_t)10) /* ms an upstream needs at least */
+#define POLL_MIN ((medlar_time_t)30) /* ms until a repeat reads again */
+#define POLL_DOUBLINGS 4
 #define ATTEMPTS_MAX 4
 #define WRITES_MAX 65536 /* writes of one service in memory */
 
@@ -162,12 +164,45 @@
 		      });
 }
 
+/* The first request may still be running: its outcome is soon recorded. */
+static bool may_change(const medlar_write_t *write)
+{
+	const medlar_writes_t *writes = write->writes;
+	medlar_time_t age = medlar_writes_wall(writes) -
+			    write->claim.found.time;
+
+	return age <= writes->policy.deadline;
+}
+
+/* Read again later; false if the outcome is not worth or past waiting for. */
+static bool poll_later(medlar_write_t *write)
+{
+	uint32_t doublings = write->polls < POLL_DOUBLINGS ? write->polls
+							   : POLL_DOUBLINGS;
+	medlar_time_t due = medlar_writes_now(write->writes) +
+			    (POLL_MIN << doublings);
+
+	if (!may_change(write) ||
+	    write->deadline - ANSWER_MARGIN - due < DISPATCH_MIN)
+		return false;
+	if (medlar_timer_set(write->writes->client, &write->timer, due))
+		return false;
+	write->polls++;
+	write->polling = true;
+	write->taken = true;
+	return true;
+}
+
 static void on_taken(medlar_write_t *write)
 {
+	medlar_claim_state_t state = write->claim.found.state;
+
+	if (!write->look && state == MEDLAR_CLAIM_CLAIMED && poll_later(write))
+		return;
 	write->closed = true;
 	if (write->look)
 		tell_found(write);
-	else if (write->claim.found.state == MEDLAR_CLAIM_RAN)
+	else if (state == MEDLAR_CLAIM_RAN)
 		replay(write);
 	else
 		answer_plain(write, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_CONFLICT);
@@ -213,15 +248,10 @@
 	end_fns[write->claim.end](write);
 }
 
-static void on_deadline(medlar_client_t *client, medlar_timer_t *timer,
-			medlar_time_t now, void *data)
+static void on_deadline(medlar_write_t *write)
 {
-	medlar_write_t *write = data;
 	int error = MEDLAR_ERR_DEADLINE;
 
-	(void)client;
-	(void)timer;
-	(void)now;
 	if (write->claimed) {
 		answer_plain(write, MEDLAR_WRITE_UNKNOWN, error);
 		return;
@@ -229,10 +259,28 @@
 	if (medlar_writes_is_down(write->writes, &write->claim))
 		error = MEDLAR_ERR_STORE_DOWN;
 	write->closed = medlar_claim_abandon(&write->claim);
-	answer_plain(write, MEDLAR_WRITE_NOT_RUN, error);
+	if (write->taken)
+		answer_plain(write, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_CONFLICT);
+	else
+		answer_plain(write, MEDLAR_WRITE_NOT_RUN, error);
 	free_if_done(write);
 }
 
+static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	medlar_write_t *write = data;
+	medlar_time_t due = write->deadline - ANSWER_MARGIN;
+
+	if (!write->polling || now >= due ||
+	    medlar_timer_set(client, timer, due)) {
+		on_deadline(write);
+		return;
+	}
+	write->polling = false;
+	medlar_writes_walk(write->writes, &write->claim, now);
+}
+
 static medlar_write_t *create(medlar_writes_t *writes,
 			      const medlar_write_params_t *params)
 {
@@ -245,7 +293,7 @@
 	write->claim.write = write;
 	write->deadline = params->deadline;
 	write->data = params->data;
-	medlar_timer_init(&write->timer, on_deadline, write);
+	medlar_timer_init(&write->timer, on_timer, write);
 	write->next = writes->writes_head;
 	if (write->next)
 		write->next->prev = write;
--- a/tests/explore_state.h
+++ b/tests/explore_state.h
@@ -66,6 +66,9 @@
 	hash = mix(hash, write->answered);
 	hash = mix(hash, write->claimed);
 	hash = mix(hash, write->closed);
+	hash = mix(hash, write->polling);
+	hash = mix(hash, write->taken);
+	hash = mix(hash, write->polls);
 	hash = mix(hash, has_time(write));
 	return hash;
 }
@@ -96,7 +99,7 @@
 
 	if (timer == &writes->layouts_timer)
 		return mix(5, late);
-	if (timer->fn == on_deadline)
+	if (timer->fn == on_timer)
 		return mix(mix(6, late), write->claim.token.bytes[0]);
 	return mix(mix(7, late), partition->generation * 8 + partition->index);
 }
--- a/tests/explore_world.h
+++ b/tests/explore_world.h
@@ -264,6 +264,7 @@
 	medlar_policy_t policy = {
 		.name = "s",
 		.window = MEDLAR_HOUR,
+		.deadline = PATIENCE,
 		.partitions = known,
 	};
 	medlar_store_t store = { model_get, model_cas, instance };
--- a/tests/test_write.c
+++ b/tests/test_write.c
@@ -16,6 +16,7 @@
 	return (medlar_policy_t){
 		.name = "ledger",
 		.window = MEDLAR_HOUR,
+		.deadline = PATIENCE,
 		.partitions = partitions,
 	};
 }
@@ -84,6 +85,42 @@
 	model_finish(&model);
 }
 
+static void replays_to_a_repeat_that_came_at_once(void **state)
+{
+	model_request_t first = { .instance = 0 };
+	model_request_t again;
+	model_t model;
+
+	(void)state;
+	init(&model, 1);
+	model.upstream = 200 * MS;
+	first.key = model_key(&model, 0);
+	model_start(&model, &first, PATIENCE);
+	model_run(&model, 50 * MS);
+	again = send(&model, first.key, 1);
+	assert_answer(&again, MEDLAR_WRITE_RAN, MEDLAR_OK);
+	assert_true(again.answer.replayed);
+	assert_int_equal(first.executions, 1);
+	model_finish(&model);
+}
+
+static void answers_at_once_when_a_claim_has_no_outcome(void **state)
+{
+	model_request_t again;
+	medlar_uuid_t key;
+	model_t model;
+
+	(void)state;
+	init(&model, 1);
+	key = model_key(&model, 0);
+	model.reset = 1;
+	send(&model, key, 0);
+	again = send(&model, key, 1);
+	assert_answer(&again, MEDLAR_WRITE_UNKNOWN, MEDLAR_ERR_CONFLICT);
+	assert_true(again.told - again.sent < 50 * MS);
+	model_finish(&model);
+}
+
 static void records_a_result_that_comes_after_the_answer(void **state)
 {
 	model_t model;
@@ -371,6 +408,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(replays_the_result_through_another_instance),
 		cmocka_unit_test(tells_unknown_while_another_instance_runs_it),
+		cmocka_unit_test(replays_to_a_repeat_that_came_at_once),
+		cmocka_unit_test(answers_at_once_when_a_claim_has_no_outcome),
 		cmocka_unit_test(records_a_result_that_comes_after_the_answer),
 		cmocka_unit_test(
 			refuses_within_the_deadline_while_the_store_is_down),
--- a/tests/test_write_explore.c
+++ b/tests/test_write_explore.c
@@ -23,7 +23,7 @@
 #include "explore_state.h"
 
 #define DEPTH_MAX 120
-#define STATES_MAX (1u << 21)
+#define STATES_MAX (1u << 22)
 
 typedef struct search {
 	const scenario_t *scenario;
