--- a/medlard/service.c
+++ b/medlard/service.c
@@ -8,6 +8,9 @@
 #include "medlard/control.h"
 #include "medlard/writer.h"
 
+/* How long a replica's leaving is told; a later start undoes it. */
+#define DRAIN_TTL (10 * MEDLAR_MINUTE)
+
 static void on_send(medlar_attempt_t *attempt, void *data)
 {
 	upstream_send(attempt, data);
@@ -20,10 +23,25 @@
 
 static void on_answer(medlar_query_t *query, void *data);
 
+static void on_leaving(const medlar_replica_t *replica, void *data)
+{
+	const upstream_link_t *link = data;
+	const medlar_fact_t fact = {
+		.kind = MEDLAR_FACT_DRAIN,
+		.subject = medlar_replica_id(replica),
+		.revision = (uint64_t)medlar_replica_info(replica)->incarnation,
+		.ttl = DRAIN_TTL,
+	};
+
+	if (fact.revision > 0)
+		peering_post_fact(link->worker, &fact);
+}
+
 static const medlar_service_ops_t ops = {
 	.send = on_send,
 	.cancel = on_cancel,
 	.answer = on_answer,
+	.leaving = on_leaving,
 };
 
 static bool is_owner(const service_t *service)
@@ -91,8 +109,12 @@
 			 worker->settings->threads;
 	service->policy = *policy;
 	memcpy(service->name, policy->name, sizeof(service->name));
-	service->link = (upstream_link_t){ &worker->upstream, &service->core,
-					   &service->policy };
+	service->link = (upstream_link_t){
+		.upstream = &worker->upstream,
+		.service = &service->core,
+		.policy = &service->policy,
+		.worker = worker,
+	};
 	service->number = worker->services_len;
 	if (is_owner(service) && init_core(worker, service)) {
 		free(service);
@@ -266,8 +288,10 @@
 	}
 	replica = medlar_service_find_replica(&service->core,
 					      medlar_str_hash(name, 0));
-	if (replica)
-		upstream_adjust(&service->link, replica);
+	if (!replica)
+		return;
+	upstream_adjust(&service->link, replica);
+	upstream_warm(&service->link, replica);
 }
 
 /**
