--- a/tests/tap.sh
+++ b/tests/tap.sh
@@ -8,9 +8,20 @@
 tap_count=0
 tap_failed=0
 
+# Succeeds if no sanitizer has written to the log of a process.
+no_reports() {
+	for tap_log in "$dir"/*.log
+	do
+		grep -E 'Sanitizer|runtime error' "$tap_log" | head -n 3 |
+			grep . && return 1
+	done
+	return 0
+}
+
 tap_end() {
 	tap_status=$?
 	fleet_stop
+	check no-sanitizer-reports no_reports
 	test "$tap_failed" -eq 0 || tap_status=1
 	echo "1..$tap_count"
 	exit "$tap_status"
