--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -894,7 +894,8 @@
  *	medlar_attempt_reply() or medlar_attempt_fail(), also after @cancel
  * @cancel: the reply to @attempt is no longer needed; its slot stays in use
  *	until medlar_attempt_reply() or medlar_attempt_fail() is called
- * @answer: @query has ended; the query may be finished in this call
+ * @answer: @query has ended; the query may be finished in this call. Not called
+ *	after medlar_query_cancel()
  * @leaving: a replica was found to be leaving; may be NULL
  */
 typedef struct medlar_service_ops {
@@ -951,6 +952,8 @@
 				  medlar_time_t now);
 medlar_replica_t *medlar_service_find_replica(medlar_service_t *service,
 					      uint64_t id);
+bool medlar_service_joined(const medlar_client_t *client,
+			   const medlar_service_t *service, medlar_time_t now);
 void medlar_service_set_peers(medlar_client_t *client,
 			      medlar_service_t *service,
 			      const medlar_peers_t *peers, medlar_time_t now);
@@ -1100,7 +1103,8 @@
  * @deadline: absolute time by which the caller needs the answer
  * @target: absolute time to answer with what is there; latency-first only
  * @at_least: oldest index version that the caller accepts; 0 for any
- * @keys: hashed keys of a lookup; NULL to ask every range
+ * @keys: hashed keys of a lookup; NULL to ask every range; must stay valid
+ *	until the query is finished
  * @keys_len: how many
  */
 typedef struct medlar_query_params {
@@ -2238,7 +2242,10 @@
  * @claim: its claim
  * @deadline: by when the caller needs the answer
  * @data: the program's own
- * @timer: fires shortly before the deadline
+ * @timer: fires shortly before the deadline, or to read again
+ * @polls: times that it read again
+ * @polling: the timer is set to read again
+ * @taken: another claim was seen to hold the key
  * @attempts: dispatches made
  * @look: it only reads
  * @in_flight: a dispatch has not ended
@@ -2256,6 +2263,9 @@
 	void *data;
 	medlar_timer_t timer;
 	uint32_t attempts;
+	uint32_t polls;
+	bool polling;
+	bool taken;
 	bool look;
 	bool in_flight;
 	bool answered;
--- a/libmedlar/peers.c
+++ b/libmedlar/peers.c
@@ -51,6 +51,20 @@
 	return service->hold == 0 || now - service->since >= hold_of(service);
 }
 
+/**
+ * medlar_service_joined() - whether this instance may use the upstreams
+ * @client: client
+ * @service: service
+ * @now: current time, ms
+ *
+ * Return: false until the other instances are sure to know of this one.
+ */
+bool medlar_service_joined(const medlar_client_t *client,
+			   const medlar_service_t *service, medlar_time_t now)
+{
+	return has_share(client, service, now);
+}
+
 static void share(const medlar_service_t *service, medlar_replica_t *replica,
 		  bool any)
 {
