--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -896,11 +896,13 @@
  *	until medlar_attempt_reply() or medlar_attempt_fail() is called
  * @answer: @query has ended; the query may be finished in this call. Not called
  *	after medlar_query_cancel()
+ * @leaving: a replica was found to be leaving; may be NULL
  */
 typedef struct medlar_service_ops {
 	void (*send)(medlar_attempt_t *attempt, void *data);
 	void (*cancel)(medlar_attempt_t *attempt, void *data);
 	void (*answer)(medlar_query_t *query, void *data);
+	void (*leaving)(const medlar_replica_t *replica, void *data);
 } medlar_service_ops_t;
 
 /**
@@ -993,6 +995,7 @@
  * @replica: the last replica that died, 0 when told by a peer
  * @shard: shard of @replica
  * @local: this instance itself saw the death
+ * @pardoned: an operator lifted the verdict
  * @died: when the death was noticed
  * @until: when the entry expires
  */
@@ -1003,6 +1006,7 @@
 	uint64_t replica;
 	uint32_t shard;
 	bool local;
+	bool pardoned;
 	medlar_time_t died;
 	medlar_time_t until;
 } medlar_suspect_entry_t;
@@ -1284,6 +1288,7 @@
 	MEDLAR_FACT_MEMBER, /* an instance, by its id */
 	MEDLAR_FACT_DRAIN, /* a replica that is leaving, by its id */
 	MEDLAR_FACT_VERDICT, /* a request, by its fingerprint */
+	MEDLAR_FACT_SUCCESS, /* a suspected request that did no harm, likewise */
 	MEDLAR_FACT_KINDS
 } medlar_fact_kind_t;
 
@@ -1310,8 +1315,10 @@
  * @subject: identifies what it is about
  * @revision: of two facts about a subject the higher one holds. A replica's
  *	incarnation; the time of a verdict; see &enum medlar_member_state
- * @value: of a verdict, 1 convicted or 0 pardoned; of a member, 1 when it
- *	left by itself; else 0
+ * @value: of a verdict, &enum medlar_verdict, where clear means pardoned; of
+ *	a member, 1 when it left by itself; else 0
+ * @other: of a verdict, the replica that died; else 0
+ * @place: of a verdict, the shard of that replica; else 0
  * @ttl: how long it holds, ms; %MEDLAR_TIME_NEVER without end
  * @member: address of an instance, or NULL when not told
  */
@@ -1320,6 +1327,8 @@
 	uint64_t subject;
 	uint64_t revision;
 	uint64_t value;
+	uint64_t other;
+	uint32_t place;
 	medlar_time_t ttl;
 	const medlar_member_info_t *member;
 } medlar_fact_t;
@@ -1423,7 +1432,7 @@
 } medlar_message_t;
 
 /*
- * member.c, probe.c, sync.c, spread.c
+ * member.c, roster.c, probe.c, sync.c, spread.c
  */
 
 /**
@@ -1441,6 +1450,18 @@
 	MEDLAR_MEMBER_STATES
 } medlar_member_state_t;
 
+/**
+ * struct medlar_member - an instance that was heard of
+ * @info: how it is reached
+ * @incarnation: its start time, ms since 1970, or a little later
+ * @state: what is believed of it
+ */
+typedef struct medlar_member {
+	const medlar_member_info_t *info;
+	uint64_t incarnation;
+	medlar_member_state_t state;
+} medlar_member_t;
+
 /**
  * struct medlar_members_ops - actions that the membership asks for
  * @send: send @message to the instance that @to describes; may be lost
@@ -1467,6 +1488,7 @@
 typedef struct medlar_members {
 	medlar_members_ops_t ops;
 	medlar_member_info_t self;
+	uint64_t id;
 	uint64_t incarnation;
 	medlar_member_state_t state;
 	medlar_facts_t facts;
@@ -1534,9 +1556,10 @@
 void medlar_members_stop(medlar_client_t *client, medlar_members_t *members,
 			 medlar_time_t now);
 size_t medlar_members_count(const medlar_members_t *members);
-const medlar_member_info_t *medlar_members_get(const medlar_members_t *members,
-					       size_t index,
-					       medlar_member_state_t *state);
+bool medlar_members_get(const medlar_members_t *members, size_t index,
+			medlar_member_t *out);
+uint64_t medlar_members_known(const medlar_members_t *members,
+			      medlar_fact_kind_t kind, uint64_t subject);
 uint64_t medlar_members_generation(const medlar_members_t *members);
 medlar_peers_t medlar_members_peers(medlar_client_t *client,
 				    medlar_members_t *members,
@@ -1843,6 +1866,8 @@
 void medlar_journal_finish(medlar_journal_t *journal);
 medlar_entry_t *medlar_journal_find(const medlar_journal_t *journal,
 				    const medlar_uuid_t *key);
+int medlar_journal_append(medlar_journal_t *journal,
+			  const medlar_entry_t *entry);
 int medlar_journal_claim(medlar_journal_t *journal, const medlar_entry_t *claim,
 			 size_t limit);
 int medlar_journal_record(medlar_journal_t *journal, medlar_entry_t *entry,
@@ -2129,6 +2154,7 @@
  * @layouts: layouts known to be in the store
  * @layouts_known: @layouts was read
  * @layouts_busy: a store call for the layouts is in flight
+ * @layouts_time: when the layouts were last read
  * @layouts_failures: such calls that failed in a row
  * @layouts_index: index of the layouts value last read
  * @layouts_timer: repeats such a call
@@ -2153,6 +2179,7 @@
 	medlar_layouts_t layouts;
 	bool layouts_known;
 	bool layouts_busy;
+	medlar_time_t layouts_time;
 	uint32_t layouts_failures;
 	uint64_t layouts_index;
 	medlar_timer_t layouts_timer;
@@ -2169,6 +2196,7 @@
 void medlar_writes_set_policy(medlar_writes_t *writes,
 			      const medlar_policy_t *policy, uint64_t revision);
 void medlar_writes_set_commits(medlar_writes_t *writes, double commits);
+void medlar_writes_set_epoch(medlar_writes_t *writes, medlar_time_t epoch);
 void medlar_writes_walk(medlar_writes_t *writes, medlar_claim_t *claim,
 			medlar_time_t now);
 void medlar_writes_reload(medlar_writes_t *writes, medlar_claim_t *claim);
--- a/medlard/metrics.c
+++ b/medlard/metrics.c
@@ -48,6 +48,18 @@
 	[METRIC_STORE_UNKNOWN] = { "store_unknown_total",
 				   "Calls whose reply was lost." },
 	[METRIC_LOG_DROPPED] = { "log_dropped_total", "Log lines lost." },
+	[METRIC_PEER_SENT] = { "peer_sent_total",
+			       "Messages to other instances." },
+	[METRIC_PEER_SENT_BYTES] = { "peer_sent_bytes_total",
+				     "Bytes of these." },
+	[METRIC_PEER_RECEIVED] = { "peer_received_total",
+				   "Messages of other instances." },
+	[METRIC_PEER_RECEIVED_BYTES] = { "peer_received_bytes_total",
+					 "Bytes of these." },
+	[METRIC_PEER_UNAUTHENTICATED] = { "peer_unauthenticated_total",
+					  "Messages dropped for their key." },
+	[METRIC_PEER_MALFORMED] = { "peer_malformed_total",
+				    "Messages dropped as malformed." },
 };
 
 static const metric_row_t service_rows[SERVICE_METRIC_COUNT] = {
@@ -67,6 +79,16 @@
 				   "Sub-requests sent to upstreams." },
 	[SERVICE_METRIC_NEEDED] = { "service_parts_total",
 				    "Sub-requests needed." },
+	[SERVICE_METRIC_CLAIMS] = { "write_claims_total",
+				    "Write keys claimed." },
+	[SERVICE_METRIC_RECORDS] = { "write_records_total",
+				     "Outcomes of writes recorded." },
+	[SERVICE_METRIC_COMMITS] = { "write_commits_total",
+				     "Commits of write journals tried." },
+	[SERVICE_METRIC_CONFLICTS] = { "write_conflicts_total",
+				       "Commits refused: another was first." },
+	[SERVICE_METRIC_LOST] = { "write_lost_total",
+				  "Commits whose reply was lost." },
 };
 
 /* Upper bounds of the latency buckets in milliseconds. */
--- a/medlard/service.c
+++ b/medlard/service.c
@@ -6,7 +6,10 @@
 
 #include "medlard/answer.h"
 #include "medlard/control.h"
-#include "medlard/worker.h"
+#include "medlard/writer.h"
+
+/* How long a replica's leaving is told; a later start undoes it. */
+#define DRAIN_TTL (10 * MEDLAR_MINUTE)
 
 static void on_send(medlar_attempt_t *attempt, void *data)
 {
@@ -20,10 +23,25 @@
 
 static void on_answer(medlar_query_t *query, void *data);
 
+static void on_leaving(const medlar_replica_t *replica, void *data)
+{
+	const upstream_link_t *link = data;
+	const medlar_fact_t fact = {
+		.kind = MEDLAR_FACT_DRAIN,
+		.subject = medlar_replica_id(replica),
+		.revision = (uint64_t)medlar_replica_info(replica)->incarnation,
+		.ttl = DRAIN_TTL,
+	};
+
+	if (fact.revision > 0)
+		peering_post_fact(link->worker, &fact);
+}
+
 static const medlar_service_ops_t ops = {
 	.send = on_send,
 	.cancel = on_cancel,
 	.answer = on_answer,
+	.leaving = on_leaving,
 };
 
 static bool is_owner(const service_t *service)
@@ -91,8 +109,12 @@
 			 worker->settings->threads;
 	service->policy = *policy;
 	memcpy(service->name, policy->name, sizeof(service->name));
-	service->link = (upstream_link_t){ &worker->upstream, &service->core,
-					   &service->policy };
+	service->link = (upstream_link_t){
+		.upstream = &worker->upstream,
+		.service = &service->core,
+		.policy = &service->policy,
+		.worker = worker,
+	};
 	service->number = worker->services_len;
 	if (is_owner(service) && init_core(worker, service)) {
 		free(service);
@@ -102,9 +124,20 @@
 	return service;
 }
 
-static int update(worker_t *worker, const medlar_policy_t *policy)
+static size_t count_writers(const medlar_config_t *config)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < config->len; i++)
+		count += config->services[i].writes;
+	return count;
+}
+
+static int update(worker_t *worker, const medlar_config_t *config,
+		  const medlar_policy_t *policy)
 {
 	service_t *service = find_known(worker, policy->name);
+	int error;
 
 	if (!service)
 		service = add(worker, policy);
@@ -114,8 +147,12 @@
 	service->policy = *policy;
 	if (!is_owner(service))
 		return MEDLAR_OK;
-	return medlar_service_set_policy(&worker->client, &service->core,
-					 policy);
+	error = medlar_service_set_policy(&worker->client, &service->core,
+					  policy);
+	if (error)
+		return error;
+	return writer_configure(service, config->revision,
+				count_writers(config));
 }
 
 /**
@@ -135,7 +172,7 @@
 	for (size_t i = 0; i < worker->services_len; i++)
 		worker->services[i]->enabled = false;
 	for (size_t i = 0; i < config->len; i++) {
-		int failed = update(worker, &config->services[i]);
+		int failed = update(worker, config, &config->services[i]);
 
 		if (failed)
 			error = failed;
@@ -186,6 +223,7 @@
 		service_t *service = worker->services[i];
 
 		if (is_owner(service)) {
+			writer_free(service->writer);
 			each_replica(service, forget);
 			medlar_service_finish(&worker->client, &service->core);
 		}
@@ -250,8 +288,10 @@
 	}
 	replica = medlar_service_find_replica(&service->core,
 					      medlar_str_hash(name, 0));
-	if (replica)
-		upstream_adjust(&service->link, replica);
+	if (!replica)
+		return;
+	upstream_adjust(&service->link, replica);
+	upstream_warm(&service->link, replica);
 }
 
 /**
@@ -315,8 +355,15 @@
 	request_reply(request, status);
 }
 
-static medlar_time_t deadline_of(const request_t *request,
-				 const medlar_policy_t *policy)
+/**
+ * service_deadline() - by when a caller needs its answer
+ * @request: request whose body has been read
+ * @policy: policy of the service
+ *
+ * Return: absolute time, ms.
+ */
+medlar_time_t service_deadline(const request_t *request,
+			       const medlar_policy_t *policy)
 {
 	medlar_time_t asked = request->args.deadline;
 
@@ -342,7 +389,7 @@
 		.fingerprint = medlar_fingerprint(
 			medlar_str_from(service->name),
 			kind_name(request->kind), args->query),
-		.deadline = deadline_of(request, &service->policy),
+		.deadline = service_deadline(request, &service->policy),
 		.target = request->arrived + service->policy.target,
 		.at_least = args->at_least,
 		.keys = args->keys,
@@ -363,13 +410,19 @@
 {
 	request_t *request = data;
 	worker_t *worker = request->at;
+	service_t *service;
 
 	(void)call;
-	if (request->service < worker->services_len)
-		start_query(request, worker->services[request->service]);
-	else
+	if (request->service >= worker->services_len) {
 		request_refuse(request, MHD_HTTP_SERVICE_UNAVAILABLE,
 			       MEDLAR_ERR_UNAVAILABLE, "");
+		return;
+	}
+	service = worker->services[request->service];
+	if (request->kind == MEDLAR_KIND_WRITE)
+		writer_handle(service, request);
+	else
+		start_query(request, service);
 }
 
 /**
--- a/medlard/upstream.c
+++ b/medlard/upstream.c
@@ -15,7 +15,12 @@
 /* How long a reply may come after the deadline of its request. */
 #define DRAIN_MAX (5 * MEDLAR_SECOND)
 #define CANCEL_MAX (1 * MEDLAR_SECOND)
-#define PROBE_MAX (2 * MEDLAR_SECOND)
+
+/* Idle connections that are kept open to a replica. */
+#define WARM_MAX 2
+
+/* How long retries use new connections after one was found silent. */
+#define DISTRUST_TIME (10 * MEDLAR_SECOND)
 
 /**
  * struct pending - an attempt under way
@@ -142,8 +147,16 @@
 	upstream->tokener = NULL;
 }
 
-static bool is_json(struct json_tokener *tokener, medlar_str_t text)
+/**
+ * upstream_is_json() - tell whether a reply can be part of an answer
+ * @upstream: upstream side of the calling worker
+ * @text: body of the reply
+ *
+ * Return: true for exactly one JSON value.
+ */
+bool upstream_is_json(upstream_t *upstream, medlar_str_t text)
 {
+	struct json_tokener *tokener = upstream->tokener;
 	struct json_object *value;
 
 	if (text.len == 0 || text.len > INT32_MAX)
@@ -163,7 +176,7 @@
 		return false;
 	return pending->wire.reply.status != MEDLAR_REPLY_OK ||
 	       pending->cancelled ||
-	       is_json(pending->link->upstream->tokener, reply->body);
+	       upstream_is_json(pending->link->upstream, reply->body);
 }
 
 /* A connection that carries replies to something else is out of step. */
@@ -189,16 +202,34 @@
 	wire_header(name, value, &pending->wire);
 }
 
+static void note_silent(upstream_link_t *link)
+{
+	metrics_add(link->upstream->metrics, METRIC_UPSTREAM_SILENT, 1);
+	link->silent_at = link->upstream->http->loop->now;
+}
+
+/* After a silent connection, a retry does not trust an idle one. */
+static bool needs_fresh(const pending_t *pending, medlar_time_t now)
+{
+	medlar_time_t silent_at = pending->link->silent_at;
+
+	return silent_at > 0 && now - silent_at < DISTRUST_TIME &&
+	       medlar_attempt_kind(pending->attempt) == MEDLAR_ATTEMPT_RETRY;
+}
+
 static void on_done(http_call_t *call, const http_reply_t *reply, void *data)
 {
 	pending_t *pending = data;
-	upstream_t *upstream = pending->link->upstream;
-	medlar_time_t now = upstream->http->loop->now;
+	upstream_t *upstream;
+	medlar_time_t now;
 
+	/* The service is gone by then. */
 	if (reply->end == HTTP_DROPPED) {
 		free(pending);
 		return;
 	}
+	upstream = pending->link->upstream;
+	now = upstream->http->loop->now;
 	if (reply->end == HTTP_REPLY)
 		wire_finish(&pending->wire, reply->status, reply->body);
 	if (is_usable(pending, reply)) {
@@ -211,8 +242,7 @@
 	} else {
 		metrics_add(upstream->metrics, METRIC_UPSTREAM_FAULTS, 1);
 		if (reply->end == HTTP_SILENT)
-			metrics_add(upstream->metrics, METRIC_UPSTREAM_SILENT,
-				    1);
+			note_silent(pending->link);
 		if (reply->end == HTTP_REPLY)
 			http_close_connection(call);
 		medlar_attempt_fail(upstream->client, pending->attempt,
@@ -311,6 +341,7 @@
 		.until = medlar_attempt_deadline(attempt) + DRAIN_MAX,
 		.silence = pending->link->policy->silence,
 		.reply_max = pending->link->upstream->reply_max,
+		.fresh = needs_fresh(pending, now),
 		.on_header = on_header,
 		.done = on_done,
 		.data = pending,
@@ -400,3 +431,41 @@
 	else
 		http_give_up(pending->call);
 }
+
+static uint32_t warm_wanted(const medlar_replica_t *replica)
+{
+	medlar_share_t share = medlar_replica_share(replica);
+	uint32_t wanted = share.slots < share.connections ? share.slots
+							  : share.connections;
+
+	return wanted < WARM_MAX ? wanted : WARM_MAX;
+}
+
+/**
+ * upstream_warm() - open a connection ahead of need
+ * @link: service of the replica
+ * @replica: replica
+ *
+ * Asks for the health of the replica on a new connection, which then stays
+ * open for requests. Does nothing while the replica is busy, is not used, or
+ * has enough open connections.
+ */
+void upstream_warm(upstream_link_t *link, medlar_replica_t *replica)
+{
+	medlar_time_t now = link->upstream->http->loop->now;
+	http_peer_t *peer = upstream_peer(link, replica);
+	const http_request_t request = {
+		.method = "GET",
+		.path = "/v1/health",
+		.until = now + CANCEL_MAX,
+		.silence = link->policy->silence,
+		.reply_max = link->upstream->reply_max,
+		.fresh = true,
+		.done = ignore_reply,
+	};
+
+	if (!peer || peer->busy > 0 || peer->open >= warm_wanted(replica) ||
+	    !medlar_replica_usable(replica, now))
+		return;
+	(void)http_start(peer, &request, NULL);
+}
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -539,6 +539,7 @@
 	world->rand.state = seed;
 	world->now_us = 1000 * WORLD_MS;
 	world->mean_us = 10 * WORLD_MS;
+	memset(&ops, 0, sizeof(ops));
 	ops.send = world_send;
 	ops.cancel = world_cancel;
 	ops.answer = world_answer;
