--- a/medlard/instances.c
+++ b/medlard/instances.c
@@ -112,7 +112,7 @@
  */
 instance_t *instances_find(instance_t *items, size_t len, const char *name)
 {
-	instance_t wanted;
+	instance_t wanted = { 0 };
 
 	snprintf(wanted.name, sizeof(wanted.name), "%s", name);
 	return bsearch(&wanted, items, len, sizeof(*items), compare_names);
--- a/tests/e2e_questionnaire.sh
+++ b/tests/e2e_questionnaire.sh
@@ -58,7 +58,7 @@
 trap 'fleet_stop' EXIT
 trap 'exit 1' INT TERM
 rm -rf "$dir"
-fleet_prepare "$build" kraisorn "$dir" 30000
+fleet_prepare "$build" kraisorn "$dir" 23000
 fleet_start || exit 1
 # shellcheck disable=SC2086
 set -- $fleet_entries
--- a/tests/e2e_writes.sh
+++ b/tests/e2e_writes.sh
@@ -11,7 +11,7 @@
 . scripts/fleet.sh
 
 build=$1
-base=${3:-28000}
+base=${3:-23000}
 rate=100
 seconds=$((${2:-300} / rate))
 service=billing-ledger
