Read the platform's lists at one rate, whatever the fleet's size

Cause: each instance read every list once a list_ms; with 5,300 instances and 9 lists that is 47,700 calls a second of a service that takes 2,000. Conclusion: what is lost is freshness of the list at full size, two minutes; instances tell each other of leaving replicas in seconds.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 	$(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 
-.PHONY: all demo check lint bench install clean soak plots build-tests
+.PHONY: all demo check lint bench capacity install clean soak plots \
+	build-tests
 .SECONDARY:
 all: $(PROGRAMS) $(FAKES)
 build-tests: all $(TESTS) $(BENCHES)
@@ -77,6 +78,10 @@
 	@mkdir -p $(@D)
 	$(CXX) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lrapidcheck
 
+$(BUILD)/bench/capacity: $(BUILD)/obj/bench/capacity.c.o
+	@mkdir -p $(@D)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/bench/bench_%: $(BUILD)/obj/bench/bench_%.c.o $(DAEMON_LIB) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
@@ -110,6 +115,10 @@
 bench: build-tests
 	bench/run $(BUILD) $(if $(QUICK),--quick)
 
+# Computes the figures of docs/CAPACITY.md from the last run of make bench.
+capacity: $(BUILD)/bench/capacity
+	scripts/capacity $(BUILD) build/bench.json docs/CAPACITY.md
+
 soak: build-tests
 	tests/soak $(BUILD)
 
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -2299,6 +2299,13 @@
 void *medlar_write_data(const medlar_write_t *write);
 const char *medlar_claim_state_name(medlar_claim_state_t state);
 
+/*
+ * pace.c
+ */
+
+medlar_time_t medlar_pace_period(medlar_time_t least, size_t instances,
+				 size_t polls, double rate);
+
 #ifdef __cplusplus
 }
 #endif
--- a/medlard/directory.c
+++ b/medlard/directory.c
@@ -10,6 +10,9 @@
 #include "medlard/control.h"
 #include "medlard/wire.h"
 
+/* Lists that all instances together read in a second. */
+#define LIST_CALLS_PER_SECOND 400.0
+
 #define MAPS_PREFIX "medlar/config/maps/"
 #define CONFIG_FILE "medlar/config"
 
@@ -129,11 +132,17 @@
  * @control: control thread
  * @failures: readings that failed in a row
  *
+ * All instances together read their lists at one rate, however many they are.
+ *
  * Return: a time in milliseconds, with jitter.
  */
 medlar_time_t directory_period(control_t *control, uint32_t failures)
 {
-	medlar_time_t period = control->settings.platform.list_ms;
+	const directory_t *directory = &control->directory;
+	medlar_time_t period = medlar_pace_period(
+		control->settings.platform.list_ms,
+		directory->instances_len + 1, directory->services_len + 1,
+		LIST_CALLS_PER_SECOND);
 	medlar_time_t jitter = (medlar_time_t)medlar_rand_below(
 		&control->client.rand, (uint64_t)period / 4 + 1);
 
