Answer callers by the choice of the core, and by it alone

Cause: the daemon drew addresses itself while libmedlar/address.c stood unused beside it. Change: medlard/addresses.c turns the instances into the core's form. The time to live is shortened by up to a fifth, so that callers do not return together. Conclusion: one choice.

--- a/medlard/addresses.c
+++ b/medlard/addresses.c
@@ -1,85 +1,65 @@
 /**
  * DOC: the answer to callers that ask which instances to use
  *
- * A caller gets a few instances, drawn at random so that callers spread. The
- * ones in its zone come first, and one place is kept for another zone.
+ * The choice is the core's. Each answer is drawn anew, so that callers that
+ * ask again spread over instances that have come since.
  */
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "medlard/addresses.h"
 #include "medlard/worker.h"
 
-#define WEIGHT_NEAR 100
-#define WEIGHT_FAR 25
 #define TTL_DEFAULT (5 * MEDLAR_SECOND)
 
-static bool in_zone(const instance_t *instance, medlar_str_t zone)
+static uint64_t hash_of(medlar_str_t text)
 {
-	return medlar_str_equal(medlar_str_from(instance->zone), zone);
+	return medlar_str_hash(text, 0);
 }
 
-static bool is_chosen(const addresses_choice_t *choice,
-		      const instance_t *instance)
+static size_t collect(medlar_address_t *from, const instance_t *instances,
+		      size_t len)
 {
-	for (size_t i = 0; i < choice->len; i++)
-		if (choice->items[i] == instance)
-			return true;
-	return false;
-}
-
-/* Draws one instance that is near, or far, and has not been chosen. */
-static bool draw(addresses_choice_t *choice, const instance_t *instances,
-		 size_t len, medlar_str_t zone, bool near, medlar_rand_t *rand)
-{
-	const instance_t *drawn = NULL;
-	uint64_t seen = 0;
+	size_t count = 0;
 
-	for (size_t i = 0; i < len; i++) {
-		if (instances[i].leaving ||
-		    in_zone(&instances[i], zone) != near ||
-		    is_chosen(choice, &instances[i]))
-			continue;
-		if (medlar_rand_below(rand, ++seen) == 0)
-			drawn = &instances[i];
-	}
-	if (!drawn)
-		return false;
-	choice->items[choice->len] = drawn;
-	choice->weights[choice->len++] = near ? WEIGHT_NEAR : WEIGHT_FAR;
-	return true;
-}
-
-static void even_out(addresses_choice_t *choice)
-{
-	for (size_t i = 0; i < choice->len; i++)
-		choice->weights[i] = WEIGHT_NEAR;
+	for (size_t i = 0; i < len; i++)
+		if (!instances[i].leaving)
+			from[count++] = (medlar_address_t){
+				.id = hash_of(
+					medlar_str_from(instances[i].name)),
+				.zone = hash_of(
+					medlar_str_from(instances[i].zone)),
+				.data = &instances[i],
+			};
+	return count;
 }
 
 /**
  * addresses_choose() - draw instances for a caller
- * @choice: filled in
+ * @choice: filled in; empty when memory is short
  * @instances: instances; those that are leaving are passed over
  * @len: how many
  * @zone: availability zone of the caller, or an empty string
- * @rand: generator
+ * @client: its generator tells each answer apart
  */
 void addresses_choose(addresses_choice_t *choice, const instance_t *instances,
-		      size_t len, medlar_str_t zone, medlar_rand_t *rand)
+		      size_t len, medlar_str_t zone, medlar_client_t *client)
 {
-	bool has_near;
+	medlar_address_t *from = calloc(len + 1, sizeof(*from));
+	medlar_address_t out[MEDLAR_ADDRESSES_MAX];
 
 	*choice = (addresses_choice_t){ 0 };
-	while (choice->len < ADDRESSES_MAX - 1 &&
-	       draw(choice, instances, len, zone, true, rand))
-		;
-	has_near = choice->len > 0;
-	while (choice->len < ADDRESSES_MAX &&
-	       draw(choice, instances, len, zone, false, rand))
-		;
-	if (choice->len < ADDRESSES_MAX)
-		(void)draw(choice, instances, len, zone, true, rand);
-	if (!has_near)
-		even_out(choice);
+	if (!from)
+		return;
+	len = collect(from, instances, len);
+	choice->len = medlar_address_choose(client, from, len, hash_of(zone),
+					    medlar_rand_next(&client->rand),
+					    out);
+	for (size_t i = 0; i < choice->len; i++) {
+		choice->items[i] = out[i].data;
+		choice->weights[i] = out[i].weight;
+	}
+	free(from);
 }
 
 static void add_item(medlar_buf_t *out, const instance_t *instance,
@@ -93,18 +73,6 @@
 	medlar_buf_printf(out, ",\"weight\":%u}", weight);
 }
 
-static void trace(worker_t *worker, medlar_str_t zone,
-		  const addresses_choice_t *choice)
-{
-	for (size_t i = 0; i < choice->len; i++)
-		MEDLAR_TRACE(
-			&worker->client, MEDLAR_EVENT_ADDRESS,
-			MEDLAR_TEXT("zone", zone),
-			MEDLAR_TEXT("instance",
-				    medlar_str_from(choice->items[i]->name)),
-			MEDLAR_NUM("weight", choice->weights[i]));
-}
-
 /**
  * addresses_handle() - answer /v1/addresses; see &struct route
  * @request: request
@@ -117,13 +85,13 @@
 	medlar_str_t zone = medlar_str_from(asked ? asked : "");
 	medlar_buf_t *out = &request->answer;
 	addresses_choice_t choice;
+	medlar_time_t ttl = worker->configured ? worker->config.address_ttl
+					       : TTL_DEFAULT;
 
 	addresses_choose(&choice, worker->instances, worker->instances_len,
-			 zone, &worker->client.rand);
-	trace(worker, zone, &choice);
+			 zone, &worker->client);
 	medlar_buf_printf(out, "{\"ttl_ms\":%" PRId64 ",\"addresses\":[",
-			  worker->configured ? worker->config.address_ttl
-					     : TTL_DEFAULT);
+			  medlar_address_ttl(&worker->client, ttl));
 	for (size_t i = 0; i < choice.len; i++) {
 		if (i > 0)
 			medlar_buf_add(out, MEDLAR_STR(","));
