Tell a few instances of a new fact at once

Change: the instance that finds a fact out tells three others in the same turn; in a fleet of four these are all. Conclusion: gossip rounds carry on what the first messages lose.

--- a/libmedlar/internal.h
+++ b/libmedlar/internal.h
@@ -268,6 +268,8 @@
 void medlar_probe_start(medlar_client_t *client, medlar_members_t *members,
 			medlar_time_t now);
 void medlar_probe_finish(medlar_client_t *client, medlar_members_t *members);
+void medlar_probe_urge(medlar_client_t *client, medlar_members_t *members,
+		       medlar_time_t now);
 void medlar_probe_round(medlar_client_t *client, medlar_members_t *members,
 			medlar_time_t now);
 void medlar_probe_ping(medlar_client_t *client, medlar_members_t *members,
--- a/libmedlar/member.c
+++ b/libmedlar/member.c
@@ -418,7 +418,7 @@
 }
 
 /**
- * medlar_members_tell() - tell all instances a fact
+ * medlar_members_tell() - tell all instances a fact, some of them at once
  * @client: client
  * @members: membership
  * @fact: anything but a member; copied
@@ -430,12 +430,15 @@
 			const medlar_fact_t *fact, medlar_time_t now)
 {
 	medlar_fact_t told = *fact;
-	int error = order_verdict(members, &told);
+	int news = order_verdict(members, &told);
 
-	if (error)
-		return error;
-	return medlar_members_learn(client, members, &told, MEDLAR_NEWS_SENDS,
+	if (news)
+		return news;
+	news = medlar_members_learn(client, members, &told, MEDLAR_NEWS_SENDS,
 				    now);
+	if (news > 0)
+		medlar_probe_urge(client, members, now);
+	return news;
 }
 
 static void set_own_state(medlar_client_t *client, medlar_members_t *members,
--- a/libmedlar/probe.c
+++ b/libmedlar/probe.c
@@ -12,6 +12,9 @@
 
 #define ROUND ((medlar_time_t)240)
 #define FANOUT 2
+
+/* Instances told of a new fact at once by the one that found it out. */
+#define URGENT_FANOUT 3
 #define RELAYS 3
 #define JOIN_PINGS 3
 #define SUSPICION_PERIODS 6
@@ -182,6 +185,37 @@
 	}
 }
 
+/**
+ * medlar_probe_urge() - push news now rather than in the next round
+ * @client: client
+ * @members: membership
+ * @now: current time, ms
+ *
+ * Neighbours in the list of members, from a random one on, are told. In a
+ * small fleet these are all of them.
+ */
+void medlar_probe_urge(medlar_client_t *client, medlar_members_t *members,
+		       medlar_time_t now)
+{
+	medlar_message_t message = { .kind = MEDLAR_MESSAGE_PUSH };
+	size_t start = medlar_rand_below(&client->rand, members->len);
+	unsigned sent = 0;
+	size_t i;
+
+	if (members->joined == MEDLAR_TIME_NEVER)
+		return;
+	for (i = 0; i < members->len && sent < URGENT_FANOUT; i++) {
+		const medlar_fact_entry_t *to =
+			members->list[(start + i) % members->len];
+
+		if (to->fact.subject == members->id ||
+		    medlar_entry_state(to) == MEDLAR_MEMBER_DEAD)
+			continue;
+		medlar_members_send_news(client, members, to, &message, now);
+		sent++;
+	}
+}
+
 static void ping_any(medlar_client_t *client, medlar_members_t *members,
 		     medlar_reach_t reach, medlar_time_t now)
 {
--- a/tests/prop_member.cc
+++ b/tests/prop_member.cc
@@ -227,6 +227,29 @@
 	}
 }
 
+/* A message takes at most 5 ms: no round of gossip is waited for. */
+void check_news(uint64_t seed)
+{
+	Fleet fleet(seed);
+	medlar_fact_t fact = {};
+
+	fact.kind = MEDLAR_FACT_VERDICT;
+	fact.subject = 77;
+	fact.revision = 1;
+	fact.ttl = MEDLAR_HOUR;
+	start_all(fleet, 4);
+	fleet.run(3 * MEDLAR_SECOND + medlar_rand_below(&fleet.rand, 300));
+	Node &node = any(fleet);
+	medlar_members_tell(&node.client, &node.members, &fact, fleet.now);
+	fleet.run(6);
+	for (const auto &[name, other] : fleet.nodes)
+		RC_ASSERT(std::any_of(other->facts.begin(), other->facts.end(),
+				      [](const auto &heard) {
+					      return heard.kind ==
+						     MEDLAR_FACT_VERDICT;
+				      }));
+}
+
 /* Known to nobody at first but the others by their settings. */
 void check_start_without_store(uint64_t seed)
 {
@@ -394,6 +417,7 @@
 	props.check("partitions_heal_and_the_smaller_side_takes_nothing_over",
 		    check_partition);
 	props.check("the_last_verdict_holds_everywhere", check_verdicts);
+	props.check("four_instances_have_news_in_one_message", check_news);
 	props.check("a_start_without_the_store_takes_what_peers_hold",
 		    check_start_without_store);
 	props.check("leaving_is_known_at_once_and_ends_the_share",
