Ask a replica not heard of lately for a version that no other is known to have

Cause: tests/e2e_versions.sh under ASan had 11 of 42 queries partial after the last version was everywhere. The log shows version 11 chosen, and a shard left out whose replicas were believed to serve 9 only: own news outweighed the list for a minute, and a shard that gets no request tells nothing new. Ruled out: a shorter minute alone, since the list may lag by 30 s and would then undo own news that is right. Change: a list entry whose versions have changed counts as news, since a wrong belief is corrected by the next reply; and when no replica of a shard is known to serve the version, one whose last news is a second old or more is asked. Conclusion: beliefs that are too low heal by themselves.

--- a/libmedlar/pick.c
+++ b/libmedlar/pick.c
@@ -6,9 +6,14 @@
  * one that looked best to all of them. A replica in slow start or under
  * a limit below one request is held back with a probability, and used all the
  * same when there is no other. Ejected replicas are used when all are ejected.
+ * When none is known to serve the version, one whose last news is old is asked:
+ * its reply tells, and a shard that gets no request would never be heard of.
  */
 #include "internal.h"
 
+/* Age of a replica's news after which it may serve another version, ms. */
+#define RECHECK MEDLAR_SECOND
+
 #define ALL_MAX 3
 #define DRAWS_MAX 8
 #define WANTED 2
@@ -44,6 +49,7 @@
  * @best: best replica of each usable fit, or NULL
  * @score: its score; lower is better
  * @seen: replicas found of each fit
+ * @recheck: a replica whose last news is old may have the version by now
  */
 typedef struct choice {
 	medlar_client_t *client;
@@ -52,6 +58,7 @@
 	medlar_replica_t *best[FIT_KINDS];
 	float score[FIT_KINDS];
 	uint32_t seen[FIT_COUNT];
+	bool recheck;
 } choice_t;
 
 /* Share of its normal load that a replica may get, 0 to 1. */
@@ -142,13 +149,21 @@
 	return FIT_HELD;
 }
 
+static bool may_serve(const choice_t *choice, const medlar_replica_t *replica)
+{
+	if (medlar_replica_serves(replica, choice->pick->version))
+		return true;
+	return choice->recheck &&
+	       choice->now - replica->cold->announced >= RECHECK;
+}
+
 static fit_t fit_of(const choice_t *choice, const medlar_replica_t *replica)
 {
 	const medlar_pick_t *pick = choice->pick;
 
 	if (pick->tried_len > 0 && was_tried(pick, replica))
 		return FIT_TRIED;
-	if (pick->version && !medlar_replica_serves(replica, pick->version))
+	if (pick->version && !may_serve(choice, replica))
 		return FIT_VERSION;
 	if (is_busy(replica, choice->now))
 		return FIT_BUSY;
@@ -193,6 +208,16 @@
 	}
 }
 
+static void consider_again(choice_t *choice, const medlar_shard_t *shard,
+			   bool recheck)
+{
+	*choice = (choice_t){ .client = choice->client,
+			      .pick = choice->pick,
+			      .now = choice->now,
+			      .recheck = recheck };
+	consider_all(choice, shard);
+}
+
 static void consider_two(choice_t *choice, const medlar_shard_t *shard)
 {
 	medlar_replica_t *last = NULL;
@@ -271,11 +296,14 @@
 
 	if (shard->active > ALL_MAX)
 		consider_two(&choice, shard);
-	if (!choice.best[FIT_FREE] && shard->active > 0) {
-		choice = (choice_t){ client, pick, now, { 0 }, { 0 }, { 0 } };
-		consider_all(&choice, shard);
-	}
+	if (!choice.best[FIT_FREE] && shard->active > 0)
+		consider_again(&choice, shard, false);
 	replica = best_of(&choice);
+	if (!replica && !pick->spare &&
+	    failure(&choice, shard) == MEDLAR_ERR_NO_VERSION) {
+		consider_again(&choice, shard, true);
+		replica = best_of(&choice);
+	}
 	if (!replica)
 		return failure(&choice, shard);
 	if (client->trace)
--- a/libmedlar/replica.c
+++ b/libmedlar/replica.c
@@ -179,11 +179,14 @@
 			   const medlar_replica_info_t *info, medlar_time_t now)
 {
 	medlar_replica_cold_t *cold = replica->cold;
+	bool changed = memcmp(cold->info.versions, info->versions,
+			      sizeof(info->versions)) != 0;
 
 	medlar_replica_started(client, replica, info->incarnation, now);
 	cold->info = *info;
 	replica->zone = info->zone;
-	if (cold->announced == 0 || now - cold->announced > ANNOUNCED_FRESH)
+	if (changed || cold->announced == 0 ||
+	    now - cold->announced > ANNOUNCED_FRESH)
 		memcpy(replica->versions, info->versions,
 		       sizeof(replica->versions));
 	if (info->leaving)
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -288,6 +288,51 @@
 	tear_down(&fixture);
 }
 
+/* A list that lags is corrected by a reply, one that is ignored by nothing. */
+static void a_change_in_the_list_is_news(void **state)
+{
+	fixture_t fixture;
+	medlar_replica_info_t info = listed(0);
+	const uint32_t versions[] = { 8 };
+
+	(void)state;
+	set_up(&fixture, 1, 1);
+	medlar_service_put_replica(&fixture.client, &fixture.service, &info, 5);
+	medlar_replica_announce(&fixture.client, replica_of(&fixture, 0),
+				versions, 1);
+	info.versions[0] = 9;
+	medlar_service_put_replica(&fixture.client, &fixture.service, &info, 6);
+	assert_true(medlar_replica_serves(replica_of(&fixture, 0), 9));
+	tear_down(&fixture);
+}
+
+static void a_replica_not_heard_of_lately_is_asked_for_a_version(void **state)
+{
+	const medlar_pick_t pick = { .version = 99 };
+	const uint32_t versions[] = { 98 };
+	fixture_t fixture;
+	medlar_replica_t *replica;
+	medlar_time_t now = MEDLAR_MINUTE;
+
+	(void)state;
+	set_up(&fixture, 1, 1);
+	replica = replica_of(&fixture, 0);
+	medlar_replica_sent(&fixture.client, replica, now);
+	medlar_replica_done(&fixture.client, replica, MEDLAR_RESULT_OK, 1, now);
+	medlar_replica_announce(&fixture.client, replica, versions, 1);
+	assert_int_equal(
+		medlar_replica_pick(&fixture.client,
+				    medlar_service_shard(&fixture.service, 0),
+				    &pick, now + 10, &replica),
+		MEDLAR_ERR_NO_VERSION);
+	assert_int_equal(
+		medlar_replica_pick(&fixture.client,
+				    medlar_service_shard(&fixture.service, 0),
+				    &pick, now + 2 * MEDLAR_SECOND, &replica),
+		MEDLAR_OK);
+	tear_down(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -307,6 +352,9 @@
 		cmocka_unit_test(
 			a_removed_replica_lives_until_its_requests_end),
 		cmocka_unit_test(own_news_of_versions_outweighs_the_list),
+		cmocka_unit_test(a_change_in_the_list_is_news),
+		cmocka_unit_test(
+			a_replica_not_heard_of_lately_is_asked_for_a_version),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
