Watch and shut down duplicates of libcurl's sockets, never its own

Cause: TSan found a worker that took a descriptor out of its epoll set while another thread's caller had it (test_fuzz_port). libcurl closes the socket of an attempt to connect that it gives up without calling back, so the table of connections held a stale entry, and shutting it down could have cut a caller's connection. Ruled out: a double close of ours; comparing the inode before use, which still races. Change: each connection has a duplicate descriptor that only this file closes. It is watched and shut down; libcurl's descriptor is only closed when libcurl asks for it. A stale entry is dropped when its number returns or its idle time is over. Conclusion: no call of ours can reach another thread's socket.

--- a/medlard/http_conn.c
+++ b/medlard/http_conn.c
@@ -6,7 +6,13 @@
  * ones for a close by the other end, and shuts down those that exceed a limit
  * or were idle for too long; libcurl finds them dead when it looks for one to
  * use again.
+ *
+ * libcurl closes the socket of an attempt to connect that it gives up without
+ * telling, and another thread may get the same descriptor at once. So nothing
+ * here touches libcurl's descriptor: each connection has a duplicate of its
+ * own, which is watched and shut down instead.
  */
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -84,6 +90,15 @@
 				 &options[i].value, sizeof(options[i].value));
 }
 
+static void close_own(http_conn_t *conn)
+{
+	if (conn->own < 0)
+		return;
+	loop_unwatch(conn->http->loop, conn->own);
+	close(conn->own);
+	conn->own = -1;
+}
+
 /**
  * http_conn_kill() - shut a connection down, whatever it is doing
  * @conn: an open connection
@@ -95,9 +110,9 @@
 	conn->dead = true;
 	conn->peer->open--;
 	metrics_add(conn->http->metrics, METRIC_UPSTREAM_CLOSED, 1);
+	(void)shutdown(conn->own, SHUT_RDWR);
 	if (!conn->used)
-		loop_unwatch(conn->http->loop, conn->fd);
-	(void)shutdown(conn->fd, SHUT_RDWR);
+		close_own(conn);
 }
 
 static bool is_idle(const http_conn_t *conn, const http_peer_t *peer)
@@ -141,6 +156,14 @@
 			http_conn_kill(http->conns[i]);
 }
 
+/* libcurl has closed its descriptor without a word. */
+static void forget(http_conn_t *conn)
+{
+	http_conn_kill(conn);
+	close_own(conn);
+	conn->peer = NULL;
+}
+
 static curl_socket_t open_socket(void *data, curlsocktype purpose,
 				 struct curl_sockaddr *address)
 {
@@ -148,6 +171,7 @@
 	http_peer_t *peer = call->peer;
 	http_conn_t *conn;
 	int fd;
+	int own;
 
 	(void)purpose;
 	if (peer->open >= peer->limit && peer->limit > 0)
@@ -158,13 +182,20 @@
 		    address->protocol);
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
+	own = fcntl(fd, F_DUPFD_CLOEXEC, 0);
 	conn = reserve(peer->http, fd);
-	if (!conn) {
+	if (own < 0 || !conn) {
 		close(fd);
+		if (own >= 0)
+			close(own);
 		return CURL_SOCKET_BAD;
 	}
 	set_options(fd);
-	*conn = (http_conn_t){ .http = peer->http, .peer = peer, .fd = fd };
+	if (conn->peer)
+		forget(conn);
+	*conn = (http_conn_t){
+		.http = peer->http, .peer = peer, .fd = fd, .own = own
+	};
 	peer->open++;
 	metrics_add(peer->http->metrics, METRIC_UPSTREAM_OPENED, 1);
 	return fd;
@@ -175,10 +206,10 @@
 	http_t *http = data;
 	http_conn_t *conn = http_conn_at(http, fd);
 
-	loop_unwatch(http->loop, fd);
 	close(fd);
 	if (!conn)
 		return 0;
+	close_own(conn);
 	if (!conn->dead) {
 		conn->peer->open--;
 		metrics_add(http->metrics, METRIC_UPSTREAM_CLOSED, 1);
@@ -223,10 +254,10 @@
 		conn->used = false;
 		conn->idle_since = http->loop->now;
 		if (conn->dead)
-			loop_unwatch(http->loop, fd);
+			close_own(conn);
 		else
-			(void)loop_watch(http->loop, fd, EPOLLIN, on_ready,
-					 conn);
+			(void)loop_watch(http->loop, conn->own, EPOLLIN,
+					 on_ready, conn);
 		return 0;
 	}
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
@@ -237,7 +268,10 @@
 		events |= EPOLLIN;
 	if (what & CURL_POLL_OUT)
 		events |= EPOLLOUT;
-	return loop_watch(http->loop, fd, events, on_ready, conn) ? -1 : 0;
+	if (conn->own < 0)
+		return 0;
+	return loop_watch(http->loop, conn->own, events, on_ready, conn) ? -1
+									 : 0;
 }
 
 static int set_timer(CURLM *multi, long wait_ms, void *data)
@@ -315,8 +349,11 @@
 {
 	medlar_timer_clear(http->loop->client, &http->timer);
 	medlar_timer_clear(http->loop->client, &http->sweep);
-	for (size_t i = 0; i < http->conns_len; i++)
+	for (size_t i = 0; i < http->conns_len; i++) {
+		if (http->conns[i] && http->conns[i]->peer)
+			close_own(http->conns[i]);
 		free(http->conns[i]);
+	}
 	free(http->conns);
 }
 
--- a/medlard/http_internal.h
+++ b/medlard/http_internal.h
@@ -13,7 +13,8 @@
  * struct http_conn - a connection of the HTTP client
  * @http: owner
  * @peer: address that it leads to; NULL while not open
- * @fd: descriptor
+ * @fd: descriptor of libcurl
+ * @own: duplicate of it that libcurl does not know; negative once closed
  * @used: libcurl waits for it
  * @dead: shut down, and not yet closed by libcurl
  * @idle_since: when its last call ended, ms
@@ -22,6 +23,7 @@
 	http_t *http;
 	http_peer_t *peer;
 	int fd;
+	int own;
 	bool used;
 	bool dead;
 	medlar_time_t idle_since;
