--- a/libmedlar/config.c
+++ b/libmedlar/config.c
@@ -47,8 +47,6 @@
 	medlar_doc_array_t services;
 } config_doc_t;
 
-static const char *const priorities[] = { "coverage", "latency", NULL };
-
 #define AT(member) offsetof(policy_doc_t, member)
 #define INT_FIELD(name, member, min, max)                                  \
 	{                                                                  \
@@ -67,8 +65,8 @@
 	{ "writes", MEDLAR_DOC_BOOL, AT(writes), 0, 0, 0, NULL, NULL, true,
 	  NULL },
 	INT_FIELD("shards", shards, 1, SHARDS_MAX),
-	{ "priority", MEDLAR_DOC_CHOICE, AT(priority), 0, 0, 0, priorities,
-	  NULL, true, NULL },
+	{ "priority", MEDLAR_DOC_CHOICE, AT(priority), 0, 0, 0,
+	  medlar_priority_names, NULL, true, NULL },
 	INT_FIELD("deadline_ms", deadline, 1, MEDLAR_HOUR),
 	INT_FIELD("target_ms", target, 1, MEDLAR_HOUR),
 	REAL_FIELD("target_quantile", target_quantile, 0.5, 0.99999),
@@ -202,7 +200,7 @@
 			  ",\"writes\":%s,\"shards\":%u,\"priority\":\"%s\","
 			  "\"deadline_ms\":%lld,\"target_ms\":%lld,",
 			  policy->writes ? "true" : "false", policy->shards,
-			  priorities[policy->priority],
+			  medlar_priority_names[policy->priority],
 			  (long long)policy->deadline,
 			  (long long)policy->target);
 	medlar_buf_printf(out,
--- a/libmedlar/medlar.h
+++ b/libmedlar/medlar.h
@@ -636,6 +636,9 @@
 	uint32_t partitions;
 } medlar_policy_t;
 
+/** Names of &enum medlar_priority in documents, ended by NULL. */
+extern const char *const medlar_priority_names[];
+
 void medlar_policy_default(medlar_policy_t *policy, const char *name);
 
 /*
--- a/libmedlar/policy.c
+++ b/libmedlar/policy.c
@@ -22,6 +22,12 @@
 #define DEFAULT_WINDOW (24 * MEDLAR_HOUR)
 #define DEFAULT_PARTITIONS 64
 
+const char *const medlar_priority_names[] = {
+	[MEDLAR_COVERAGE_FIRST] = "coverage",
+	[MEDLAR_LATENCY_FIRST] = "latency",
+	NULL,
+};
+
 /**
  * medlar_policy_default() - fill a policy with the defaults
  * @policy: memory of the caller
--- a/libmedlar/questionnaire.c
+++ b/libmedlar/questionnaire.c
@@ -13,8 +13,6 @@
 #define NO_CHOICES NULL
 #define NO_FIELDS NULL
 
-static const char *const priorities[] = { "coverage", "latency", NULL };
-
 static const char *const section_names[MEDLAR_SECTION_COUNT] = {
 	[MEDLAR_SECTION_PRODUCT] = "product",
 	[MEDLAR_SECTION_OPERATIONS] = "operations",
@@ -44,7 +42,8 @@
 	  "", "\"search\"", "callers and the instance list use this name" },
 	{ PRODUCT("writes", MEDLAR_DOC_BOOL, writes, 0, 0, 0, NO_CHOICES), "",
 	  "false", "requests that must run at most once are claimed first" },
-	{ PRODUCT("priority", MEDLAR_DOC_CHOICE, priority, 0, 0, 0, priorities),
+	{ PRODUCT("priority", MEDLAR_DOC_CHOICE, priority, 0, 0, 0,
+		  medlar_priority_names),
 	  "", "\"coverage\"",
 	  "decides whether a late shard is waited for or left out" },
 	{ PRODUCT("deadline_ms", MEDLAR_DOC_INT, deadline, 0, 1, MEDLAR_HOUR,
