Split the commit of a document from its submission

Change: commit.c archives, commits and settles; submission.h holds the steps that both use. No behaviour changes. Conclusion: each file has one job.

--- a/libmedlar/submission.c
+++ b/libmedlar/submission.c
@@ -2,27 +2,22 @@
  * DOC: submission of changed answers to the store
  *
  * Steps: read the current revision; find the answers that the change started
- * from; merge; generate the configuration; archive the current revision;
- * commit by compare-and-swap. The end of a commit whose reply was lost is
- * found by reading: every document carries the id of its submission. A commit
- * may be repeated on the same index, because only one copy can take effect.
+ * from; merge; generate the configuration; commit (commit.c).
  */
 #include <stdio.h>
 #include <string.h>
 
-#include "medlar.h"
+#include "submission.h"
 
 #define BACKOFF_MIN ((medlar_time_t)50)
 #define BACKOFF_MAX (2 * MEDLAR_SECOND)
 
-typedef void (*step_t)(medlar_submission_t *submission);
-
-static void read_current(medlar_submission_t *submission);
-static void archive(medlar_submission_t *submission);
-static void commit(medlar_submission_t *submission);
-static void settle(medlar_submission_t *submission);
-
-static void end(medlar_submission_t *submission, int error)
+/**
+ * medlar_submission_end() - tell the result of a submission
+ * @submission: submission; may be gone afterwards
+ * @error: %MEDLAR_OK or why it was not accepted
+ */
+void medlar_submission_end(medlar_submission_t *submission, int error)
 {
 	uint64_t revision = error ? submission->seen.number
 				  : submission->number;
@@ -50,8 +45,9 @@
 	(void)client;
 	(void)timer;
 	(void)now;
-	end(submission, submission->ambiguous ? MEDLAR_ERR_STORE_UNKNOWN
-					      : MEDLAR_ERR_STORE_DOWN);
+	medlar_submission_end(submission, submission->ambiguous
+						  ? MEDLAR_ERR_STORE_UNKNOWN
+						  : MEDLAR_ERR_STORE_DOWN);
 }
 
 static void wake(medlar_client_t *client, medlar_timer_t *timer,
@@ -65,8 +61,13 @@
 	submission->resume(submission);
 }
 
-/* Repeats a step after an exponential delay with jitter. */
-static void retry_later(medlar_submission_t *submission, step_t step)
+/**
+ * medlar_submission_retry() - repeat a step after an exponential delay with jitter
+ * @submission: submission
+ * @step: the step
+ */
+void medlar_submission_retry(medlar_submission_t *submission,
+			     medlar_step_t step)
 {
 	medlar_client_t *client = submission->client;
 	medlar_time_t delay = submission->backoff +
@@ -80,11 +81,16 @@
 	submission->resume = step;
 	if (medlar_timer_set(client, &submission->retry,
 			     submission->now + delay))
-		end(submission, MEDLAR_ERR_NOMEM);
+		medlar_submission_end(submission, MEDLAR_ERR_NOMEM);
 }
 
-/* Tells whether to go on; if not, the submission may be gone. */
-static bool begin_reply(medlar_submission_t *submission)
+/**
+ * medlar_submission_resume() - take note that a store call has ended
+ * @submission: submission; may be gone when false is returned
+ *
+ * Return: whether to go on.
+ */
+bool medlar_submission_resume(medlar_submission_t *submission)
 {
 	submission->waiting = false;
 	if (!submission->ended)
@@ -93,8 +99,15 @@
 	return false;
 }
 
-static void get(medlar_submission_t *submission, medlar_str_t key,
-		medlar_store_fn_t done, step_t again)
+/**
+ * medlar_submission_get() - read a key of the store
+ * @submission: submission
+ * @key: key
+ * @done: called with the reply
+ * @again: step to repeat when the call could not be started
+ */
+void medlar_submission_get(medlar_submission_t *submission, medlar_str_t key,
+			   medlar_store_fn_t done, medlar_step_t again)
 {
 	const medlar_store_t *store = submission->store;
 
@@ -102,12 +115,21 @@
 	if (store->get(store->data, key, done, submission) == MEDLAR_OK)
 		return;
 	submission->waiting = false;
-	retry_later(submission, again);
+	medlar_submission_retry(submission, again);
 }
 
-static void cas(medlar_submission_t *submission, medlar_str_t key,
-		medlar_str_t value, uint64_t index, medlar_store_fn_t done,
-		step_t again)
+/**
+ * medlar_submission_cas() - write a key of the store by compare-and-swap
+ * @submission: submission
+ * @key: key
+ * @value: value
+ * @index: index that the key must still have
+ * @done: called with the reply
+ * @again: step to repeat when the call could not be started
+ */
+void medlar_submission_cas(medlar_submission_t *submission, medlar_str_t key,
+			   medlar_str_t value, uint64_t index,
+			   medlar_store_fn_t done, medlar_step_t again)
 {
 	const medlar_store_t *store = submission->store;
 
@@ -116,7 +138,7 @@
 	    MEDLAR_OK)
 		return;
 	submission->waiting = false;
-	retry_later(submission, again);
+	medlar_submission_retry(submission, again);
 }
 
 static void write_answers(medlar_submission_t *submission,
@@ -234,9 +256,9 @@
 		error = write_document(submission, medlar_buf_str(&merged));
 	medlar_buf_finish(&merged);
 	if (error)
-		end(submission, error);
+		medlar_submission_end(submission, error);
 	else
-		archive(submission);
+		medlar_submission_archive(submission);
 }
 
 static void keep_base(medlar_submission_t *submission,
@@ -256,7 +278,8 @@
 
 	medlar_buf_init(&key);
 	medlar_history_key(submission->base, &key);
-	get(submission, medlar_buf_str(&key), on_base, read_base);
+	medlar_submission_get(submission, medlar_buf_str(&key), on_base,
+			      read_base);
 	medlar_buf_finish(&key);
 }
 
@@ -266,11 +289,11 @@
 	medlar_revision_t revision;
 	bool found;
 
-	if (!begin_reply(submission))
+	if (!medlar_submission_resume(submission))
 		return;
 	if (reply->status == MEDLAR_STORE_DOWN ||
 	    reply->status == MEDLAR_STORE_UNKNOWN) {
-		retry_later(submission, read_base);
+		medlar_submission_retry(submission, read_base);
 		return;
 	}
 	found = reply->status == MEDLAR_STORE_OK &&
@@ -283,11 +306,18 @@
 	}
 	if (found)
 		medlar_revision_finish(&revision);
-	end(submission, MEDLAR_ERR_EXPIRED);
+	medlar_submission_end(submission, MEDLAR_ERR_EXPIRED);
 }
 
-static int keep_current(medlar_submission_t *submission,
-			const medlar_store_reply_t *reply)
+/**
+ * medlar_submission_keep() - keep the current document that was read
+ * @submission: submission
+ * @reply: reply of the store
+ *
+ * Return: %MEDLAR_OK, or an error of medlar_revision_parse().
+ */
+int medlar_submission_keep(medlar_submission_t *submission,
+			   const medlar_store_reply_t *reply)
 {
 	medlar_revision_finish(&submission->seen);
 	medlar_buf_reset(&submission->current);
@@ -299,7 +329,13 @@
 	return medlar_revision_parse(&submission->seen, reply->value);
 }
 
-static bool is_lost(const medlar_store_reply_t *reply)
+/**
+ * medlar_submission_lost() - whether a read brought nothing
+ * @reply: reply of the store
+ *
+ * Return: true when the read must be repeated.
+ */
+bool medlar_submission_lost(const medlar_store_reply_t *reply)
 {
 	return reply->status == MEDLAR_STORE_DOWN ||
 	       reply->status == MEDLAR_STORE_UNKNOWN;
@@ -310,20 +346,20 @@
 	medlar_submission_t *submission = data;
 	int error;
 
-	if (!begin_reply(submission))
+	if (!medlar_submission_resume(submission))
 		return;
-	if (is_lost(reply)) {
-		retry_later(submission, read_current);
+	if (medlar_submission_lost(reply)) {
+		medlar_submission_retry(submission, medlar_submission_read);
 		return;
 	}
 	submission->ambiguous = false;
-	error = keep_current(submission, reply);
+	error = medlar_submission_keep(submission, reply);
 	if (error) {
-		end(submission, error);
+		medlar_submission_end(submission, error);
 		return;
 	}
 	if (submission->base > submission->seen.number) {
-		end(submission, MEDLAR_ERR_NOT_FOUND);
+		medlar_submission_end(submission, MEDLAR_ERR_NOT_FOUND);
 		return;
 	}
 	if (submission->base == submission->seen.number)
@@ -334,174 +370,14 @@
 		merge_and_archive(submission);
 }
 
-static void read_current(medlar_submission_t *submission)
-{
-	get(submission, MEDLAR_STR(MEDLAR_CONFIG_KEY), on_current,
-	    read_current);
-}
-
-static void on_archived(const medlar_store_reply_t *reply, void *data)
-{
-	medlar_submission_t *submission = data;
-
-	if (!begin_reply(submission))
-		return;
-	if (reply->status == MEDLAR_STORE_OK)
-		commit(submission);
-	else
-		retry_later(submission, archive);
-}
-
-static void write_archive(medlar_submission_t *submission)
-{
-	medlar_buf_t key;
-
-	medlar_buf_init(&key);
-	medlar_history_key(submission->seen.number, &key);
-	cas(submission, medlar_buf_str(&key),
-	    medlar_buf_str(&submission->current), submission->archive_index,
-	    on_archived, archive);
-	medlar_buf_finish(&key);
-}
-
-static void on_archive_read(const medlar_store_reply_t *reply, void *data)
-{
-	medlar_submission_t *submission = data;
-
-	if (!begin_reply(submission))
-		return;
-	if (is_lost(reply)) {
-		retry_later(submission, archive);
-		return;
-	}
-	submission->archive_index = 0;
-	if (reply->status == MEDLAR_STORE_OK) {
-		submission->archive_index = reply->index;
-		if (medlar_str_equal(reply->value,
-				     medlar_buf_str(&submission->current))) {
-			commit(submission);
-			return;
-		}
-	}
-	write_archive(submission);
-}
-
-/* Keeps the current revision before it is replaced. */
-static void archive(medlar_submission_t *submission)
-{
-	medlar_buf_t key;
-
-	if (submission->seen.number == 0) {
-		commit(submission);
-		return;
-	}
-	medlar_buf_init(&key);
-	medlar_history_key(submission->seen.number, &key);
-	get(submission, medlar_buf_str(&key), on_archive_read, archive);
-	medlar_buf_finish(&key);
-}
-
-static void on_committed(const medlar_store_reply_t *reply, void *data)
-{
-	medlar_submission_t *submission = data;
-
-	if (!begin_reply(submission))
-		return;
-	if (reply->status == MEDLAR_STORE_OK) {
-		end(submission, MEDLAR_OK);
-		return;
-	}
-	if (reply->status == MEDLAR_STORE_DOWN) {
-		retry_later(submission, commit);
-		return;
-	}
-	if (reply->status == MEDLAR_STORE_UNKNOWN)
-		submission->ambiguous = true;
-	if (submission->ambiguous)
-		settle(submission);
-	else
-		read_current(submission);
-}
-
-static void commit(medlar_submission_t *submission)
-{
-	cas(submission, MEDLAR_STR(MEDLAR_CONFIG_KEY),
-	    medlar_buf_str(&submission->document), submission->index,
-	    on_committed, commit);
-}
-
-static void on_settle_history(const medlar_store_reply_t *reply, void *data);
-
-static void settle_history(medlar_submission_t *submission)
-{
-	medlar_buf_t key;
-
-	medlar_buf_init(&key);
-	medlar_history_key(submission->number, &key);
-	get(submission, medlar_buf_str(&key), on_settle_history,
-	    settle_history);
-	medlar_buf_finish(&key);
-}
-
-/* The revision of this commit was replaced: its copy tells whose it was. */
-static void on_settle_history(const medlar_store_reply_t *reply, void *data)
-{
-	medlar_submission_t *submission = data;
-	medlar_revision_t revision;
-	int error = MEDLAR_ERR_STORE_UNKNOWN;
-
-	if (!begin_reply(submission))
-		return;
-	if (is_lost(reply)) {
-		retry_later(submission, settle_history);
-		return;
-	}
-	if (reply->status != MEDLAR_STORE_OK ||
-	    medlar_revision_parse(&revision, reply->value)) {
-		end(submission, error);
-		return;
-	}
-	if (revision.number == submission->number)
-		error = strcmp(revision.submission, submission->id) == 0
-				? MEDLAR_OK
-				: MEDLAR_ERR_CONFLICT;
-	medlar_revision_finish(&revision);
-	if (error == MEDLAR_ERR_CONFLICT)
-		read_current(submission);
-	else
-		end(submission, error);
-}
-
-static void on_settle(const medlar_store_reply_t *reply, void *data)
-{
-	medlar_submission_t *submission = data;
-	uint64_t index = submission->index;
-
-	if (!begin_reply(submission))
-		return;
-	if (is_lost(reply)) {
-		retry_later(submission, settle);
-		return;
-	}
-	if (keep_current(submission, reply)) {
-		end(submission, MEDLAR_ERR_STORE_UNKNOWN);
-		return;
-	}
-	if (strcmp(submission->seen.submission, submission->id) == 0 &&
-	    submission->seen.number == submission->number)
-		end(submission, MEDLAR_OK);
-	else if (submission->index == index)
-		retry_later(submission, commit);
-	else if (submission->seen.number <= submission->number)
-		read_current(submission);
-	else
-		settle_history(submission);
-}
-
-/* Finds out whether a commit whose reply was lost took effect. */
-static void settle(medlar_submission_t *submission)
+/**
+ * medlar_submission_read() - read the current document, merge and commit
+ * @submission: submission
+ */
+void medlar_submission_read(medlar_submission_t *submission)
 {
-	get(submission, MEDLAR_STR(MEDLAR_CONFIG_KEY), on_settle, settle);
+	medlar_submission_get(submission, MEDLAR_STR(MEDLAR_CONFIG_KEY),
+			      on_current, medlar_submission_read);
 }
 
 static void set_id(medlar_submission_t *submission)
@@ -558,7 +434,7 @@
 		medlar_submission_finish(submission);
 		return MEDLAR_ERR_NOMEM;
 	}
-	read_current(submission);
+	medlar_submission_read(submission);
 	return MEDLAR_OK;
 }
 
