--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -258,7 +258,7 @@
 	     value_of(rows, "instances_16", "writes"));
 	line("| idle calls of 4 instances | %.1f /s | %.0f reads/s |",
 	     value_of(rows, "kraisorn/idle", "store-calls"), STORE_READS);
-	line("| if each of 5,300 called as often | %.0f /s | %.0f reads/s |",
+	line("| the same by each of 5,300, without pacing | %.0f /s | %.0f reads/s |",
 	     value_of(rows, "kraisorn/idle", "store-calls") / 4 * INSTANCES,
 	     STORE_READS);
 	line("| configuration commits | %.2f /s | %.0f writes/s |",
