--- a/medlard/operators.c
+++ b/medlard/operators.c
@@ -39,19 +39,17 @@
 	medlar_buf_t faults;
 } edit_t;
 
+/* Statuses that differ from those that callers get. */
 static const struct {
 	int error;
 	unsigned status;
 } statuses[] = {
 	{ MEDLAR_OK, MHD_HTTP_OK },
-	{ MEDLAR_ERR_AUTH, MHD_HTTP_UNAUTHORIZED },
-	{ MEDLAR_ERR_OVERLOAD, MHD_HTTP_TOO_MANY_REQUESTS },
-	{ MEDLAR_ERR_CONFLICT, MHD_HTTP_CONFLICT },
+	{ MEDLAR_ERR_SYNTAX, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_PROTOCOL, MHD_HTTP_UNPROCESSABLE_CONTENT },
+	{ MEDLAR_ERR_CLASH, MHD_HTTP_UNPROCESSABLE_CONTENT },
 	{ MEDLAR_ERR_EXPIRED, MHD_HTTP_GONE },
-	{ MEDLAR_ERR_NOT_FOUND, MHD_HTTP_NOT_FOUND },
-	{ MEDLAR_ERR_STORE_DOWN, MHD_HTTP_SERVICE_UNAVAILABLE },
 	{ MEDLAR_ERR_STORE_UNKNOWN, MHD_HTTP_BAD_GATEWAY },
-	{ MEDLAR_ERR_NOMEM, MHD_HTTP_SERVICE_UNAVAILABLE },
 };
 
 static unsigned status_of(int error)
@@ -59,7 +57,7 @@
 	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++)
 		if (statuses[i].error == error)
 			return statuses[i].status;
-	return MHD_HTTP_UNPROCESSABLE_CONTENT;
+	return answer_error_status(error);
 }
 
 static void refuse(request_t *request, int error, const char *field)
--- a/tests/e2e_daemon.sh
+++ b/tests/e2e_daemon.sh
@@ -11,30 +11,9 @@
 platform=127.0.0.1:$port
 control=127.0.0.1:$((port + 1))
 entry=127.0.0.1:$((port + 2))
-count=0 failed=0
-
-# usage: result STATUS NAME
-result() {
-	count=$((count + 1))
-	if test "$1" -eq 0
-	then
-		echo "ok $count - $2"
-	else
-		echo "not ok $count - $2"
-		failed=1
-	fi
-}
 
-# Waits until a command succeeds, for at most 20 seconds.
-await() {
-	tries=400
-	while ! "$@" >/dev/null 2>&1
-	do
-		tries=$((tries - 1))
-		test "$tries" -gt 0 || return 1
-		sleep 0.05
-	done
-}
+# shellcheck source=tests/report.sh
+. tests/report.sh
 
 # usage: search DEADLINE_MS
 search() {
--- a/tests/e2e_questionnaire.sh
+++ b/tests/e2e_questionnaire.sh
@@ -7,20 +7,9 @@
 
 build=$1
 dir=$build/e2e-questionnaire
-count=0
-failed=0
-
-# Reports one case: result NAME STATUS
-result() {
-	count=$((count + 1))
-	if test "$2" -eq 0
-	then
-		echo "ok $count - $1"
-	else
-		echo "not ok $count - $1"
-		failed=1
-	fi
-}
+
+# shellcheck source=tests/report.sh
+. tests/report.sh
 
 # usage: ctl ENTRY ARGUMENT...
 ctl() {
@@ -63,13 +52,13 @@
 # shellcheck disable=SC2086
 set -- $fleet_entries
 in_force_everywhere 1
-result the_first_document_is_in_force_everywhere $?
+result $? the_first_document_is_in_force_everywhere
 
 edit questionnaire.json a.json 's/"target_ms": 400/"target_ms": 410/'
 submit "$1" product "$dir/a.json" 1
-result an_edit_is_accepted $?
+result $? an_edit_is_accepted
 in_force_everywhere 2
-result an_accepted_revision_is_in_force_everywhere $?
+result $? an_accepted_revision_is_in_force_everywhere
 
 edit questionnaire.json b.json 's/"extra_load_percent": 5/"extra_load_percent": 6/'
 edit a.json c.json 's/"coverage_percent": 90/"coverage_percent": 91/'
@@ -86,7 +75,7 @@
 ctl "$4" questionnaire show >"$dir/shown.json"
 grep -q '"extra_load_percent": 6' "$dir/shown.json" &&
 	grep -q '"coverage_percent": 91' "$dir/shown.json"
-result racing_edits_of_two_sections_both_count $((status + $?))
+result $((status + $?)) racing_edits_of_two_sections_both_count
 
 edit a.json d.json 's/"target_ms": 410/"target_ms": 420/'
 edit a.json e.json 's/"target_ms": 410/"target_ms": 430/'
@@ -94,23 +83,23 @@
 status=$?
 submit "$2" product "$dir/e.json" 2
 test $? -eq 4 && grep -q 'target_ms: yours is 430' "$dir/submit.log"
-result racing_edits_of_one_answer_conflict $((status + $?))
+result $((status + $?)) racing_edits_of_one_answer_conflict
 
 edit d.json f.json 's/"target_ms": 420/"target_ms": 20/'
 submit "$1" product "$dir/f.json" 5
 test $? -eq 1 && in_force_everywhere 5
-result clashing_answers_are_refused $?
+result $? clashing_answers_are_refused
 
 ctl "$1" questionnaire submit "$dir/a.json" --section product --base 5 \
 	--token-file "$dir/operations.token" 2>/dev/null
-result a_role_cannot_change_the_other_section $(($? != 1))
+result $(($? != 1)) a_role_cannot_change_the_other_section
 
 fleet_knob "$fleet_platform/knobs?down=1"
 submit "$1" product "$dir/a.json" 5
 status=$?
 fleet_knob "$fleet_platform/knobs?down=0"
 test "$status" -ne 0 && in_force_everywhere 5
-result nothing_is_accepted_while_the_store_is_down $?
+result $? nothing_is_accepted_while_the_store_is_down
 
 for entry in $fleet_entries
 do
@@ -128,9 +117,9 @@
 in_force_everywhere 6
 status=$((status + $?))
 ctl "$4" questionnaire show | grep -q '"target_ms": 400'
-result a_revert_is_a_new_revision $((status + $?))
+result $((status + $?)) a_revert_is_a_new_revision
 
 test "$(ctl "$2" questionnaire history | wc -l)" -eq 6
-result the_history_lists_every_revision $?
+result $? the_history_lists_every_revision
 
 exit "$failed"
