--- a/Makefile
+++ b/Makefile
@@ -24,20 +24,27 @@
 CFLAGS += -std=gnu11 $(BASEFLAGS) $(WARN)
 CXXFLAGS += -std=c++17 $(BASEFLAGS) -Wall -Wextra -Werror
 LDLIBS += $(PKG_LIBS) -lm -pthread
+ROUTER_LDLIBS := -lhttp_parser -ljson-c -ltirpc -lsodium -lxxhash -lm -pthread
 
 LIB_SRC := $(wildcard libmedlar/*.c)
 DAEMON_SRC := $(filter-out medlard/main.c,$(wildcard medlard/*.c))
 PROTO_SRC := $(wildcard proto/*.c)
 CTL_SRC := $(wildcard cli/ctl_*.c)
 LOAD_SRC := $(wildcard cli/load_*.c)
+ROUTE_SRC := $(wildcard libroute/*.c)
+ROUTER_SRC := $(filter-out router/main.c,$(wildcard router/*.c)) \
+	$(wildcard platform/*.c) proto/gossip_xdr.c \
+	medlard/clock.c medlard/log.c medlard/loop.c medlard/settings.c
 FAKE_SRC := $(wildcard tests/fakes/common_*.c)
 
 obj = $(patsubst %,$(BUILD)/obj/%.o,$(1))
 LIB := $(BUILD)/libmedlar.a
+ROUTE_LIB := $(BUILD)/libroute.a
+ROUTER_LIB := $(BUILD)/libmedlarrouter.a
 DAEMON_LIB := $(BUILD)/libmedlard.a
 
 PROGRAMS := $(patsubst %.c,$(BUILD)/%,$(notdir $(wildcard cli/medlarctl.c \
-	cli/medlarload.c))) $(if $(wildcard medlard/main.c),$(BUILD)/medlard)
+	cli/medlarload.c))) $(BUILD)/medlard $(BUILD)/medlarrouter
 FAKES := $(patsubst tests/fakes/%.c,$(BUILD)/%,$(wildcard \
 	tests/fakes/fake-*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c)) \
@@ -58,6 +65,17 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(ROUTE_LIB): $(call obj,$(ROUTE_SRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(ROUTER_LIB): $(call obj,$(ROUTER_SRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/medlarrouter: $(call obj,router/main.c) $(ROUTER_LIB) $(ROUTE_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(ROUTER_LDLIBS)
+
 $(BUILD)/medlard: $(call obj,medlard/main.c) $(DAEMON_LIB) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
--- /dev/null
+++ b/libroute/exchange.c
@@ -0,0 +1,451 @@
+/**
+ * DOC: the life of one forwarded request
+ */
+#include <stdlib.h>
+
+#include "libroute/exchange.h"
+
+/* Part of the target latency after which a second replica is asked. */
+#define HEDGE_SHARDS 0.24
+#define HEDGE_SINGLE 0.45
+/* Extra sends that a hedge leaves to retries of failed requests. */
+#define HEDGE_RESERVE 2.0
+/* Wait before replicas that are all busy are tried again, ms. */
+#define BUSY_WAIT 4
+/* A request that has broken this many replicas is not sent once more. */
+#define BREAKS_SENT_MAX 2
+
+static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data);
+
+static medlar_time_t least(medlar_time_t a, medlar_time_t b)
+{
+	return a < b ? a : b;
+}
+
+static bool is_merged(const exchange_t *exchange)
+{
+	return exchange->route->form == ROUTE_SHARDS;
+}
+
+static int add_part(exchange_t *exchange, size_t target, medlar_time_t now)
+{
+	const route_target_t *to = &exchange->route->targets[target];
+	exchange_part_t *part = &exchange->parts[exchange->parts_len];
+
+	part->service = fleet_service(exchange->setup->fleet,
+				      medlar_str_from(to->service), now);
+	if (!part->service)
+		return MEDLAR_ERR_NOMEM;
+	medlar_buf_init(&part->proof);
+	medlar_buf_init(&part->body);
+	exchange->parts_len++;
+	return MEDLAR_OK;
+}
+
+static int add_parts(exchange_t *exchange, medlar_time_t now)
+{
+	const route_t *route = exchange->route;
+	medlar_client_t *client = exchange->setup->client;
+
+	if (!is_merged(exchange))
+		return add_part(exchange,
+				route_draw(route,
+					   medlar_rand_unit(&client->rand)),
+				now);
+	for (size_t i = 0; i < route->targets_len; i++)
+		if (add_part(exchange, i, now))
+			return MEDLAR_ERR_NOMEM;
+	return MEDLAR_OK;
+}
+
+/**
+ * exchange_init() - prepare a request
+ * @exchange: memory of the caller; needs exchange_finish() in any case
+ * @setup: shared by the exchanges of the instance
+ * @routes: version in force
+ * @route: route of the request
+ * @limit: how long the caller waits, ms
+ * @now: current time
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_NOMEM.
+ */
+int exchange_init(exchange_t *exchange, const exchange_setup_t *setup,
+		  routes_t *routes, const route_t *route, medlar_time_t limit,
+		  medlar_time_t now)
+{
+	double part = route->form == ROUTE_SHARDS ? HEDGE_SHARDS :
+						    HEDGE_SINGLE;
+	size_t parts = route->form == ROUTE_SHARDS ? route->targets_len : 1;
+
+	*exchange = (exchange_t){ .setup = setup,
+				  .routes = routes_hold(routes),
+				  .route = route,
+				  .began = now };
+	exchange->deadline = now + least(limit - setup->margin / 2,
+					 route->timeout);
+	exchange->aim = now + route->target_latency - setup->margin;
+	exchange->hedge_at =
+		now + (medlar_time_t)(part * (double)route->target_latency);
+	medlar_timer_init(&exchange->timer, on_timer, exchange);
+	exchange->parts = calloc(parts, sizeof(*exchange->parts));
+	if (!exchange->parts)
+		return MEDLAR_ERR_NOMEM;
+	return add_parts(exchange, now);
+}
+
+/**
+ * exchange_finish() - release what an exchange holds
+ * @exchange: an exchange that was answered or cancelled
+ */
+void exchange_finish(exchange_t *exchange)
+{
+	medlar_timer_clear(exchange->setup->client, &exchange->timer);
+	for (size_t i = 0; i < exchange->parts_len; i++) {
+		exchange_part_t *part = &exchange->parts[i];
+
+		for (unsigned j = 0; j < part->attempts_len; j++)
+			replica_release(part->attempts[j].replica);
+		medlar_buf_finish(&part->proof);
+		medlar_buf_finish(&part->body);
+	}
+	free(exchange->parts);
+	exchange->parts = NULL;
+	exchange->parts_len = 0;
+	routes_release(exchange->routes);
+	exchange->routes = NULL;
+}
+
+static void drop_attempts(exchange_t *exchange)
+{
+	const exchange_setup_t *setup = exchange->setup;
+
+	for (size_t i = 0; i < exchange->parts_len; i++) {
+		exchange_part_t *part = &exchange->parts[i];
+
+		for (unsigned j = 0; j < part->attempts_len; j++)
+			if (part->attempts[j].io &&
+			    !setup->events->drop(&part->attempts[j],
+						 setup->data))
+				exchange->ran = true;
+	}
+}
+
+/**
+ * exchange_cancel() - the caller has left
+ * @exchange: an exchange that was not answered
+ */
+void exchange_cancel(exchange_t *exchange)
+{
+	exchange->answered = true;
+	medlar_timer_clear(exchange->setup->client, &exchange->timer);
+	drop_attempts(exchange);
+}
+
+static void answer(exchange_t *exchange, answer_t how,
+		   const exchange_reply_t *reply)
+{
+	const exchange_setup_t *setup = exchange->setup;
+
+	exchange->answered = true;
+	medlar_timer_clear(setup->client, &exchange->timer);
+	drop_attempts(exchange);
+	if (how >= ANSWER_NOT_RUN && !exchange->ran)
+		how = ANSWER_NOT_RUN;
+	setup->events->answer(exchange, how, reply, setup->data);
+}
+
+static bool is_covered(const exchange_t *exchange)
+{
+	return is_merged(exchange) &&
+	       exchange->ok >= route_coverage_parts(exchange->route);
+}
+
+static void give_up(exchange_t *exchange, answer_t how)
+{
+	if (is_covered(exchange))
+		answer(exchange, ANSWER_MERGED, NULL);
+	else
+		answer(exchange, how, NULL);
+}
+
+static void settle(exchange_part_t *part, exchange_t *exchange, bool ok)
+{
+	part->settled = true;
+	part->ok = ok;
+	exchange->settled++;
+	exchange->ok += ok ? 1 : 0;
+}
+
+/* Ends the exchange if more waiting cannot better it. */
+static void check(exchange_t *exchange, medlar_time_t now)
+{
+	size_t open = exchange->parts_len - exchange->settled;
+
+	if (exchange->answered)
+		return;
+	if (!is_merged(exchange)) {
+		if (open == 0)
+			answer(exchange, ANSWER_FAILED, NULL);
+		return;
+	}
+	if (open == 0 || (is_covered(exchange) && now >= exchange->aim) ||
+	    exchange->ok + open < route_coverage_parts(exchange->route))
+		give_up(exchange, ANSWER_FAILED);
+}
+
+static replica_t *pick(exchange_part_t *part, exchange_t *exchange,
+		       medlar_time_t now)
+{
+	replica_t *tried[EXCHANGE_SENDS_MAX];
+
+	for (unsigned i = 0; i < part->attempts_len; i++)
+		tried[i] = part->attempts[i].replica;
+	return fleet_pick(exchange->setup->fleet, part->service, tried,
+			  part->attempts_len, now);
+}
+
+static bool send_part(exchange_part_t *part, exchange_t *exchange,
+		      medlar_time_t now)
+{
+	const exchange_setup_t *setup = exchange->setup;
+	attempt_t *attempt = &part->attempts[part->attempts_len];
+
+	while (part->attempts_len < EXCHANGE_SENDS_MAX) {
+		replica_t *replica = pick(part, exchange, now);
+
+		if (!replica)
+			return false;
+		*attempt = (attempt_t){ .exchange = exchange,
+					.part = part,
+					.replica = replica,
+					.extra = part->attempts_len > 0 };
+		replica_hold(replica);
+		part->attempts_len++;
+		if (setup->events->send(attempt, setup->data) == MEDLAR_OK) {
+			part->flying++;
+			part->may_have_run++;
+			exchange->sends++;
+			return true;
+		}
+		attempt++;
+	}
+	return false;
+}
+
+static bool may_repeat(const exchange_part_t *part, exchange_t *exchange)
+{
+	const route_t *route = exchange->route;
+
+	if (part->attempts_len >= EXCHANGE_SENDS_MAX)
+		return false;
+	if (part->may_have_run >=
+	    (route->idempotent ? route->attempts_max : 1))
+		return false;
+	return suspects_breaks(exchange->setup->suspects,
+			       exchange->fingerprint) < BREAKS_SENT_MAX;
+}
+
+static bool pay(exchange_part_t *part, exchange_t *exchange, double reserve,
+		medlar_time_t now)
+{
+	const fleet_t *fleet = exchange->setup->fleet;
+
+	if (!spend_try(&part->service->spend, &fleet->spend_limits,
+		       fleet_share(fleet), reserve, now))
+		return false;
+	exchange->extra++;
+	return true;
+}
+
+static bool has_other(exchange_part_t *part, exchange_t *exchange,
+		      medlar_time_t now)
+{
+	return pick(part, exchange, now) != NULL;
+}
+
+/* Sends a part again that no replica has under way, or gives it up. */
+static void retry(exchange_part_t *part, exchange_t *exchange, bool free_send,
+		  medlar_time_t now)
+{
+	if (may_repeat(part, exchange) && has_other(part, exchange, now) &&
+	    (free_send || pay(part, exchange, 0, now)) &&
+	    send_part(part, exchange, now))
+		return;
+	if (part->flying == 0)
+		settle(part, exchange, false);
+}
+
+static void hedge(exchange_part_t *part, exchange_t *exchange,
+		  medlar_time_t now)
+{
+	const exchange_setup_t *setup = exchange->setup;
+
+	if (part->settled || part->hedged || !exchange->route->idempotent ||
+	    !may_repeat(part, exchange) || !has_other(part, exchange, now) ||
+	    !pay(part, exchange, HEDGE_RESERVE, now))
+		return;
+	part->hedged = true;
+	if (send_part(part, exchange, now))
+		setup->events->note(&part->attempts[part->attempts_len - 1],
+				    "hedge", OUTCOME_COUNT, setup->data);
+}
+
+static void set_timer(exchange_t *exchange, medlar_time_t now)
+{
+	medlar_time_t due = exchange->deadline;
+
+	if (exchange->answered)
+		return;
+	if (is_merged(exchange) && now < exchange->aim)
+		due = least(due, exchange->aim);
+	if (now < exchange->hedge_at)
+		due = least(due, exchange->hedge_at);
+	for (size_t i = 0; i < exchange->parts_len; i++)
+		if (!exchange->parts[i].settled &&
+		    exchange->parts[i].flying == 0)
+			due = least(due, now + BUSY_WAIT);
+	(void)medlar_timer_set(exchange->setup->client, &exchange->timer, due);
+}
+
+static void first_send(exchange_part_t *part, exchange_t *exchange,
+		       medlar_time_t now)
+{
+	if (send_part(part, exchange, now) || part->settled)
+		return;
+	if (part->service->replicas_len == 0 ||
+	    part->attempts_len >= EXCHANGE_SENDS_MAX)
+		settle(part, exchange, false);
+}
+
+/**
+ * exchange_start() - send the request
+ * @exchange: a prepared exchange; may be answered when this returns
+ * @now: current time
+ */
+void exchange_start(exchange_t *exchange, medlar_time_t now)
+{
+	const fleet_t *fleet = exchange->setup->fleet;
+
+	for (size_t i = 0; i < exchange->parts_len; i++) {
+		exchange_part_t *part = &exchange->parts[i];
+
+		spend_request(&part->service->spend, &fleet->spend_limits);
+		first_send(part, exchange, now);
+	}
+	set_timer(exchange, now);
+	check(exchange, now);
+}
+
+static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	exchange_t *exchange = data;
+
+	(void)client;
+	(void)timer;
+	if (now >= exchange->deadline) {
+		give_up(exchange, ANSWER_TIMEOUT);
+		return;
+	}
+	for (size_t i = 0; i < exchange->parts_len; i++) {
+		exchange_part_t *part = &exchange->parts[i];
+
+		if (!part->settled && part->flying == 0)
+			first_send(part, exchange, now);
+		else if (now >= exchange->hedge_at)
+			hedge(part, exchange, now);
+	}
+	set_timer(exchange, now);
+	check(exchange, now);
+}
+
+static void take_part(exchange_part_t *part, exchange_t *exchange,
+		      const exchange_reply_t *reply)
+{
+	const exchange_setup_t *setup = exchange->setup;
+
+	medlar_buf_add(&part->proof, reply->proof);
+	medlar_buf_add(&part->body, reply->body);
+	settle(part, exchange, !part->proof.error && !part->body.error);
+	for (unsigned i = 0; i < part->attempts_len; i++)
+		if (part->attempts[i].io)
+			(void)setup->events->drop(&part->attempts[i],
+						  setup->data);
+	part->flying = 0;
+}
+
+static void end_ok(attempt_t *attempt, const exchange_reply_t *reply)
+{
+	exchange_t *exchange = attempt->exchange;
+
+	exchange->ran = true;
+	suspects_cleared(exchange->setup->suspects, exchange->fingerprint);
+	if (is_merged(exchange))
+		take_part(attempt->part, exchange, reply);
+	else
+		answer(exchange, ANSWER_RELAY, reply);
+}
+
+static void end_failed(attempt_t *attempt, const exchange_reply_t *reply,
+		       medlar_time_t now)
+{
+	exchange_t *exchange = attempt->exchange;
+	exchange_part_t *part = attempt->part;
+	bool repeated;
+
+	exchange->ran = true;
+	retry(part, exchange, false, now);
+	repeated = part->flying > 0;
+	if (!repeated && !is_merged(exchange) && reply->message)
+		answer(exchange, ANSWER_RELAY, reply);
+}
+
+/**
+ * exchange_end() - tell how an attempt has ended
+ * @attempt: an attempt that is under way; its exchange may be answered when
+ *	this returns
+ * @reply: outcome and reply
+ * @now: current time
+ */
+void exchange_end(attempt_t *attempt, const exchange_reply_t *reply,
+		  medlar_time_t now)
+{
+	exchange_t *exchange = attempt->exchange;
+	const exchange_setup_t *setup = exchange->setup;
+	exchange_part_t *part = attempt->part;
+
+	attempt->io = NULL;
+	part->flying--;
+	if (reply->outcome != OUTCOME_OK)
+		setup->events->note(attempt, "attempt_end", reply->outcome,
+				    setup->data);
+	switch (reply->outcome) {
+	case OUTCOME_OK:
+		end_ok(attempt, reply);
+		break;
+	case OUTCOME_FAILED:
+		end_failed(attempt, reply, now);
+		break;
+	case OUTCOME_NOT_SENT:
+		part->may_have_run--;
+		retry(part, exchange, true, now);
+		break;
+	case OUTCOME_REFUSED:
+	case OUTCOME_ELSEWHERE:
+		part->may_have_run--;
+		retry(part, exchange, false, now);
+		break;
+	default:
+		exchange->ran = true;
+		if (exchange->ok == 0)
+			(void)suspects_broke(setup->suspects,
+					     exchange->fingerprint,
+					     attempt->replica->hash, now);
+		retry(part, exchange, false, now);
+	}
+	if (exchange->answered)
+		return;
+	set_timer(exchange, now);
+	check(exchange, now);
+}
--- a/medlard/settings.c
+++ b/medlard/settings.c
@@ -204,7 +204,15 @@
 	return MEDLAR_OK;
 }
 
-static int read_file(const char *path, medlar_buf_t *out)
+/**
+ * settings_read_file() - read a whole file of settings
+ * @path: name of the file
+ * @out: appended to
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_IO, %MEDLAR_ERR_TOO_LARGE or
+ * %MEDLAR_ERR_NOMEM.
+ */
+int settings_read_file(const char *path, medlar_buf_t *out)
 {
 	char chunk[4096];
 	ssize_t got = 0;
@@ -241,7 +249,7 @@
 	medlar_buf_t text;
 
 	medlar_buf_init(&text);
-	report.error = read_file(path, &text);
+	report.error = settings_read_file(path, &text);
 	if (report.error)
 		medlar_client_report(client, &report);
 	else
--- /dev/null
+++ b/proto/gossip.x
@@ -0,0 +1,43 @@
+/*
+ * Messages between routers. GOSSIP_TELL is a call without a reply, sent in a
+ * datagram. A gossip_snapshot is the body of the answer to GET /snapshot on
+ * the same port over TCP.
+ */
+
+const GOSSIP_NAME_MAX = 127;
+const GOSSIP_ADDRESS_MAX = 63;
+const GOSSIP_CONVICTED_MAX = 16;
+const GOSSIP_KEY_MAX = 255;
+const GOSSIP_VALUE_MAX = 4194304;
+const GOSSIP_ENTRIES_MAX = 100000;
+
+struct gossip_message {
+	string name<GOSSIP_NAME_MAX>;
+	string zone<GOSSIP_NAME_MAX>;
+	string callers<GOSSIP_ADDRESS_MAX>;
+	string peers<GOSSIP_ADDRESS_MAX>;
+	unsigned hyper start;
+	unsigned int seq;
+	bool ready;
+	bool leaving;
+	unsigned hyper revision;
+	unsigned hyper config_version;
+	unsigned hyper convicted<GOSSIP_CONVICTED_MAX>;
+};
+
+struct gossip_entry {
+	opaque key<GOSSIP_KEY_MAX>;
+	opaque value<GOSSIP_VALUE_MAX>;
+	unsigned hyper revision;
+};
+
+struct gossip_snapshot {
+	unsigned hyper revision;
+	gossip_entry entries<GOSSIP_ENTRIES_MAX>;
+};
+
+program GOSSIP_PROGRAM {
+	version GOSSIP_VERSION {
+		void GOSSIP_TELL(gossip_message) = 1;
+	} = 1;
+} = 0x20006d66;
--- /dev/null
+++ b/router/daemon.h
@@ -0,0 +1,10 @@
+/**
+ * DOC: the router as a process
+ */
+#ifndef ROUTER_DAEMON_H
+#define ROUTER_DAEMON_H
+
+int daemon_run(const char *path);
+int daemon_check(const char *path);
+
+#endif /* ROUTER_DAEMON_H */
--- /dev/null
+++ b/router/forward.c
@@ -0,0 +1,437 @@
+/**
+ * DOC: requests of callers, from the socket to the answer
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "libroute/records.h"
+#include "platform/headers.h"
+#include "router/forward.h"
+
+/* Time that an answer and its processing take to the caller and back, ms. */
+#define ANSWER_MARGIN 8
+/* When callers may come back after a request that was not run, ms. */
+#define RETRY_SOON 20
+#define RETRY_LATER 200
+#define LINES_PER_SECOND 100.0
+/* One in so many plain successes is logged. */
+#define LOG_SAMPLE 128
+
+typedef struct forward_request {
+	upstream_request_t upstream; /* first: the owner of the exchange */
+	TAILQ_ENTRY(forward_request) link;
+	forward_t *forward;
+	h1_conn_t *conn;
+	exchange_t exchange;
+	medlar_buf_t id;
+} forward_request_t;
+
+/**
+ * forward_turn() - free what was finished in this turn of the loop
+ * @data: the service; the type fits a loop hook
+ */
+void forward_turn(void *data)
+{
+	forward_t *forward = data;
+	forward_request_t *request;
+
+	while ((request = TAILQ_FIRST(&forward->finished))) {
+		TAILQ_REMOVE(&forward->finished, request, link);
+		exchange_finish(&request->exchange);
+		medlar_buf_finish(&request->upstream.head);
+		medlar_buf_finish(&request->upstream.body);
+		medlar_buf_finish(&request->id);
+		free(request);
+	}
+}
+
+static bool may_log(forward_t *forward)
+{
+	medlar_time_t now = forward->loop->now;
+
+	forward->lines += LINES_PER_SECOND *
+			  (double)(now - forward->lines_at) / MEDLAR_SECOND;
+	forward->lines_at = now;
+	if (forward->lines > LINES_PER_SECOND)
+		forward->lines = LINES_PER_SECOND;
+	if (forward->lines < 1) {
+		forward->stats->counts[STAT_LOG_LEFT_OUT]++;
+		return false;
+	}
+	forward->lines -= 1;
+	return true;
+}
+
+static bool is_plain(const exchange_t *exchange, answer_t how, bool late)
+{
+	return how <= ANSWER_MERGED && !late && exchange->extra == 0 &&
+	       exchange->ok == exchange->parts_len;
+}
+
+static void log_answer(forward_request_t *request, answer_t how,
+		       unsigned status)
+{
+	forward_t *forward = request->forward;
+	const exchange_t *exchange = &request->exchange;
+	medlar_time_t took = forward->loop->now - exchange->began;
+	bool late = took > exchange->route->target_latency;
+
+	stats_took(forward->stats, took);
+	forward->stats->answers[how]++;
+	forward->stats->late += late;
+	if (how == ANSWER_MERGED && exchange->ok < exchange->parts_len)
+		forward->stats->partial++;
+	if (is_plain(exchange, how, late) &&
+	    forward->stats->counts[STAT_REQUESTS] % LOG_SAMPLE)
+		return;
+	if (!may_log(forward))
+		return;
+	LOG_LINE(forward->log, LOG_LEVEL_INFO, "answer",
+		 MEDLAR_TEXT("id", medlar_buf_str(&request->id)),
+		 MEDLAR_TEXT("route", medlar_str_from(exchange->route->name)),
+		 MEDLAR_TEXT("how", medlar_str_from(stats_answer_name(how))),
+		 MEDLAR_NUM("status", status), MEDLAR_NUM("took_ms", took),
+		 MEDLAR_NUM("target_ms", exchange->route->target_latency),
+		 MEDLAR_NUM("parts", exchange->parts_len),
+		 MEDLAR_NUM("missing",
+			    how == ANSWER_RELAY ?
+				    0 :
+				    exchange->parts_len - exchange->ok),
+		 MEDLAR_NUM("sends", exchange->sends),
+		 MEDLAR_NUM("extra", exchange->extra),
+		 MEDLAR_NUM("config", exchange->routes->version));
+}
+
+static void answer_relay(h1_conn_t *conn, const forward_request_t *request,
+			 const h1_message_t *reply)
+{
+	medlar_buf_t headers;
+
+	medlar_buf_init(&headers);
+	headers_write_relay(reply, request->upstream.to_head, &headers);
+	h1_conn_answer(conn, reply->status, medlar_buf_str(&headers),
+		       medlar_buf_str(&reply->body));
+	medlar_buf_finish(&headers);
+}
+
+static void answer_status(h1_conn_t *conn, unsigned status,
+			  medlar_time_t retry_after)
+{
+	medlar_buf_t headers;
+
+	medlar_buf_init(&headers);
+	if (retry_after)
+		headers_write_retry_after(retry_after, &headers);
+	h1_conn_answer(conn, status, medlar_buf_str(&headers),
+		       (medlar_str_t){ 0 });
+	medlar_buf_finish(&headers);
+}
+
+/* Return: the status that was sent. */
+static unsigned answer_merged(h1_conn_t *conn, const exchange_t *exchange)
+{
+	size_t count = exchange->parts_len;
+	medlar_str_t *proofs = calloc(2 * count, sizeof(*proofs));
+	medlar_str_t *bodies = proofs + count;
+	medlar_buf_t headers;
+	medlar_buf_t body;
+	unsigned status = 200;
+	size_t in = 0;
+
+	medlar_buf_init(&headers);
+	medlar_buf_init(&body);
+	for (size_t i = 0; proofs && i < count; i++) {
+		const exchange_part_t *part = &exchange->parts[i];
+
+		if (!part->ok)
+			continue;
+		proofs[in] = medlar_buf_str(&part->proof);
+		bodies[in++] = medlar_buf_str(&part->body);
+	}
+	if (!proofs || records_merge(bodies, in, exchange->route->top_k, &body))
+		status = 500;
+	else
+		headers_write_parts(proofs, in, count - in, &headers);
+	h1_conn_answer(conn, status, medlar_buf_str(&headers),
+		       medlar_buf_str(&body));
+	medlar_buf_finish(&headers);
+	medlar_buf_finish(&body);
+	free(proofs);
+	return status;
+}
+
+static void on_answer(exchange_t *exchange, answer_t how,
+		      const exchange_reply_t *reply, void *data)
+{
+	static const unsigned statuses[] = {
+		[ANSWER_NOT_RUN] = 503,
+		[ANSWER_FAILED] = 502,
+		[ANSWER_TIMEOUT] = 504,
+	};
+	forward_t *forward = data;
+	forward_request_t *request = exchange->owner;
+	h1_conn_t *conn = request->conn;
+	unsigned status;
+
+	TAILQ_INSERT_TAIL(&forward->finished, request, link);
+	if (how == ANSWER_RELAY) {
+		const h1_message_t *message = reply->message;
+
+		status = message->status;
+		answer_relay(conn, request, message);
+	} else if (how == ANSWER_MERGED) {
+		status = answer_merged(conn, exchange);
+	} else {
+		status = statuses[how];
+		answer_status(conn, status,
+			      how == ANSWER_NOT_RUN ? RETRY_SOON : 0);
+	}
+	log_answer(request, how, status);
+}
+
+static int on_send(attempt_t *attempt, void *data)
+{
+	forward_t *forward = data;
+
+	return upstream_send(forward->upstream, attempt);
+}
+
+static bool on_drop(attempt_t *attempt, void *data)
+{
+	forward_t *forward = data;
+
+	return upstream_drop(forward->upstream, attempt);
+}
+
+static void on_note(const attempt_t *attempt, const char *event,
+		    outcome_t outcome, void *data)
+{
+	forward_t *forward = data;
+	const exchange_t *exchange = attempt->exchange;
+	const forward_request_t *request = exchange->owner;
+	unsigned breaks = 0;
+
+	if (outcome == OUTCOME_LOST)
+		breaks = suspects_breaks(&forward->suspects,
+					 exchange->fingerprint);
+	if (breaks + 1 >= SUSPECT_BREAKS)
+		peers_convicted(forward->peers, exchange->fingerprint);
+	if (!may_log(forward))
+		return;
+	LOG_LINE(forward->log, LOG_LEVEL_INFO, event,
+		 MEDLAR_TEXT("id", medlar_buf_str(&request->id)),
+		 MEDLAR_TEXT("service",
+			     medlar_str_from(attempt->part->service->name)),
+		 MEDLAR_TEXT("replica", medlar_str_from(attempt->replica->id)),
+		 MEDLAR_TEXT("outcome",
+			     medlar_str_from(stats_outcome_name(outcome))),
+		 MEDLAR_NUM("after_ms", forward->loop->now - exchange->began),
+		 MEDLAR_NUM("send", attempt->part->attempts_len),
+		 MEDLAR_NUM("breaks", breaks));
+}
+
+static const exchange_events_t exchange_events = {
+	.send = on_send,
+	.drop = on_drop,
+	.answer = on_answer,
+	.note = on_note,
+};
+
+static uint64_t fingerprint_of(const h1_message_t *message, medlar_str_t host)
+{
+	uint64_t hash = medlar_str_hash(host, 0);
+
+	hash = medlar_str_hash(h1_message_target(message), hash);
+	hash = medlar_str_hash(medlar_buf_str(&message->body), hash);
+	return hash ? hash : 1;
+}
+
+static void refuse(forward_t *forward, h1_conn_t *conn, unsigned status,
+		   medlar_time_t retry_after, stat_t stat,
+		   const call_head_t *head)
+{
+	forward->stats->counts[stat]++;
+	if (may_log(forward))
+		LOG_LINE(forward->log, LOG_LEVEL_INFO, "refuse",
+			 MEDLAR_TEXT("id", head->request_id),
+			 MEDLAR_NUM("status", status),
+			 MEDLAR_NUM("why", stat),
+			 MEDLAR_NUM("config", forward->routes ?
+						      forward->routes->version :
+						      0));
+	answer_status(conn, status, retry_after);
+}
+
+static void fill_request(forward_request_t *request,
+			 const h1_message_t *message, const call_head_t *head)
+{
+	upstream_request_t *upstream = &request->upstream;
+
+	medlar_buf_init(&upstream->head);
+	medlar_buf_init(&upstream->body);
+	medlar_buf_init(&request->id);
+	medlar_buf_add(&request->id, head->request_id);
+	upstream->id = medlar_buf_str(&request->id);
+	headers_write_forward(message, &upstream->head);
+	medlar_buf_add(&upstream->body, medlar_buf_str(&message->body));
+	upstream->has_body =
+		h1_message_find(message, MEDLAR_STR("content-length")).ptr ||
+		h1_message_find(message, MEDLAR_STR("transfer-encoding")).ptr;
+	upstream->to_head = strcmp(message->method, "HEAD") == 0;
+}
+
+static void start(forward_t *forward, h1_conn_t *conn, const route_t *route,
+		  const call_head_t *head, uint64_t fingerprint)
+{
+	forward_request_t *request = calloc(1, sizeof(*request));
+	medlar_time_t now = forward->loop->now;
+	medlar_time_t wait = head->wait ? head->wait : route->timeout;
+
+	if (!request) {
+		answer_status(conn, 503, RETRY_LATER);
+		return;
+	}
+	fill_request(request, &conn->parser.message, head);
+	request->forward = forward;
+	request->conn = conn;
+	if (exchange_init(&request->exchange, &forward->setup, forward->routes,
+			  route, wait, now) ||
+	    request->upstream.head.error || request->upstream.body.error) {
+		TAILQ_INSERT_TAIL(&forward->finished, request, link);
+		answer_status(conn, 503, RETRY_LATER);
+		return;
+	}
+	request->exchange.fingerprint = fingerprint;
+	request->exchange.owner = request;
+	conn->job = request;
+	exchange_start(&request->exchange, now);
+}
+
+static void on_request(h1_conn_t *conn, void *data)
+{
+	forward_t *forward = data;
+	const h1_message_t *message = &conn->parser.message;
+	medlar_str_t target = h1_message_target(message);
+	const route_t *route;
+	uint64_t fingerprint;
+	call_head_t head;
+
+	forward->stats->counts[STAT_REQUESTS]++;
+	headers_read_call(message, &head);
+	if (head.bad) {
+		conn->closing = true;
+		refuse(forward, conn, 400, 0, STAT_BAD_REQUESTS, &head);
+		return;
+	}
+	if (!forward->routes) {
+		refuse(forward, conn, 503, RETRY_LATER, STAT_NOT_READY, &head);
+		return;
+	}
+	route = routes_find(forward->routes, head.host, target);
+	if (!route) {
+		bool fresh = forward->is_fresh(forward->data);
+
+		refuse(forward, conn, fresh ? 404 : 503,
+		       fresh ? 0 : RETRY_LATER, STAT_NO_ROUTE, &head);
+		return;
+	}
+	fingerprint = fingerprint_of(message, head.host);
+	if (suspects_convicted(&forward->suspects, fingerprint,
+			       forward->loop->now)) {
+		refuse(forward, conn, 503, RETRY_LATER, STAT_CONVICTED, &head);
+		return;
+	}
+	start(forward, conn, route, &head, fingerprint);
+}
+
+static void on_gone(h1_conn_t *conn, void *data)
+{
+	forward_t *forward = data;
+	forward_request_t *request = conn->job;
+
+	if (!request)
+		return;
+	forward->stats->counts[STAT_CALLERS_LEFT]++;
+	exchange_cancel(&request->exchange);
+	TAILQ_INSERT_TAIL(&forward->finished, request, link);
+}
+
+static const h1_handler_t handler = { .request = on_request, .gone = on_gone };
+
+/**
+ * forward_init() - listen for callers
+ * @forward: memory of the caller
+ * @loop: loop that serves it
+ * @log: told of requests
+ * @stats: counters
+ * @upstream: connections to replicas
+ * @fleet: replicas
+ * @peers: told of convicted requests
+ * @settings: where to listen
+ * @is_fresh: tells whether the routes are known to be up to date
+ * @data: passed to @is_fresh
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_IO.
+ */
+int forward_init(forward_t *forward, loop_t *loop, logger_t *log,
+		 stats_t *stats, upstream_t *upstream, fleet_t *fleet,
+		 peers_t *peers, const router_settings_t *settings,
+		 bool (*is_fresh)(void *), void *data)
+{
+	static const h1_server_limits_t limits = {
+		.message = { 16384, 1 << 20 },
+		.head_ms = 10 * MEDLAR_SECOND,
+		.idle_ms = MEDLAR_MINUTE,
+	};
+	struct sockaddr_in address;
+
+	*forward = (forward_t){ .loop = loop,
+				.log = log,
+				.stats = stats,
+				.upstream = upstream,
+				.peers = peers,
+				.is_fresh = is_fresh,
+				.data = data,
+				.lines_at = loop->now };
+	forward->setup = (exchange_setup_t){ .client = loop->client,
+					     .fleet = fleet,
+					     .suspects = &forward->suspects,
+					     .margin = ANSWER_MARGIN,
+					     .events = &exchange_events,
+					     .data = forward };
+	TAILQ_INIT(&forward->finished);
+	if (router_address_parse(medlar_str_from(settings->callers), &address))
+		return MEDLAR_ERR_SYNTAX;
+	return h1_server_init(&forward->server, loop, &address, &limits,
+			      (size_t)settings->connections_max, &handler,
+			      forward);
+}
+
+/**
+ * forward_use() - put a configuration version into force
+ * @forward: service
+ * @routes: version; held by the service from now on
+ */
+void forward_use(forward_t *forward, routes_t *routes)
+{
+	const route_limits_t *limits = &routes->limits;
+
+	routes_release(forward->routes);
+	forward->routes = routes_hold(routes);
+	forward->server.limits = (h1_server_limits_t){
+		.message = { limits->head_max, limits->body_max },
+		.head_ms = limits->head_ms,
+		.idle_ms = limits->idle_ms,
+	};
+}
+
+/**
+ * forward_finish() - close all connections of callers
+ * @forward: service, possibly one that failed to start
+ */
+void forward_finish(forward_t *forward)
+{
+	h1_server_finish(&forward->server);
+	forward_turn(forward);
+	routes_release(forward->routes);
+}
--- /dev/null
+++ b/router/h1.c
@@ -0,0 +1,396 @@
+/**
+ * DOC: HTTP/1.1 messages, parsed by libhttp-parser
+ */
+#include <string.h>
+#include <strings.h>
+
+#include "router/h1.h"
+
+#define STATUS_SWITCHING 101
+#define STATUS_OK 200
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
+static int fail(http_parser *raw, h1_progress_t reason)
+{
+	h1_parser_t *parser = raw->data;
+
+	parser->failed = reason;
+	return -1;
+}
+
+static int add_text(http_parser *raw, const char *at, size_t len)
+{
+	h1_parser_t *parser = raw->data;
+	medlar_buf_t *text = &parser->message.text;
+
+	if (text->len + len > parser->limits.head_max)
+		return fail(raw, H1_HEAD_TOO_LARGE);
+	medlar_buf_add(text, (medlar_str_t){ at, len });
+	return text->error;
+}
+
+static int on_begin(http_parser *raw)
+{
+	h1_parser_t *parser = raw->data;
+
+	parser->started = true;
+	return 0;
+}
+
+static int on_url(http_parser *raw, const char *at, size_t len)
+{
+	h1_parser_t *parser = raw->data;
+
+	parser->message.target_len += len;
+	return add_text(raw, at, len);
+}
+
+static int on_field(http_parser *raw, const char *at, size_t len)
+{
+	h1_parser_t *parser = raw->data;
+	h1_message_t *message = &parser->message;
+	h1_header_t *header;
+
+	if (parser->in_value || message->headers_len == 0) {
+		if (message->headers_len == H1_HEADERS_MAX)
+			return fail(raw, H1_HEAD_TOO_LARGE);
+		header = &message->headers[message->headers_len++];
+		*header = (h1_header_t){
+			.name = (uint32_t)message->text.len,
+		};
+		parser->in_value = false;
+	}
+	message->headers[message->headers_len - 1].name_len += (uint32_t)len;
+	return add_text(raw, at, len);
+}
+
+static int on_value(http_parser *raw, const char *at, size_t len)
+{
+	h1_parser_t *parser = raw->data;
+	h1_message_t *message = &parser->message;
+	h1_header_t *header;
+
+	if (message->headers_len == 0)
+		return fail(raw, H1_BAD);
+	header = &message->headers[message->headers_len - 1];
+	if (!parser->in_value) {
+		header->value = (uint32_t)message->text.len;
+		parser->in_value = true;
+	}
+	header->value_len += (uint32_t)len;
+	return add_text(raw, at, len);
+}
+
+static bool has_continue(const h1_message_t *message)
+{
+	return h1_name_equal(h1_message_find(message, MEDLAR_STR("expect")),
+			     MEDLAR_STR("100-continue"));
+}
+
+/* RFC 9112, section 6.3: only the end of the connection ends the body. */
+static bool lacks_length(const http_parser *raw)
+{
+	if (raw->status_code < STATUS_OK ||
+	    raw->status_code == STATUS_NO_CONTENT ||
+	    raw->status_code == STATUS_NOT_MODIFIED)
+		return false;
+	return !(raw->flags & F_CHUNKED) && raw->content_length == UINT64_MAX;
+}
+
+static int on_headers(http_parser *raw)
+{
+	h1_parser_t *parser = raw->data;
+	h1_message_t *message = &parser->message;
+
+	message->status = raw->status_code;
+	message->keep_alive = http_should_keep_alive(raw) != 0;
+	if (raw->type == HTTP_REQUEST) {
+		message->method =
+			http_method_str((enum http_method)raw->method);
+		if (raw->upgrade)
+			return fail(raw, H1_BAD);
+		parser->expects_continue = has_continue(message);
+		return 0;
+	}
+	message->ends_with_close = !parser->to_head && lacks_length(raw);
+	return parser->to_head ? 1 : 0;
+}
+
+static int on_body(http_parser *raw, const char *at, size_t len)
+{
+	h1_parser_t *parser = raw->data;
+	medlar_buf_t *body = &parser->message.body;
+
+	if (body->len + len > parser->limits.body_max)
+		return fail(raw, H1_BODY_TOO_LARGE);
+	medlar_buf_add(body, (medlar_str_t){ at, len });
+	return body->error;
+}
+
+static int on_complete(http_parser *raw)
+{
+	h1_parser_t *parser = raw->data;
+
+	parser->done = true;
+	http_parser_pause(raw, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void clear(h1_parser_t *parser)
+{
+	h1_message_t *message = &parser->message;
+
+	medlar_buf_reset(&message->text);
+	medlar_buf_reset(&message->body);
+	message->target_len = 0;
+	message->headers_len = 0;
+	message->method = NULL;
+	message->status = 0;
+	message->keep_alive = false;
+	message->ends_with_close = false;
+	parser->started = false;
+	parser->in_value = false;
+	parser->expects_continue = false;
+	parser->failed = H1_BAD;
+	parser->done = false;
+}
+
+/**
+ * h1_parser_init() - start to collect a message
+ * @parser: memory of the caller
+ * @type: HTTP_REQUEST or HTTP_RESPONSE
+ * @limits: the most that is accepted
+ */
+void h1_parser_init(h1_parser_t *parser, enum http_parser_type type,
+		    h1_limits_t limits)
+{
+	*parser = (h1_parser_t){ .limits = limits };
+	medlar_buf_init(&parser->message.text);
+	medlar_buf_init(&parser->message.body);
+	http_parser_init(&parser->parser, type);
+	parser->parser.data = parser;
+	clear(parser);
+}
+
+/**
+ * h1_parser_finish() - release the memory of a parser
+ * @parser: an initialised parser
+ */
+void h1_parser_finish(h1_parser_t *parser)
+{
+	medlar_buf_finish(&parser->message.text);
+	medlar_buf_finish(&parser->message.body);
+}
+
+/**
+ * h1_parser_reset() - go on to the next message of the connection
+ * @parser: a parser
+ */
+void h1_parser_reset(h1_parser_t *parser)
+{
+	enum http_parser_type type =
+		(enum http_parser_type)parser->parser.type;
+
+	clear(parser);
+	parser->to_head = false;
+	http_parser_init(&parser->parser, type);
+	parser->parser.data = parser;
+}
+
+/* A reply of 1xx announces the real one. */
+static bool is_interim(const h1_parser_t *parser)
+{
+	unsigned status = parser->message.status;
+
+	return parser->parser.type == HTTP_RESPONSE && status < STATUS_OK &&
+	       status != STATUS_SWITCHING;
+}
+
+/**
+ * h1_parser_feed() - parse bytes
+ * @parser: a parser whose message is not complete
+ * @bytes: received bytes, at least one
+ * @used: how many belong to the message
+ *
+ * Return: %H1_COMPLETE at the end of the message, %H1_MORE before it, or how
+ * the bytes break the protocol or the limits.
+ */
+h1_progress_t h1_parser_feed(h1_parser_t *parser, medlar_str_t bytes,
+			     size_t *used)
+{
+	size_t got;
+
+	*used = 0;
+	do {
+		bool to_head = parser->to_head;
+
+		if (parser->done) {
+			h1_parser_reset(parser);
+			parser->to_head = to_head;
+		}
+		if (*used == bytes.len)
+			return H1_MORE;
+		got = http_parser_execute(&parser->parser, &callbacks,
+					  bytes.ptr + *used,
+					  bytes.len - *used);
+		*used += got;
+	} while (parser->done && is_interim(parser));
+	if (parser->done)
+		return H1_COMPLETE;
+	if (HTTP_PARSER_ERRNO(&parser->parser) != HPE_OK ||
+	    parser->parser.upgrade)
+		return parser->failed;
+	return H1_MORE;
+}
+
+/**
+ * h1_parser_end() - tell that the peer has closed the connection in order
+ * @parser: a parser whose message is not complete
+ *
+ * Return: %H1_COMPLETE if that ends a reply without a length, else %H1_BAD.
+ */
+h1_progress_t h1_parser_end(h1_parser_t *parser)
+{
+	if (!parser->started || !parser->message.ends_with_close)
+		return H1_BAD;
+	(void)http_parser_execute(&parser->parser, &callbacks, NULL, 0);
+	return parser->done ? H1_COMPLETE : H1_BAD;
+}
+
+/**
+ * h1_message_target() - request target
+ * @message: a request
+ *
+ * Return: path and query as received.
+ */
+medlar_str_t h1_message_target(const h1_message_t *message)
+{
+	return (medlar_str_t){ message->text.ptr, message->target_len };
+}
+
+/**
+ * h1_header_name() - name of a header
+ * @message: a message
+ * @index: number of the header
+ *
+ * Return: the name as received.
+ */
+medlar_str_t h1_header_name(const h1_message_t *message, size_t index)
+{
+	const h1_header_t *header = &message->headers[index];
+
+	return (medlar_str_t){ message->text.ptr + header->name,
+			       header->name_len };
+}
+
+/**
+ * h1_header_value() - value of a header
+ * @message: a message
+ * @index: number of the header
+ *
+ * Return: the value without surrounding white space.
+ */
+medlar_str_t h1_header_value(const h1_message_t *message, size_t index)
+{
+	const h1_header_t *header = &message->headers[index];
+	medlar_str_t value = { message->text.ptr + header->value,
+			       header->value_len };
+
+	while (value.len && (value.ptr[value.len - 1] == ' ' ||
+			     value.ptr[value.len - 1] == '\t'))
+		value.len--;
+	return value;
+}
+
+/**
+ * h1_name_equal() - compare without regard to case
+ * @a: a token
+ * @b: another
+ *
+ * Return: whether they are equal.
+ */
+bool h1_name_equal(medlar_str_t a, medlar_str_t b)
+{
+	return a.len == b.len && strncasecmp(a.ptr, b.ptr, a.len) == 0;
+}
+
+/**
+ * h1_message_find() - value of the first header of a name
+ * @message: a message
+ * @name: name in any case
+ *
+ * Return: the value, or one with a NULL pointer.
+ */
+medlar_str_t h1_message_find(const h1_message_t *message, medlar_str_t name)
+{
+	for (size_t i = 0; i < message->headers_len; i++)
+		if (h1_name_equal(h1_header_name(message, i), name))
+			return h1_header_value(message, i);
+	return (medlar_str_t){ 0 };
+}
+
+/**
+ * h1_list_has() - look for a token in a header's list
+ * @list: tokens separated by commas
+ * @token: token in any case
+ *
+ * Return: whether it is there.
+ */
+bool h1_list_has(medlar_str_t list, medlar_str_t token)
+{
+	const char *at = list.ptr;
+	const char *end = list.ptr ? list.ptr + list.len : NULL;
+
+	while (at && at < end) {
+		const char *comma = memchr(at, ',', (size_t)(end - at));
+		const char *stop = comma ? comma : end;
+		const char *next = stop + 1;
+
+		while (at < stop && (*at == ' ' || *at == '\t'))
+			at++;
+		while (stop > at && (stop[-1] == ' ' || stop[-1] == '\t'))
+			stop--;
+		if (h1_name_equal((medlar_str_t){ at, (size_t)(stop - at) },
+				  token))
+			return true;
+		at = next;
+	}
+	return false;
+}
+
+/**
+ * h1_header_is_hop() - tell whether a header concerns one connection only
+ * @message: the message that holds it
+ * @name: its name
+ *
+ * Return: whether it must not be forwarded.
+ */
+bool h1_header_is_hop(const h1_message_t *message, medlar_str_t name)
+{
+	static const char *const names[] = {
+		"connection", "keep-alive",	   "proxy-connection",
+		"te",	      "transfer-encoding", "trailer",
+		"upgrade",    "content-length",	   "expect",
+	};
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (h1_name_equal(name, medlar_str_from(names[i])))
+			return true;
+	for (size_t i = 0; i < message->headers_len; i++)
+		if (h1_name_equal(h1_header_name(message, i),
+				  MEDLAR_STR("connection")) &&
+		    h1_list_has(h1_header_value(message, i), name))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/router/h1_server.c
@@ -0,0 +1,391 @@
+/**
+ * DOC: listeners and incoming HTTP/1.1 connections
+ */
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "router/h1_server.h"
+
+#define READ_SIZE 65536
+#define BACKLOG 1024
+#define PENDING_MAX ((size_t)64 * 1024)
+#define ACCEPTS_PER_TURN 64
+
+static const struct {
+	unsigned status;
+	const char *reason;
+} reasons[] = {
+	{ 200, "OK" },
+	{ 400, "Bad Request" },
+	{ 404, "Not Found" },
+	{ 408, "Request Timeout" },
+	{ 413, "Content Too Large" },
+	{ 431, "Request Header Fields Too Large" },
+	{ 500, "Internal Server Error" },
+	{ 502, "Bad Gateway" },
+	{ 503, "Service Unavailable" },
+	{ 504, "Gateway Timeout" },
+};
+
+static const char *reason_of(unsigned status)
+{
+	for (size_t i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
+		if (reasons[i].status == status)
+			return reasons[i].reason;
+	return http_status_str((enum http_status)status);
+}
+
+/**
+ * h1_conn_close() - end a connection at once
+ * @conn: a connection; invalid afterwards
+ */
+void h1_conn_close(h1_conn_t *conn)
+{
+	h1_server_t *server = conn->server;
+
+	if (conn->busy)
+		server->handler->gone(conn, server->data);
+	medlar_timer_clear(server->loop->client, &conn->timer);
+	loop_unwatch(server->loop, conn->fd);
+	close(conn->fd);
+	TAILQ_REMOVE(&server->conns, conn, link);
+	server->conns_len--;
+	h1_parser_finish(&conn->parser);
+	medlar_buf_finish(&conn->out);
+	medlar_buf_finish(&conn->pending);
+	free(conn);
+}
+
+static void on_events(uint32_t events, void *data);
+
+static void watch(h1_conn_t *conn, uint32_t events)
+{
+	if (conn->wants == events)
+		return;
+	conn->wants = events;
+	/* A failure leaves the connection to its timer. */
+	(void)loop_watch(conn->server->loop, conn->fd, events, on_events, conn);
+}
+
+static void set_timer(h1_conn_t *conn, medlar_time_t after)
+{
+	loop_t *loop = conn->server->loop;
+
+	(void)medlar_timer_set(loop->client, &conn->timer, loop->now + after);
+}
+
+/* Return: false once the connection has been closed. */
+static bool transmit(h1_conn_t *conn)
+{
+	while (conn->out_done < conn->out.len) {
+		ssize_t done = send(conn->fd, conn->out.ptr + conn->out_done,
+				    conn->out.len - conn->out_done,
+				    MSG_NOSIGNAL);
+
+		if (done > 0) {
+			conn->out_done += (size_t)done;
+		} else if (errno == EAGAIN || errno == EINTR) {
+			watch(conn, EPOLLIN | EPOLLOUT);
+			return true;
+		} else {
+			h1_conn_close(conn);
+			return false;
+		}
+	}
+	medlar_buf_reset(&conn->out);
+	conn->out_done = 0;
+	watch(conn, EPOLLIN);
+	if (conn->closing && !conn->busy) {
+		/* The client closes first, so that nothing unread resets. */
+		(void)shutdown(conn->fd, SHUT_WR);
+		set_timer(conn, MEDLAR_SECOND);
+	}
+	return true;
+}
+
+static void add_head(h1_conn_t *conn, unsigned status, medlar_str_t headers,
+		     size_t body_len, bool with_length)
+{
+	medlar_buf_t *out = &conn->out;
+
+	medlar_buf_printf(out, "HTTP/1.1 %u %s\r\n", status,
+			  reason_of(status));
+	medlar_buf_add(out, headers);
+	if (with_length)
+		medlar_buf_printf(out, "Content-Length: %zu\r\n", body_len);
+	if (conn->closing)
+		medlar_buf_add(out, MEDLAR_STR("Connection: close\r\n"));
+	medlar_buf_add(out, MEDLAR_STR("\r\n"));
+}
+
+static void feed(h1_conn_t *conn, medlar_str_t bytes);
+
+static void resume(h1_conn_t *conn)
+{
+	medlar_buf_t pending = conn->pending;
+
+	if (conn->closing || pending.len == 0)
+		return;
+	medlar_buf_init(&conn->pending);
+	feed(conn, medlar_buf_str(&pending));
+	medlar_buf_finish(&pending);
+}
+
+/**
+ * h1_conn_answer() - answer the request of a connection
+ * @conn: a connection with a request; may be invalid afterwards
+ * @status: status
+ * @headers: lines that end with CR and LF, without Content-Length unless the
+ *	request is HEAD, and without Connection
+ * @body: body; left out after HEAD
+ */
+void h1_conn_answer(h1_conn_t *conn, unsigned status, medlar_str_t headers,
+		    medlar_str_t body)
+{
+	h1_server_t *server = conn->server;
+	const char *method = conn->parser.message.method;
+	bool to_head = method && strcmp(method, "HEAD") == 0;
+
+	conn->busy = false;
+	conn->job = NULL;
+	if (server->closing || !conn->parser.message.keep_alive)
+		conn->closing = true;
+	add_head(conn, status, headers, body.len,
+		 !to_head && status != 204 && status != 304);
+	if (!to_head)
+		medlar_buf_add(&conn->out, body);
+	h1_parser_reset(&conn->parser);
+	if (conn->out.error) {
+		h1_conn_close(conn);
+		return;
+	}
+	set_timer(conn, server->limits.idle_ms);
+	if (transmit(conn))
+		resume(conn);
+}
+
+static void refuse(h1_conn_t *conn, h1_progress_t why)
+{
+	unsigned status = 400;
+
+	if (why == H1_HEAD_TOO_LARGE)
+		status = 431;
+	else if (why == H1_BODY_TOO_LARGE)
+		status = 413;
+	conn->server->bad++;
+	conn->closing = true;
+	conn->parser.message.method = NULL;
+	h1_conn_answer(conn, status, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
+}
+
+static void begin(h1_conn_t *conn)
+{
+	conn->began = conn->server->loop->now;
+	set_timer(conn, conn->server->limits.head_ms);
+}
+
+static void say_continue(h1_conn_t *conn)
+{
+	conn->parser.expects_continue = false;
+	medlar_buf_add(&conn->out, MEDLAR_STR("HTTP/1.1 100 Continue\r\n\r\n"));
+	(void)transmit(conn);
+}
+
+static void feed(h1_conn_t *conn, medlar_str_t bytes)
+{
+	h1_server_t *server = conn->server;
+	size_t used = 0;
+	h1_progress_t progress;
+
+	if (!conn->parser.started)
+		begin(conn);
+	progress = h1_parser_feed(&conn->parser, bytes, &used);
+	if (progress == H1_MORE) {
+		if (conn->parser.expects_continue)
+			say_continue(conn);
+		return;
+	}
+	if (progress != H1_COMPLETE) {
+		refuse(conn, progress);
+		return;
+	}
+	medlar_buf_add(&conn->pending, (medlar_str_t){ bytes.ptr + used,
+						       bytes.len - used });
+	conn->busy = true;
+	medlar_timer_clear(server->loop->client, &conn->timer);
+	server->handler->request(conn, server->data);
+}
+
+static void receive(h1_conn_t *conn)
+{
+	static char bytes[READ_SIZE];
+	ssize_t got = recv(conn->fd, bytes, sizeof(bytes), 0);
+	medlar_str_t str = { bytes, got > 0 ? (size_t)got : 0 };
+
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (got <= 0) {
+		h1_conn_close(conn);
+		return;
+	}
+	if (conn->closing && !conn->busy)
+		return;
+	if (!conn->busy) {
+		feed(conn, str);
+		return;
+	}
+	medlar_buf_add(&conn->pending, str);
+	if (conn->pending.len > PENDING_MAX || conn->pending.error)
+		h1_conn_close(conn);
+}
+
+static void on_events(uint32_t events, void *data)
+{
+	h1_conn_t *conn = data;
+
+	if ((events & EPOLLOUT) && !transmit(conn))
+		return;
+	if (events & (EPOLLIN | EPOLLERR | EPOLLHUP))
+		receive(conn);
+}
+
+static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	h1_conn_t *conn = data;
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	if (!conn->parser.started || conn->closing) {
+		h1_conn_close(conn);
+		return;
+	}
+	conn->closing = true;
+	conn->parser.message.method = NULL;
+	h1_conn_answer(conn, 408, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
+}
+
+static void add_conn(h1_server_t *server, int fd)
+{
+	h1_conn_t *conn = calloc(1, sizeof(*conn));
+	int one = 1;
+
+	if (!conn) {
+		close(fd);
+		return;
+	}
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	conn->server = server;
+	conn->fd = fd;
+	h1_parser_init(&conn->parser, HTTP_REQUEST, server->limits.message);
+	medlar_buf_init(&conn->out);
+	medlar_buf_init(&conn->pending);
+	medlar_timer_init(&conn->timer, on_timer, conn);
+	TAILQ_INSERT_TAIL(&server->conns, conn, link);
+	server->conns_len++;
+	set_timer(conn, server->limits.idle_ms);
+	watch(conn, EPOLLIN);
+}
+
+static void on_accept(uint32_t events, void *data)
+{
+	h1_server_t *server = data;
+
+	(void)events;
+	for (int i = 0; i < ACCEPTS_PER_TURN; i++) {
+		int fd = accept4(server->fd, NULL, NULL,
+				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		if (server->conns_len >= server->conns_max)
+			close(fd);
+		else
+			add_conn(server, fd);
+	}
+}
+
+/**
+ * h1_server_init() - listen
+ * @server: memory of the caller
+ * @loop: loop that serves it
+ * @address: where to listen
+ * @limits: bounds on clients
+ * @conns_max: most connections at a time
+ * @handler: answers requests
+ * @data: passed to @handler
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_IO.
+ */
+int h1_server_init(h1_server_t *server, loop_t *loop,
+		   const struct sockaddr_in *address,
+		   const h1_server_limits_t *limits, size_t conns_max,
+		   const h1_handler_t *handler, void *data)
+{
+	int one = 1;
+
+	*server = (h1_server_t){ .loop = loop,
+				 .limits = *limits,
+				 .conns_max = conns_max,
+				 .handler = handler,
+				 .data = data };
+	TAILQ_INIT(&server->conns);
+	server->fd = socket(AF_INET,
+			    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (server->fd < 0)
+		return MEDLAR_ERR_IO;
+	(void)setsockopt(server->fd, SOL_SOCKET, SO_REUSEADDR, &one,
+			 sizeof(one));
+	if (bind(server->fd, (const struct sockaddr *)address,
+		 sizeof(*address)) ||
+	    listen(server->fd, BACKLOG) ||
+	    loop_watch(loop, server->fd, EPOLLIN, on_accept, server)) {
+		close(server->fd);
+		server->fd = -1;
+		return MEDLAR_ERR_IO;
+	}
+	return MEDLAR_OK;
+}
+
+/**
+ * h1_server_finish() - close the listener and all connections
+ * @server: a server, possibly one that failed to start
+ */
+void h1_server_finish(h1_server_t *server)
+{
+	h1_conn_t *conn;
+
+	if (!server->loop)
+		return;
+	while ((conn = TAILQ_FIRST(&server->conns)))
+		h1_conn_close(conn);
+	if (server->fd >= 0) {
+		loop_unwatch(server->loop, server->fd);
+		close(server->fd);
+	}
+	server->fd = -1;
+}
+
+/**
+ * h1_server_busy() - count requests under way
+ * @server: a server
+ *
+ * Return: connections with a request that is being read or answered, or with
+ * an answer that is not yet sent.
+ */
+size_t h1_server_busy(const h1_server_t *server)
+{
+	const h1_conn_t *conn;
+	size_t busy = 0;
+
+	TAILQ_FOREACH(conn, &server->conns, link)
+		if (conn->busy || conn->parser.started || conn->out.len > 0)
+			busy++;
+	return busy;
+}
--- /dev/null
+++ b/router/peers.c
@@ -0,0 +1,641 @@
+/**
+ * DOC: the other instances
+ */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "medlard/clock.h"
+#include "router/peers.h"
+
+#define DATAGRAM_MAX 2048
+#define TELL_EVERY 200
+/* Others that are told in one round; more are drawn at random. */
+#define TELL_MAX 12
+/* Rounds without a message after which an instance counts as down. */
+#define SILENT_ROUNDS 4
+/* An instance that is not listed is forgotten after this silence, ms. */
+#define FORGET_AFTER (15 * MEDLAR_SECOND)
+/* How long another one must know more before its snapshot is taken, ms. */
+#define BEHIND_MAX 600
+#define FETCH_TIMEOUT MEDLAR_SECOND
+#define SNAPSHOT_MAX ((size_t)32 << 20)
+#define HEAD_MAX ((size_t)4096)
+#define RECEIVES_PER_TURN 64
+
+static const char snapshot_call[] = "GET /snapshot HTTP/1.1\r\n"
+				    "Host: peer\r\n\r\n";
+
+static peer_instance_t *find(const peers_t *peers, const char *name)
+{
+	peer_instance_t *peer;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (strcmp(peer->name, name) == 0)
+			return peer;
+	return NULL;
+}
+
+static peer_instance_t *find_or_add(peers_t *peers, const char *name)
+{
+	peer_instance_t *peer = find(peers, name);
+
+	if (peer || strcmp(name, peers->settings->instance) == 0)
+		return peer;
+	peer = calloc(1, sizeof(*peer));
+	if (!peer)
+		return NULL;
+	(void)snprintf(peer->name, sizeof(peer->name), "%s", name);
+	TAILQ_INSERT_TAIL(&peers->list, peer, link);
+	peers->len++;
+	return peer;
+}
+
+static void forget(peers_t *peers, peer_instance_t *peer)
+{
+	TAILQ_REMOVE(&peers->list, peer, link);
+	peers->len--;
+	free(peer);
+}
+
+static medlar_time_t silence_max(const peers_t *peers)
+{
+	size_t rounds = 1 + peers->len / TELL_MAX;
+
+	return (medlar_time_t)(SILENT_ROUNDS * rounds) * TELL_EVERY;
+}
+
+/**
+ * peer_is_live() - tell whether an instance was heard lately
+ * @peers: the other instances
+ * @peer: one of them
+ *
+ * Return: whether it was.
+ */
+bool peer_is_live(const peers_t *peers, const peer_instance_t *peer)
+{
+	return peer->heard &&
+	       peers->loop->now - peer->heard <= silence_max(peers);
+}
+
+/**
+ * peers_instances() - how many instances share the replicas
+ * @peers: the other instances
+ *
+ * Return: this one, and all that are listed or were heard lately.
+ */
+unsigned peers_instances(const peers_t *peers)
+{
+	const size_t least = peers->seeds_len;
+
+	return 1 + (unsigned)(peers->len > least ? peers->len : least);
+}
+
+/**
+ * peers_entry() - value of an instance's entry in the store
+ * @settings: own addresses
+ * @out: appended to: address for callers and address for peers
+ */
+void peers_entry(const router_settings_t *settings, medlar_buf_t *out)
+{
+	medlar_buf_printf(out, "%s %s", settings->callers, settings->peers);
+}
+
+/**
+ * peers_listed() - the store holds the entry of an instance
+ * @peers: the other instances
+ * @name: its name
+ * @value: written by peers_entry()
+ */
+void peers_listed(peers_t *peers, medlar_str_t name, medlar_str_t value)
+{
+	char text[GOSSIP_NAME_MAX + 1];
+	const char *space =
+		value.len ? memchr(value.ptr, ' ', value.len) : NULL;
+	size_t first = space ? (size_t)(space - value.ptr) : 0;
+	struct sockaddr_in address;
+	peer_instance_t *peer;
+
+	if (!space || name.len > GOSSIP_NAME_MAX ||
+	    first > GOSSIP_ADDRESS_MAX ||
+	    router_address_parse((medlar_str_t){ space + 1,
+						 value.len - first - 1 },
+				 &address))
+		return;
+	(void)snprintf(text, sizeof(text), "%.*s", (int)name.len, name.ptr);
+	peer = find_or_add(peers, text);
+	if (!peer)
+		return;
+	peer->listed = true;
+	peer->address = address;
+	(void)snprintf(peer->callers, sizeof(peer->callers), "%.*s",
+		       (int)first, value.ptr);
+}
+
+/**
+ * peers_unlisted() - the entry of an instance has ended
+ * @peers: the other instances
+ * @name: its name
+ */
+void peers_unlisted(peers_t *peers, medlar_str_t name)
+{
+	peer_instance_t *peer;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (medlar_str_equal(medlar_str_from(peer->name), name))
+			peer->listed = false;
+}
+
+static void init_call(struct rpc_msg *call, uint32_t xid)
+{
+	*call = (struct rpc_msg){ .rm_xid = xid, .rm_direction = CALL };
+	call->rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call->rm_call.cb_prog = GOSSIP_PROGRAM;
+	call->rm_call.cb_vers = GOSSIP_VERSION;
+	call->rm_call.cb_proc = GOSSIP_TELL;
+	call->rm_call.cb_cred = _null_auth;
+	call->rm_call.cb_verf = _null_auth;
+}
+
+static size_t encode(peers_t *peers, char *bytes, size_t size)
+{
+	const router_settings_t *settings = peers->settings;
+	gossip_message message = {
+		.name = (char *)settings->instance,
+		.zone = (char *)settings->zone,
+		.callers = (char *)settings->callers,
+		.peers = (char *)settings->peers,
+		.start = peers->start,
+		.seq = ++peers->seq,
+		.ready = peers->ready,
+		.leaving = peers->leaving,
+		.revision = peers->mirror->revision,
+		.config_version = peers->config_version,
+		.convicted = { peers->convicted_len, peers->convicted },
+	};
+	struct rpc_msg call;
+	XDR xdr;
+	size_t len = 0;
+
+	init_call(&call, peers->seq);
+	xdrmem_create(&xdr, bytes, (unsigned)size, XDR_ENCODE);
+	if (xdr_callmsg(&xdr, &call) && xdr_gossip_message(&xdr, &message))
+		len = XDR_GETPOS(&xdr);
+	XDR_DESTROY(&xdr);
+	return len;
+}
+
+static void send_to(peers_t *peers, const struct sockaddr_in *address,
+		    const char *bytes, size_t len)
+{
+	if (address->sin_port == 0)
+		return;
+	/* A message that is lost is made good by the next one. */
+	(void)sendto(peers->fd, bytes, len, MSG_DONTWAIT | MSG_NOSIGNAL,
+		     (const struct sockaddr *)address, sizeof(*address));
+	peers->stats->counts[STAT_GOSSIP_SENT]++;
+}
+
+static bool is_known(const peers_t *peers, const struct sockaddr_in *address)
+{
+	const peer_instance_t *peer;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (peer->address.sin_addr.s_addr == address->sin_addr.s_addr)
+			return true;
+	return false;
+}
+
+/**
+ * peers_tell() - tell the others how this instance is
+ * @peers: the other instances
+ */
+void peers_tell(peers_t *peers)
+{
+	medlar_rand_t *rand = &peers->loop->client->rand;
+	char bytes[DATAGRAM_MAX];
+	size_t len = encode(peers, bytes, sizeof(bytes));
+	const peer_instance_t *peer;
+
+	if (len == 0)
+		return;
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (peers->len <= TELL_MAX || peers->leaving ||
+		    medlar_rand_below(rand, peers->len) < TELL_MAX)
+			send_to(peers, &peer->address, bytes, len);
+	for (size_t i = 0; i < peers->seeds_len; i++)
+		if (!is_known(peers, &peers->seeds[i]))
+			send_to(peers, &peers->seeds[i], bytes, len);
+}
+
+static void take_message(peers_t *peers, const gossip_message *message)
+{
+	peer_instance_t *peer = find_or_add(peers, message->name);
+	medlar_time_t now = peers->loop->now;
+
+	/* Starts are told apart, not ordered: the time of day may jump. */
+	if (!peer ||
+	    (message->start == peer->start && message->seq <= peer->seq))
+		return;
+	if (router_address_parse(medlar_str_from(message->peers),
+				 &peer->address))
+		return;
+	if (!peer_is_live(peers, peer) || peer->leaving != message->leaving)
+		LOG_LINE(peers->log, LOG_LEVEL_NOTICE, "peer",
+			 MEDLAR_TEXT("name", medlar_str_from(peer->name)),
+			 MEDLAR_TEXT("state", message->leaving ?
+						      MEDLAR_STR("leaving") :
+						      MEDLAR_STR("live")),
+			 MEDLAR_NUM("silent_ms",
+				    peer->heard ? now - peer->heard : -1));
+	(void)snprintf(peer->callers, sizeof(peer->callers), "%s",
+		       message->callers);
+	peer->start = message->start;
+	peer->seq = message->seq;
+	peer->ready = message->ready;
+	peer->leaving = message->leaving;
+	peer->revision = message->revision;
+	peer->heard = now;
+	for (unsigned i = 0; i < message->convicted.convicted_len; i++)
+		suspects_convict(peers->suspects,
+				 message->convicted.convicted_val[i], now);
+}
+
+static bool is_our_call(const struct rpc_msg *call)
+{
+	return call->rm_direction == CALL &&
+	       call->rm_call.cb_prog == GOSSIP_PROGRAM &&
+	       call->rm_call.cb_vers == GOSSIP_VERSION &&
+	       call->rm_call.cb_proc == GOSSIP_TELL;
+}
+
+static void decode(peers_t *peers, char *bytes, size_t len)
+{
+	char cred[MAX_AUTH_BYTES];
+	char verf[MAX_AUTH_BYTES];
+	gossip_message message = { 0 };
+	struct rpc_msg call = { 0 };
+	XDR xdr;
+
+	call.rm_call.cb_cred.oa_base = cred;
+	call.rm_call.cb_verf.oa_base = verf;
+	xdrmem_create(&xdr, bytes, (unsigned)len, XDR_DECODE);
+	if (xdr_callmsg(&xdr, &call) && is_our_call(&call) &&
+	    xdr_gossip_message(&xdr, &message)) {
+		peers->stats->counts[STAT_GOSSIP_RECEIVED]++;
+		take_message(peers, &message);
+	}
+	xdr_free((xdrproc_t)xdr_gossip_message, (char *)&message);
+	XDR_DESTROY(&xdr);
+}
+
+static void on_datagram(uint32_t events, void *data)
+{
+	peers_t *peers = data;
+	char bytes[DATAGRAM_MAX];
+
+	(void)events;
+	for (int i = 0; i < RECEIVES_PER_TURN; i++) {
+		ssize_t got = recv(peers->fd, bytes, sizeof(bytes),
+				   MSG_DONTWAIT);
+
+		if (got <= 0)
+			return;
+		decode(peers, bytes, (size_t)got);
+	}
+}
+
+static void fill_snapshot(const mirror_t *mirror, gossip_snapshot *out)
+{
+	out->revision = mirror->revision;
+	out->entries.entries_len = (u_int)mirror->len;
+	for (size_t i = 0; i < mirror->len; i++) {
+		const mirror_entry_t *entry = &mirror->entries[i];
+
+		out->entries.entries_val[i] = (gossip_entry){
+			.key = { (u_int)entry->key.len, entry->key.ptr },
+			.value = { (u_int)entry->value.len, entry->value.ptr },
+			.revision = entry->revision,
+		};
+	}
+}
+
+static void give_snapshot(h1_conn_t *conn, const mirror_t *mirror)
+{
+	gossip_snapshot snapshot = { 0 };
+	char *bytes = NULL;
+	size_t size;
+	XDR xdr;
+
+	snapshot.entries.entries_val =
+		calloc(mirror->len + 1, sizeof(gossip_entry));
+	if (!snapshot.entries.entries_val) {
+		h1_conn_answer(conn, 503, (medlar_str_t){ 0 },
+			       (medlar_str_t){ 0 });
+		return;
+	}
+	fill_snapshot(mirror, &snapshot);
+	size = xdr_sizeof((xdrproc_t)xdr_gossip_snapshot, &snapshot);
+	bytes = malloc(size);
+	if (bytes) {
+		xdrmem_create(&xdr, bytes, (unsigned)size, XDR_ENCODE);
+		if (!xdr_gossip_snapshot(&xdr, &snapshot))
+			size = 0;
+		XDR_DESTROY(&xdr);
+	}
+	if (bytes && size)
+		h1_conn_answer(conn, 200, (medlar_str_t){ 0 },
+			       (medlar_str_t){ bytes, size });
+	else
+		h1_conn_answer(conn, 503, (medlar_str_t){ 0 },
+			       (medlar_str_t){ 0 });
+	free(bytes);
+	free(snapshot.entries.entries_val);
+}
+
+static void on_request(h1_conn_t *conn, void *data)
+{
+	const peers_t *peers = data;
+	medlar_str_t target = h1_message_target(&conn->parser.message);
+
+	if (medlar_str_equal(target, MEDLAR_STR("/snapshot")))
+		give_snapshot(conn, peers->mirror);
+	else
+		h1_conn_answer(conn, 404, (medlar_str_t){ 0 },
+			       (medlar_str_t){ 0 });
+}
+
+static void on_gone(h1_conn_t *conn, void *data)
+{
+	(void)conn;
+	(void)data;
+}
+
+static const h1_handler_t handler = { .request = on_request, .gone = on_gone };
+
+static void end_fetch(peers_t *peers)
+{
+	medlar_timer_clear(peers->loop->client, &peers->fetch_timer);
+	if (peers->fetching)
+		h1_client_finish(&peers->client);
+	peers->fetching = false;
+}
+
+static void apply_snapshot(peers_t *peers, const gossip_snapshot *snapshot)
+{
+	mirror_t *mirror = peers->mirror;
+
+	if (snapshot->revision <= mirror->revision ||
+	    !peers->can_take(peers->data))
+		return;
+	LOG_LINE(peers->log, LOG_LEVEL_NOTICE, "snapshot",
+		 MEDLAR_NUM("revision", snapshot->revision),
+		 MEDLAR_NUM("known", mirror->revision),
+		 MEDLAR_NUM("entries", snapshot->entries.entries_len));
+	peers->stats->counts[STAT_SNAPSHOTS]++;
+	mirror_list_begin(mirror);
+	for (u_int i = 0; i < snapshot->entries.entries_len; i++) {
+		const gossip_entry *entry = &snapshot->entries.entries_val[i];
+		const store_item_t item = {
+			.key = { entry->key.key_val, entry->key.key_len },
+			.value = { entry->value.value_val,
+				   entry->value.value_len },
+			.revision = entry->revision,
+		};
+
+		mirror_apply(mirror, &item);
+	}
+	mirror_list_end(mirror, snapshot->revision);
+}
+
+static void take_snapshot(peers_t *peers, medlar_str_t body)
+{
+	gossip_snapshot snapshot = { 0 };
+	XDR xdr;
+
+	xdrmem_create(&xdr, (char *)body.ptr, (unsigned)body.len, XDR_DECODE);
+	if (body.len && xdr_gossip_snapshot(&xdr, &snapshot))
+		apply_snapshot(peers, &snapshot);
+	xdr_free((xdrproc_t)xdr_gossip_snapshot, (char *)&snapshot);
+	XDR_DESTROY(&xdr);
+}
+
+static void fetch_ready(h1_client_t *client, void *data)
+{
+	(void)data;
+	h1_client_send(client, MEDLAR_STR(snapshot_call), (medlar_str_t){ 0 },
+		       false);
+}
+
+static void fetch_done(h1_client_t *client, h1_end_t end, void *data)
+{
+	peers_t *peers = data;
+
+	if (end == H1_END_REPLY && client->parser.message.status == 200)
+		take_snapshot(peers,
+			      medlar_buf_str(&client->parser.message.body));
+	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
+			       peers->loop->now);
+}
+
+static void fetch_lost(h1_client_t *client, void *data)
+{
+	(void)client;
+	(void)data;
+}
+
+static const h1_client_events_t fetch_events = {
+	.ready = fetch_ready,
+	.done = fetch_done,
+	.lost = fetch_lost,
+};
+
+static void on_fetch_timer(medlar_client_t *client, medlar_timer_t *timer,
+			   medlar_time_t now, void *data)
+{
+	(void)client;
+	(void)timer;
+	(void)now;
+	end_fetch(data);
+}
+
+static const peer_instance_t *best_informed(const peers_t *peers)
+{
+	const peer_instance_t *best = NULL;
+	const peer_instance_t *peer;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (peer_is_live(peers, peer) &&
+		    (!best || peer->revision > best->revision))
+			best = peer;
+	return best;
+}
+
+/* Takes a snapshot from another one that has known more for a while. */
+static void catch_up(peers_t *peers)
+{
+	static const h1_limits_t limits = { HEAD_MAX, SNAPSHOT_MAX };
+	const peer_instance_t *best = best_informed(peers);
+	medlar_time_t now = peers->loop->now;
+
+	if (!best || best->revision <= peers->mirror->revision) {
+		peers->behind_since = 0;
+		return;
+	}
+	if (!peers->behind_since)
+		peers->behind_since = now;
+	if (peers->fetching || now - peers->behind_since < BEHIND_MAX)
+		return;
+	peers->fetching = true;
+	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
+			       now + FETCH_TIMEOUT);
+	if (h1_client_open(&peers->client, peers->loop, &best->address, limits,
+			   &fetch_events, peers))
+		end_fetch(peers);
+}
+
+static void forget_silent(peers_t *peers)
+{
+	peer_instance_t *peer = TAILQ_FIRST(&peers->list);
+
+	while (peer) {
+		peer_instance_t *next = TAILQ_NEXT(peer, link);
+
+		if (!peer->listed &&
+		    peers->loop->now - peer->heard > FORGET_AFTER)
+			forget(peers, peer);
+		peer = next;
+	}
+}
+
+static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	peers_t *peers = data;
+
+	peers_tell(peers);
+	catch_up(peers);
+	forget_silent(peers);
+	(void)medlar_timer_set(client, timer, now + TELL_EVERY);
+}
+
+/**
+ * peers_convicted() - share that a request crashes replicas
+ * @peers: the other instances
+ * @fingerprint: of the request
+ */
+void peers_convicted(peers_t *peers, uint64_t fingerprint)
+{
+	unsigned at = peers->convicted_len;
+
+	for (unsigned i = 0; i < peers->convicted_len; i++)
+		if (peers->convicted[i] == fingerprint)
+			return;
+	if (at == GOSSIP_CONVICTED_MAX) {
+		at--;
+		memmove(peers->convicted, peers->convicted + 1,
+			at * sizeof(peers->convicted[0]));
+	}
+	peers->convicted[at] = fingerprint;
+	peers->convicted_len = at + 1;
+	peers_tell(peers);
+}
+
+static void read_seeds(peers_t *peers, const struct sockaddr_in *own)
+{
+	const char *at = peers->settings->seeds;
+
+	while (*at && peers->seeds_len < PEERS_SEEDS_MAX) {
+		size_t len = strcspn(at, ",");
+		struct sockaddr_in seed;
+
+		if (!router_address_parse((medlar_str_t){ at, len }, &seed) &&
+		    seed.sin_addr.s_addr != own->sin_addr.s_addr) {
+			seed.sin_port = own->sin_port;
+			peers->seeds[peers->seeds_len++] = seed;
+		}
+		at += len;
+		at += *at == ',';
+	}
+}
+
+static int open_socket(peers_t *peers, const struct sockaddr_in *own)
+{
+	peers->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+			   0);
+	if (peers->fd < 0)
+		return MEDLAR_ERR_IO;
+	if (bind(peers->fd, (const struct sockaddr *)own, sizeof(*own)))
+		return MEDLAR_ERR_IO;
+	return loop_watch(peers->loop, peers->fd, EPOLLIN, on_datagram, peers);
+}
+
+/**
+ * peers_init() - listen to the other instances and speak to the seeds
+ * @peers: memory of the caller
+ * @loop: loop that serves them
+ * @log: told of changes
+ * @stats: counters
+ * @settings: own addresses; must outlive @peers
+ * @mirror: given to and taken from others
+ * @suspects: convictions are shared
+ * @can_take: tells whether a snapshot may be applied now
+ * @data: passed to @can_take
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_IO.
+ */
+int peers_init(peers_t *peers, loop_t *loop, logger_t *log, stats_t *stats,
+	       const router_settings_t *settings, mirror_t *mirror,
+	       suspects_t *suspects, bool (*can_take)(void *), void *data)
+{
+	static const h1_server_limits_t limits = {
+		.message = { HEAD_MAX, HEAD_MAX },
+		.head_ms = MEDLAR_SECOND,
+		.idle_ms = MEDLAR_SECOND,
+	};
+	struct sockaddr_in own;
+
+	*peers = (peers_t){ .loop = loop,
+			    .log = log,
+			    .stats = stats,
+			    .settings = settings,
+			    .mirror = mirror,
+			    .suspects = suspects,
+			    .fd = -1,
+			    .start = (uint64_t)clock_wall(),
+			    .started = loop->now,
+			    .can_take = can_take,
+			    .data = data };
+	TAILQ_INIT(&peers->list);
+	medlar_timer_init(&peers->timer, on_timer, peers);
+	medlar_timer_init(&peers->fetch_timer, on_fetch_timer, peers);
+	if (router_address_parse(medlar_str_from(settings->peers), &own) ||
+	    open_socket(peers, &own))
+		return MEDLAR_ERR_IO;
+	read_seeds(peers, &own);
+	if (h1_server_init(&peers->server, loop, &own, &limits, DATAGRAM_MAX,
+			   &handler, peers))
+		return MEDLAR_ERR_IO;
+	return medlar_timer_set(loop->client, &peers->timer, loop->now);
+}
+
+/**
+ * peers_finish() - hang up
+ * @peers: peers, possibly ones that failed to start
+ */
+void peers_finish(peers_t *peers)
+{
+	medlar_timer_clear(peers->loop->client, &peers->timer);
+	end_fetch(peers);
+	h1_server_finish(&peers->server);
+	while (!TAILQ_EMPTY(&peers->list))
+		forget(peers, TAILQ_FIRST(&peers->list));
+	if (peers->fd >= 0) {
+		loop_unwatch(peers->loop, peers->fd);
+		close(peers->fd);
+	}
+}
--- /dev/null
+++ b/router/stats.c
@@ -0,0 +1,152 @@
+/**
+ * DOC: counters and latency histograms of the router, as Prometheus text
+ */
+#include <inttypes.h>
+
+#include "router/stats.h"
+
+static const char *const count_names[STAT_COUNT] = {
+	[STAT_REQUESTS] = "requests_total",
+	[STAT_BAD_REQUESTS] = "bad_requests_total",
+	[STAT_CALLERS_LEFT] = "callers_left_total",
+	[STAT_NO_ROUTE] = "no_route_total",
+	[STAT_CONVICTED] = "convicted_total",
+	[STAT_NOT_READY] = "not_ready_total",
+	[STAT_SENDS] = "upstream_sends_total",
+	[STAT_EXTRA_SENDS] = "upstream_extra_sends_total",
+	[STAT_CONNS_OPENED] = "upstream_connections_opened_total",
+	[STAT_CONNS_REUSED] = "upstream_connections_reused_total",
+	[STAT_STRAY_REPLIES] = "upstream_stray_replies_total",
+	[STAT_STORE_CALLS] = "store_calls_total",
+	[STAT_STORE_FAILURES] = "store_failures_total",
+	[STAT_BAD_ENTRIES] = "store_bad_entries_total",
+	[STAT_GOSSIP_SENT] = "gossip_sent_total",
+	[STAT_GOSSIP_RECEIVED] = "gossip_received_total",
+	[STAT_SNAPSHOTS] = "snapshots_taken_total",
+	[STAT_LOG_LEFT_OUT] = "log_left_out_total",
+};
+
+static const char *const gauge_names[GAUGE_COUNT] = {
+	[GAUGE_CONFIG_VERSION] = "config_version",
+	[GAUGE_STORE_REVISION] = "store_revision",
+	[GAUGE_STORE_AGE_MS] = "store_age_ms",
+	[GAUGE_REPLICAS] = "replicas",
+	[GAUGE_INSTANCES] = "instances",
+	[GAUGE_CALLER_CONNECTIONS] = "caller_connections",
+};
+
+static const char *const answer_names[] = {
+	[ANSWER_RELAY] = "relayed",
+	[ANSWER_MERGED] = "merged",
+	[ANSWER_NOT_RUN] = "not_run",
+	[ANSWER_FAILED] = "failed",
+	[ANSWER_TIMEOUT] = "timeout",
+};
+
+static const char *const outcome_names[OUTCOME_COUNT] = {
+	[OUTCOME_OK] = "ok",
+	[OUTCOME_FAILED] = "failed",
+	[OUTCOME_REFUSED] = "refused",
+	[OUTCOME_ELSEWHERE] = "other_replica",
+	[OUTCOME_NOT_SENT] = "not_sent",
+	[OUTCOME_LOST] = "lost",
+};
+
+/* Upper bounds of the latency buckets in milliseconds. */
+static const unsigned bounds[STATS_BUCKETS] = { 2,   5,	  10,  15,  20,	 30,
+						40,  60,  80,  120, 180, 250,
+						400, 800, 1500, 3000 };
+
+/**
+ * stats_answer_name() - name of an answer in logs and metrics
+ * @how: answer
+ *
+ * Return: a static string.
+ */
+const char *stats_answer_name(answer_t how)
+{
+	return answer_names[how];
+}
+
+/**
+ * stats_outcome_name() - name of an outcome in logs and metrics
+ * @outcome: outcome of an attempt
+ *
+ * Return: a static string.
+ */
+const char *stats_outcome_name(outcome_t outcome)
+{
+	return outcome < OUTCOME_COUNT ? outcome_names[outcome] : "none";
+}
+
+/**
+ * stats_took() - count an answer by its latency
+ * @stats: counters
+ * @took: from request to answer, ms
+ */
+void stats_took(stats_t *stats, medlar_time_t took)
+{
+	size_t bucket = 0;
+
+	while (bucket < STATS_BUCKETS && took > bounds[bucket])
+		bucket++;
+	stats->buckets[bucket]++;
+	stats->total_ms += (uint64_t)(took < 0 ? 0 : took);
+}
+
+static void write_histogram(const stats_t *stats, medlar_buf_t *out)
+{
+	uint64_t sum = 0;
+
+	medlar_buf_add(out,
+		       MEDLAR_STR("# TYPE medlarrouter_answer_ms histogram\n"));
+	for (size_t i = 0; i < STATS_BUCKETS; i++) {
+		sum += stats->buckets[i];
+		medlar_buf_printf(out,
+				  "medlarrouter_answer_ms_bucket{le=\"%u\"} "
+				  "%" PRIu64 "\n",
+				  bounds[i], sum);
+	}
+	sum += stats->buckets[STATS_BUCKETS];
+	medlar_buf_printf(out,
+			  "medlarrouter_answer_ms_bucket{le=\"+Inf\"} %" PRIu64
+			  "\nmedlarrouter_answer_ms_sum %" PRIu64
+			  "\nmedlarrouter_answer_ms_count %" PRIu64 "\n",
+			  sum, stats->total_ms, sum);
+}
+
+/**
+ * stats_write() - show all counters
+ * @stats: counters
+ * @out: Prometheus text is appended to it
+ */
+void stats_write(const stats_t *stats, medlar_buf_t *out)
+{
+	for (size_t i = 0; i < STAT_COUNT; i++)
+		medlar_buf_printf(out,
+				  "# TYPE medlarrouter_%s counter\n"
+				  "medlarrouter_%s %" PRIu64 "\n",
+				  count_names[i], count_names[i],
+				  stats->counts[i]);
+	for (size_t i = 0; i < GAUGE_COUNT; i++)
+		medlar_buf_printf(out,
+				  "# TYPE medlarrouter_%s gauge\n"
+				  "medlarrouter_%s %" PRId64 "\n",
+				  gauge_names[i], gauge_names[i],
+				  stats->gauges[i]);
+	for (size_t i = 0; i <= ANSWER_TIMEOUT; i++)
+		medlar_buf_printf(out,
+				  "medlarrouter_answers_total{how=\"%s\"} "
+				  "%" PRIu64 "\n",
+				  answer_names[i], stats->answers[i]);
+	for (size_t i = 0; i < OUTCOME_COUNT; i++)
+		medlar_buf_printf(out,
+				  "medlarrouter_attempts_total{outcome=\"%s\"} "
+				  "%" PRIu64 "\n",
+				  outcome_names[i], stats->outcomes[i]);
+	medlar_buf_printf(out,
+			  "medlarrouter_answers_partial_total %" PRIu64
+			  "\nmedlarrouter_answers_late_total %" PRIu64 "\n",
+			  stats->partial, stats->late);
+	write_histogram(stats, out);
+}
