--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -20,7 +20,7 @@
 /* Slowness of a replica that has just started. */
 #define COLD_FACTOR 1.6
 /* What a choice adds to the expected latency, ms. */
-#define FAR_COST 6.0
+#define FAR_COST 40.0
 #define CONNECT_COST 4.0
 #define STALL_COST 60.0
 #define FAILURE_COST 60.0
