--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -10,9 +10,11 @@
 #define HEDGE_SINGLE 0.45
 /* Extra sends that a hedge leaves to retries of failed requests. */
 #define HEDGE_RESERVE 2.0
-/* Wait before replicas that are all busy are tried again, ms. */
-#define BUSY_WAIT 4
-/* A request that has broken this many replicas is not sent once more. */
+/* Extra sends that a request past its target leaves to others. */
+#define LATE_RESERVE 3.0
+/* Wait for a free replica or for the budget before the next try, ms. */
+#define WAIT_STEP 5
+/* A request that has broken this many attempts unanswered is held back. */
 #define BREAKS_SENT_MAX 2
 
 static void on_timer(medlar_client_t *client, medlar_timer_t *timer,
@@ -177,6 +179,12 @@
 	exchange->ok += ok ? 1 : 0;
 }
 
+/* Nothing has run: the caller may do better with another instance. */
+static bool is_hopeless(const exchange_t *exchange, medlar_time_t now)
+{
+	return now >= exchange->aim && exchange->flying == 0 && !exchange->ran;
+}
+
 /* Ends the exchange if more waiting cannot better it. */
 static void check(exchange_t *exchange, medlar_time_t now)
 {
@@ -185,7 +193,7 @@
 	if (exchange->answered)
 		return;
 	if (!is_merged(exchange)) {
-		if (open == 0)
+		if (open == 0 || is_hopeless(exchange, now))
 			answer(exchange, ANSWER_FAILED, NULL);
 		return;
 	}
@@ -194,56 +202,50 @@
 		give_up(exchange, ANSWER_FAILED);
 }
 
+/* Replicas that ran the part or are asked for it now; refusals may repeat. */
 static replica_t *pick(exchange_part_t *part, exchange_t *exchange,
 		       medlar_time_t now)
 {
 	replica_t *tried[EXCHANGE_SENDS_MAX];
+	replica_t *replica;
+	size_t len = 0;
 
 	for (unsigned i = 0; i < part->attempts_len; i++)
-		tried[i] = part->attempts[i].replica;
-	return fleet_pick(exchange->setup->fleet, part->service, tried,
-			  part->attempts_len, now);
+		tried[len++] = part->attempts[i].replica;
+	replica = fleet_pick(exchange->setup->fleet, part->service, tried, len,
+			     now);
+	if (replica)
+		return replica;
+	len = 0;
+	for (unsigned i = 0; i < part->attempts_len; i++)
+		if (!part->attempts[i].refused)
+			tried[len++] = part->attempts[i].replica;
+	return fleet_pick(exchange->setup->fleet, part->service, tried, len,
+			  now);
 }
 
-static bool send_part(exchange_part_t *part, exchange_t *exchange,
-		      medlar_time_t now)
+static bool may_repeat(const exchange_part_t *part, const exchange_t *exchange)
 {
-	const exchange_setup_t *setup = exchange->setup;
-	attempt_t *attempt = &part->attempts[part->attempts_len];
-
-	while (part->attempts_len < EXCHANGE_SENDS_MAX) {
-		replica_t *replica = pick(part, exchange, now);
-
-		if (!replica)
-			return false;
-		*attempt = (attempt_t){ .exchange = exchange,
-					.part = part,
-					.replica = replica,
-					.extra = part->attempts_len > 0 };
-		replica_hold(replica);
-		part->attempts_len++;
-		if (setup->events->send(attempt, setup->data) == MEDLAR_OK) {
-			part->flying++;
-			part->may_have_run++;
-			exchange->sends++;
-			return true;
-		}
-		attempt++;
-	}
-	return false;
+	const route_t *route = exchange->route;
+	unsigned most = route->idempotent ? route->attempts_max : 1;
+
+	return part->attempts_len < EXCHANGE_SENDS_MAX &&
+	       part->may_have_run < most;
 }
 
-static bool may_repeat(const exchange_part_t *part, exchange_t *exchange)
+/*
+ * A request that breaks the replicas it reaches, with no answer from any, is
+ * held back until one of its parts is in.
+ */
+static bool is_suspect(const exchange_t *exchange)
 {
-	const route_t *route = exchange->route;
+	return exchange->ok == 0 && exchange->breaks >= BREAKS_SENT_MAX;
+}
 
-	if (part->attempts_len >= EXCHANGE_SENDS_MAX)
-		return false;
-	if (part->may_have_run >=
-	    (route->idempotent ? route->attempts_max : 1))
-		return false;
-	return suspects_breaks(exchange->setup->suspects,
-			       exchange->fingerprint) < BREAKS_SENT_MAX;
+/* What must be left in the budget for more urgent sends. */
+static double reserve_of(const exchange_t *exchange, medlar_time_t now)
+{
+	return now < exchange->aim ? 0 : LATE_RESERVE;
 }
 
 static bool pay(exchange_part_t *part, exchange_t *exchange, double reserve,
@@ -258,35 +260,67 @@
 	return true;
 }
 
-static bool has_other(exchange_part_t *part, exchange_t *exchange,
-		      medlar_time_t now)
+static bool launch(exchange_part_t *part, exchange_t *exchange,
+		   replica_t *replica)
 {
-	return pick(part, exchange, now) != NULL;
+	const exchange_setup_t *setup = exchange->setup;
+	attempt_t *attempt = &part->attempts[part->attempts_len++];
+
+	*attempt = (attempt_t){ .exchange = exchange,
+				.part = part,
+				.replica = replica,
+				.extra = part->repeats };
+	replica_hold(replica);
+	if (setup->events->send(attempt, setup->data) != MEDLAR_OK)
+		return false;
+	part->flying++;
+	part->may_have_run++;
+	part->repeats = true;
+	exchange->flying++;
+	exchange->sends++;
+	return true;
 }
 
-/* Sends a part again that no replica has under way, or gives it up. */
-static void retry(exchange_part_t *part, exchange_t *exchange, bool free_send,
-		  medlar_time_t now)
+/* Sends a part of which nothing is under way, gives it up, or lets it wait. */
+static void advance(exchange_part_t *part, exchange_t *exchange,
+		    medlar_time_t now)
 {
-	if (may_repeat(part, exchange) && has_other(part, exchange, now) &&
-	    (free_send || pay(part, exchange, 0, now)) &&
-	    send_part(part, exchange, now))
+	replica_t *replica;
+
+	if (part->settled || part->flying > 0)
 		return;
-	if (part->flying == 0)
+	if (part->service->replicas_len == 0 || !may_repeat(part, exchange) ||
+	    (is_suspect(exchange) && exchange->flying == 0)) {
 		settle(part, exchange, false);
+		return;
+	}
+	if (is_suspect(exchange))
+		return;
+	replica = pick(part, exchange, now);
+	if (!replica)
+		return;
+	if (part->repeats &&
+	    !pay(part, exchange, reserve_of(exchange, now), now))
+		return;
+	(void)launch(part, exchange, replica);
 }
 
 static void hedge(exchange_part_t *part, exchange_t *exchange,
 		  medlar_time_t now)
 {
 	const exchange_setup_t *setup = exchange->setup;
+	replica_t *replica;
 
-	if (part->settled || part->hedged || !exchange->route->idempotent ||
-	    !may_repeat(part, exchange) || !has_other(part, exchange, now) ||
-	    !pay(part, exchange, HEDGE_RESERVE, now))
+	if (part->settled || part->hedged || part->flying != 1 ||
+	    !exchange->route->idempotent || !may_repeat(part, exchange) ||
+	    is_suspect(exchange))
+		return;
+	replica = pick(part, exchange, now);
+	if (!replica || !pay(part, exchange,
+			     HEDGE_RESERVE + reserve_of(exchange, now), now))
 		return;
 	part->hedged = true;
-	if (send_part(part, exchange, now))
+	if (launch(part, exchange, replica))
 		setup->events->note(&part->attempts[part->attempts_len - 1],
 				    "hedge", OUTCOME_COUNT, setup->data);
 }
@@ -297,27 +331,17 @@
 
 	if (exchange->answered)
 		return;
-	if (is_merged(exchange) && now < exchange->aim)
+	if (now < exchange->aim)
 		due = least(due, exchange->aim);
 	if (now < exchange->hedge_at)
 		due = least(due, exchange->hedge_at);
 	for (size_t i = 0; i < exchange->parts_len; i++)
 		if (!exchange->parts[i].settled &&
 		    exchange->parts[i].flying == 0)
-			due = least(due, now + BUSY_WAIT);
+			due = least(due, now + WAIT_STEP);
 	(void)medlar_timer_set(exchange->setup->client, &exchange->timer, due);
 }
 
-static void first_send(exchange_part_t *part, exchange_t *exchange,
-		       medlar_time_t now)
-{
-	if (send_part(part, exchange, now) || part->settled)
-		return;
-	if (part->service->replicas_len == 0 ||
-	    part->attempts_len >= EXCHANGE_SENDS_MAX)
-		settle(part, exchange, false);
-}
-
 /**
  * exchange_start() - send the request
  * @exchange: a prepared exchange; may be answered when this returns
@@ -331,7 +355,7 @@
 		exchange_part_t *part = &exchange->parts[i];
 
 		spend_request(&part->service->spend, &fleet->spend_limits);
-		first_send(part, exchange, now);
+		advance(part, exchange, now);
 	}
 	set_timer(exchange, now);
 	check(exchange, now);
@@ -351,9 +375,8 @@
 	for (size_t i = 0; i < exchange->parts_len; i++) {
 		exchange_part_t *part = &exchange->parts[i];
 
-		if (!part->settled && part->flying == 0)
-			first_send(part, exchange, now);
-		else if (now >= exchange->hedge_at)
+		advance(part, exchange, now);
+		if (now >= exchange->hedge_at)
 			hedge(part, exchange, now);
 	}
 	set_timer(exchange, now);
@@ -372,6 +395,7 @@
 		if (part->attempts[i].io)
 			(void)setup->events->drop(&part->attempts[i],
 						  setup->data);
+	exchange->flying -= part->flying;
 	part->flying = 0;
 }
 
@@ -387,20 +411,42 @@
 		answer(exchange, ANSWER_RELAY, reply);
 }
 
+/* A failure of the only replica that may run it is passed on. */
 static void end_failed(attempt_t *attempt, const exchange_reply_t *reply,
 		       medlar_time_t now)
 {
 	exchange_t *exchange = attempt->exchange;
 	exchange_part_t *part = attempt->part;
-	bool repeated;
 
 	exchange->ran = true;
-	retry(part, exchange, false, now);
-	repeated = part->flying > 0;
-	if (!repeated && !is_merged(exchange) && reply->message)
+	advance(part, exchange, now);
+	if (part->flying == 0 && !is_merged(exchange) && reply->message)
 		answer(exchange, ANSWER_RELAY, reply);
 }
 
+static void end_refused(attempt_t *attempt, medlar_time_t now)
+{
+	attempt->refused = true;
+	attempt->part->may_have_run--;
+	advance(attempt->part, attempt->exchange, now);
+}
+
+static void end_unsent(attempt_t *attempt, medlar_time_t now)
+{
+	attempt->part->may_have_run--;
+	attempt->part->repeats = attempt->extra;
+	if (attempt->extra)
+		attempt->exchange->extra--;
+	advance(attempt->part, attempt->exchange, now);
+}
+
+static void end_lost(attempt_t *attempt, medlar_time_t now)
+{
+	attempt->exchange->ran = true;
+	attempt->exchange->breaks++;
+	advance(attempt->part, attempt->exchange, now);
+}
+
 /**
  * exchange_end() - tell how an attempt has ended
  * @attempt: an attempt that is under way; its exchange may be answered when
@@ -417,6 +463,7 @@
 
 	attempt->io = NULL;
 	part->flying--;
+	exchange->flying--;
 	if (reply->outcome != OUTCOME_OK)
 		setup->events->note(attempt, "attempt_end", reply->outcome,
 				    setup->data);
@@ -428,21 +475,14 @@
 		end_failed(attempt, reply, now);
 		break;
 	case OUTCOME_NOT_SENT:
-		part->may_have_run--;
-		retry(part, exchange, true, now);
+		end_unsent(attempt, now);
 		break;
 	case OUTCOME_REFUSED:
 	case OUTCOME_ELSEWHERE:
-		part->may_have_run--;
-		retry(part, exchange, false, now);
+		end_refused(attempt, now);
 		break;
 	default:
-		exchange->ran = true;
-		if (exchange->ok == 0)
-			(void)suspects_broke(setup->suspects,
-					     exchange->fingerprint,
-					     attempt->replica->hash, now);
-		retry(part, exchange, false, now);
+		end_lost(attempt, now);
 	}
 	if (exchange->answered)
 		return;
--- a/libroute/exchange.h
+++ b/libroute/exchange.h
@@ -13,7 +13,7 @@
 #include "libroute/suspects.h"
 
 /** Sends for one part, counting those that were not run. */
-#define EXCHANGE_SENDS_MAX 6
+#define EXCHANGE_SENDS_MAX 8
 
 typedef struct exchange exchange_t;
 typedef struct exchange_part exchange_part_t;
@@ -46,6 +46,7 @@
  * @replica: where it is sent
  * @io: of the owner of connections; NULL when not under way
  * @extra: it is not the first of its part
+ * @refused: the replica did not run it and may be asked again
  */
 struct attempt {
 	exchange_t *exchange;
@@ -53,6 +54,7 @@
 	replica_t *replica;
 	void *io;
 	bool extra;
+	bool refused;
 };
 
 /**
@@ -62,6 +64,7 @@
  * @attempts_len: how many
  * @flying: sends under way
  * @may_have_run: sends that are under way, ran or may have run
+ * @repeats: the next send is paid from the budget
  * @hedged: a send was made while another was under way
  * @settled: answered or given up
  * @ok: answered
@@ -74,6 +77,7 @@
 	unsigned attempts_len;
 	unsigned flying;
 	unsigned may_have_run;
+	bool repeats;
 	bool hedged;
 	bool settled;
 	bool ok;
@@ -164,6 +168,8 @@
  * @ok: parts that are in
  * @sends: attempts made
  * @extra: of these, the ones that were paid from the budget
+ * @flying: attempts under way
+ * @breaks: attempts whose connection broke off
  * @ran: a replica has run it or may have run it
  * @answered: the answer was given
  * @timer: next decision
@@ -184,6 +190,8 @@
 	size_t ok;
 	unsigned sends;
 	unsigned extra;
+	unsigned flying;
+	unsigned breaks;
 	bool ran;
 	bool answered;
 	medlar_timer_t timer;
--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -23,7 +23,7 @@
 #define FAR_COST 40.0
 #define CONNECT_COST 4.0
 #define STALL_COST 60.0
-#define FAILURE_COST 60.0
+#define FAILURE_COST 300.0
 #define AVOID_COST 10000.0
 /* A request that takes this much longer than expected has met a pause. */
 #define STALL_FACTOR 2.5
@@ -276,14 +276,20 @@
 	return 1.0 / (fleet->instances ? fleet->instances : 1);
 }
 
-/* What is known of a replica fades, so that a slow one is tried again. */
-static double faded_estimate(const replica_t *replica, medlar_time_t now)
+/* What is known of a replica fades, so that a bad one is tried again. */
+static double kept_part(const replica_t *replica, medlar_time_t now)
 {
-	double age = (double)(now - replica->estimated);
-	double keep = exp2(-age / FADE_HALF);
+	return exp2(-(double)(now - replica->estimated) / FADE_HALF);
+}
+
+static void fade(replica_t *replica, medlar_time_t now)
+{
+	double keep = kept_part(replica, now);
 	double usual = replica->service->estimate;
 
-	return usual + (replica->estimate - usual) * keep;
+	replica->estimate = usual + (replica->estimate - usual) * keep;
+	replica->failures *= keep;
+	replica->estimated = now;
 }
 
 static double queue_factor(const replica_t *replica, medlar_time_t now)
@@ -311,14 +317,16 @@
 
 static double score(const replica_t *replica, medlar_time_t now)
 {
-	double expected = faded_estimate(replica, now);
+	double keep = kept_part(replica, now);
+	double usual = replica->service->estimate;
+	double expected = usual + (replica->estimate - usual) * keep;
 	double cost;
 
 	if (now < replica->warm_until)
 		expected *= COLD_FACTOR;
 	cost = expected * queue_factor(replica, now);
 	cost += stall_cost(replica, expected, now);
-	cost += FAILURE_COST * replica->failures;
+	cost += FAILURE_COST * replica->failures * keep;
 	if (!replica->near)
 		cost += FAR_COST;
 	if (replica->conns_idle == 0)
@@ -409,13 +417,11 @@
 	replica_hold(replica);
 }
 
-static void note_latency(replica_t *replica, double took, medlar_time_t now)
+static void note_latency(replica_t *replica, double took)
 {
 	fleet_service_t *service = replica->service;
 
-	replica->estimate = faded_estimate(replica, now);
 	replica->estimate += ESTIMATE_GAIN * (took - replica->estimate);
-	replica->estimated = now;
 	service->estimate += SERVICE_GAIN * (took - service->estimate);
 }
 
@@ -447,8 +453,10 @@
 	TAILQ_REMOVE(&replica->flights, flight, link);
 	replica->flights_len--;
 	flight->replica = NULL;
+	if (how != FLIGHT_FORGOTTEN)
+		fade(replica, now);
 	if (how == FLIGHT_OK || how == FLIGHT_SILENT)
-		note_latency(replica, took, now);
+		note_latency(replica, took);
 	if (how == FLIGHT_OK) {
 		replica->strikes = 0;
 		replica->avoid_until = 0;
--- a/libroute/spend.c
+++ b/libroute/spend.c
@@ -10,7 +10,7 @@
  */
 #define HOLD_MAX 0.45
 /* Part of the ratio that is earned; the rest covers what is counted late. */
-#define EARNED_PART 0.85
+#define EARNED_PART 0.95
 /* Extra sends that may be saved up from requests. */
 #define EARNED_MAX 12.0
 
