Predict the pauses of replicas and send elsewhere meanwhile

Cause: each replica stands still at a steady period (measured: ends of pauses lie 2400 ms apart to the ms), and at 10 to 54 parts most queries meet a pause.

--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -23,6 +23,7 @@
 #define FAR_COST 40.0
 #define CONNECT_COST 4.0
 #define STALL_COST 60.0
+#define PAUSE_COST 15.0
 #define FAILURE_COST 300.0
 #define AVOID_COST 10000.0
 /* A request that takes this much longer than expected has met a pause. */
@@ -97,6 +98,7 @@
 		return NULL;
 	memcpy(service->name, name.ptr, name.len);
 	service->estimate = FIRST_ESTIMATE;
+	service->pauses = &fleet->pauses;
 	TAILQ_INIT(&service->replicas);
 	spend_init(&service->spend, now);
 	TAILQ_INSERT_TAIL(&fleet->services, service, link);
@@ -304,17 +306,32 @@
 	return 1.25 + (double)(queue - slots + 1) / slots;
 }
 
+static bool is_stall(double took, double expected)
+{
+	return took > STALL_FACTOR * expected + STALL_MIN;
+}
+
 static double stall_cost(const replica_t *replica, double expected,
 			 medlar_time_t now)
 {
 	const flight_t *oldest = TAILQ_FIRST(&replica->flights);
 	double age = oldest ? (double)(now - oldest->sent) : 0;
 
-	if (age <= STALL_FACTOR * expected + STALL_MIN)
+	if (!is_stall(age, expected))
 		return 0;
 	return STALL_COST + age;
 }
 
+static double pause_cost(const replica_t *replica, double expected,
+			 medlar_time_t now)
+{
+	medlar_time_t left =
+		pause_left(&replica->pause, replica->service->pauses,
+			   (medlar_time_t)expected, now);
+
+	return left ? PAUSE_COST + (double)left : 0;
+}
+
 static double score(const replica_t *replica, medlar_time_t now)
 {
 	double keep = kept_part(replica, now);
@@ -326,6 +343,7 @@
 		expected *= COLD_FACTOR;
 	cost = expected * queue_factor(replica, now);
 	cost += stall_cost(replica, expected, now);
+	cost += pause_cost(replica, expected, now);
 	cost += FAILURE_COST * replica->failures * keep;
 	if (!replica->near)
 		cost += FAR_COST;
@@ -425,6 +443,20 @@
 	service->estimate += SERVICE_GAIN * (took - service->estimate);
 }
 
+static void note_pause(replica_t *replica, const flight_t *flight,
+		       medlar_time_t now)
+{
+	double expected = replica->estimate;
+	double took = (double)(now - flight->sent);
+
+	if (is_stall(took, expected))
+		pause_ended(&replica->pause, replica->service->pauses,
+			    (medlar_time_t)(took - expected), now);
+	else
+		pause_absent(&replica->pause, replica->service->pauses,
+			     flight->sent, now);
+}
+
 static void strike(replica_t *replica, medlar_time_t now)
 {
 	medlar_time_t rest = AVOID_MIN;
@@ -455,6 +487,8 @@
 	flight->replica = NULL;
 	if (how != FLIGHT_FORGOTTEN)
 		fade(replica, now);
+	if (how == FLIGHT_OK)
+		note_pause(replica, flight, now);
 	if (how == FLIGHT_OK || how == FLIGHT_SILENT)
 		note_latency(replica, took);
 	if (how == FLIGHT_OK) {
--- a/libroute/fleet.h
+++ b/libroute/fleet.h
@@ -10,6 +10,7 @@
 #include <sys/queue.h>
 
 #include "libmedlar/medlar.h"
+#include "libroute/pause.h"
 #include "libroute/spend.h"
 
 #define FLEET_NAME_MAX 127
@@ -90,6 +91,7 @@
  * @estimate: smoothed latency, ms
  * @estimated: when it was last brought up to date
  * @failures: smoothed share of failed requests, 0 to 1
+ * @pause: when it stops for a moment
  * @strikes: failures in a row that suggest it is down
  * @avoid_until: not used before, unless there is no other
  * @load: running and waiting requests, as it last reported
@@ -114,6 +116,7 @@
 	double estimate;
 	medlar_time_t estimated;
 	double failures;
+	pause_t pause;
 	unsigned strikes;
 	medlar_time_t avoid_until;
 	unsigned load;
@@ -135,6 +138,7 @@
  * @connections_max: connections a replica accepts of all callers
  * @estimate: smoothed latency of all replicas, ms
  * @spend: extra sends
+ * @pauses: of the fleet
  */
 struct fleet_service {
 	TAILQ_ENTRY(fleet_service) link;
@@ -144,6 +148,7 @@
 	unsigned connections_max;
 	double estimate;
 	spend_t spend;
+	pause_period_t *pauses;
 };
 
 TAILQ_HEAD(service_list, fleet_service);
@@ -156,6 +161,7 @@
  * @replicas_len: how many
  * @instances: instances that share the replicas
  * @spend_limits: budget of extra sends
+ * @pauses: period at which replicas pause
  * @on_remove: told before a replica is freed or when it leaves
  * @data: passed to @on_remove
  */
@@ -166,6 +172,7 @@
 	size_t replicas_len;
 	unsigned instances;
 	spend_limits_t spend_limits;
+	pause_period_t pauses;
 	void (*on_remove)(replica_t *replica, void *data);
 	void *data;
 } fleet_t;
