--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -8,8 +8,11 @@
 
 #include "libroute/fleet.h"
 
-/* Weight of a new latency or outcome. */
-#define ESTIMATE_GAIN 0.2
+/* Weight of a new latency: more where replies are rare. */
+#define ESTIMATE_GAIN_MIN 0.2
+#define ESTIMATE_GAIN_MAX 0.5
+#define ESTIMATE_GAIN_FULL 600.0
+/* Weight of a new outcome, and of a latency for the whole service. */
 #define SERVICE_GAIN 0.02
 #define FAILURE_GAIN 0.1
 /* Time in which half of what is known of a replica's latency fades, ms. */
@@ -19,8 +22,9 @@
 #define LOAD_FRESH 100
 /* Slowness of a replica that has just started. */
 #define COLD_FACTOR 1.6
+/* Usual latencies by which a replica of another zone must be faster. */
+#define FAR_FACTOR 2.5
 /* What a choice adds to the expected latency, ms. */
-#define FAR_COST 40.0
 #define CONNECT_COST 4.0
 #define STALL_COST 60.0
 #define PAUSE_COST 15.0
@@ -345,10 +349,10 @@
 	cost += stall_cost(replica, expected, now);
 	cost += pause_cost(replica, expected, now);
 	cost += FAILURE_COST * replica->failures * keep;
-	if (!replica->near)
-		cost += FAR_COST;
 	if (replica->conns_idle == 0)
 		cost += CONNECT_COST;
+	if (!replica->near)
+		cost += FAR_FACTOR * usual;
 	if (now < replica->avoid_until ||
 	    (replica->strikes >= STRIKES_MAX && replica->flights_len > 0))
 		cost += AVOID_COST;
@@ -435,26 +439,29 @@
 	replica_hold(replica);
 }
 
-static void note_latency(replica_t *replica, double took)
+static void note_latency(replica_t *replica, double took, double since)
 {
 	fleet_service_t *service = replica->service;
+	double gain = since / ESTIMATE_GAIN_FULL;
 
-	replica->estimate += ESTIMATE_GAIN * (took - replica->estimate);
+	gain = fmin(fmax(gain, ESTIMATE_GAIN_MIN), ESTIMATE_GAIN_MAX);
+	replica->estimate += gain * (took - replica->estimate);
 	service->estimate += SERVICE_GAIN * (took - service->estimate);
 }
 
-static void note_pause(replica_t *replica, const flight_t *flight,
+/* Return: whether a pause that was due explains the latency. */
+static bool note_pause(replica_t *replica, const flight_t *flight,
 		       medlar_time_t now)
 {
 	double expected = replica->estimate;
 	double took = (double)(now - flight->sent);
 
 	if (is_stall(took, expected))
-		pause_ended(&replica->pause, replica->service->pauses,
-			    (medlar_time_t)(took - expected), now);
-	else
-		pause_absent(&replica->pause, replica->service->pauses,
-			     flight->sent, now);
+		return pause_ended(&replica->pause, replica->service->pauses,
+				   (medlar_time_t)(took - expected), now);
+	pause_absent(&replica->pause, replica->service->pauses, flight->sent,
+		     now);
+	return false;
 }
 
 static void strike(replica_t *replica, medlar_time_t now)
@@ -480,6 +487,7 @@
 {
 	replica_t *replica = flight->replica;
 	double took = (double)(now - flight->sent);
+	double since = (double)(now - replica->estimated);
 	bool failed = how == FLIGHT_FAILED || how == FLIGHT_REFUSED;
 
 	TAILQ_REMOVE(&replica->flights, flight, link);
@@ -487,10 +495,9 @@
 	flight->replica = NULL;
 	if (how != FLIGHT_FORGOTTEN)
 		fade(replica, now);
-	if (how == FLIGHT_OK)
-		note_pause(replica, flight, now);
-	if (how == FLIGHT_OK || how == FLIGHT_SILENT)
-		note_latency(replica, took);
+	if ((how == FLIGHT_OK && !note_pause(replica, flight, now)) ||
+	    how == FLIGHT_SILENT)
+		note_latency(replica, took, since);
 	if (how == FLIGHT_OK) {
 		replica->strikes = 0;
 		replica->avoid_until = 0;
--- a/libroute/pause.c
+++ b/libroute/pause.c
@@ -83,13 +83,18 @@
  * @shared: period of all replicas
  * @length: how much longer it took, ms
  * @now: when it was answered
+ *
+ * Return: whether a pause was due that explains it.
  */
-void pause_ended(pause_t *pause, pause_period_t *shared, medlar_time_t length,
+bool pause_ended(pause_t *pause, pause_period_t *shared, medlar_time_t length,
 		 medlar_time_t now)
 {
+	bool due = pause->confirmed > 0 && shared->period &&
+		   is_near(offset(pause->end, shared->period, now));
+
 	if (length < LENGTH_MIN || length > LENGTH_MAX ||
 	    (pause->ends_len && now - pause->ends[0] < SAME_PAUSE))
-		return;
+		return due;
 	for (unsigned i = 0; i < pause->ends_len; i++)
 		vote(shared, now - pause->ends[i]);
 	if (shared->period)
@@ -99,6 +104,7 @@
 	pause->ends[0] = now;
 	if (pause->ends_len < PAUSE_ENDS)
 		pause->ends_len++;
+	return due;
 }
 
 /**
--- a/libroute/pause.h
+++ b/libroute/pause.h
@@ -42,7 +42,7 @@
 	int confirmed;
 } pause_t;
 
-void pause_ended(pause_t *pause, pause_period_t *shared, medlar_time_t length,
+bool pause_ended(pause_t *pause, pause_period_t *shared, medlar_time_t length,
 		 medlar_time_t now);
 void pause_absent(pause_t *pause, const pause_period_t *shared,
 		  medlar_time_t sent, medlar_time_t now);
