Let four instances watch the store for all

The four first live instances that hear the store watch it and tell the others, which take the changes from them.

--- a/proto/gossip.h
+++ b/proto/gossip.h
@@ -22,15 +22,16 @@
 
 struct gossip_message {
 	char *name;
-	char *zone;
 	char *callers;
 	char *peers;
 	u_quad_t start;
 	u_int seq;
 	bool_t ready;
 	bool_t leaving;
+	bool_t watching;
+	u_int store_age;
+	u_int outage_age;
 	u_quad_t revision;
-	u_quad_t config_version;
 	struct {
 		u_int convicted_len;
 		u_quad_t *convicted_val;
@@ -48,17 +49,19 @@
 		char *value_val;
 	} value;
 	u_quad_t revision;
+	bool_t gone;
 };
 typedef struct gossip_entry gossip_entry;
 
-struct gossip_snapshot {
+struct gossip_changes {
+	u_quad_t after;
 	u_quad_t revision;
 	struct {
 		u_int entries_len;
 		gossip_entry *entries_val;
 	} entries;
 };
-typedef struct gossip_snapshot gossip_snapshot;
+typedef struct gossip_changes gossip_changes;
 
 #define GOSSIP_PROGRAM 0x20006d66
 #define GOSSIP_VERSION 1
@@ -81,12 +84,12 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_gossip_message (XDR *, gossip_message*);
 extern  bool_t xdr_gossip_entry (XDR *, gossip_entry*);
-extern  bool_t xdr_gossip_snapshot (XDR *, gossip_snapshot*);
+extern  bool_t xdr_gossip_changes (XDR *, gossip_changes*);
 
 #else /* K&R C */
 extern bool_t xdr_gossip_message ();
 extern bool_t xdr_gossip_entry ();
-extern bool_t xdr_gossip_snapshot ();
+extern bool_t xdr_gossip_changes ();
 
 #endif /* K&R C */
 
--- a/proto/gossip.x
+++ b/proto/gossip.x
@@ -1,7 +1,7 @@
 /*
  * Messages between routers. GOSSIP_TELL is a call without a reply, sent in a
- * datagram. A gossip_snapshot is the body of the answer to GET /snapshot on
- * the same port over TCP.
+ * datagram. A gossip_changes is the body of the answer to GET
+ * /changes?after=REVISION on the same port over TCP.
  */
 
 const GOSSIP_NAME_MAX = 127;
@@ -13,15 +13,16 @@
 
 struct gossip_message {
 	string name<GOSSIP_NAME_MAX>;
-	string zone<GOSSIP_NAME_MAX>;
 	string callers<GOSSIP_ADDRESS_MAX>;
 	string peers<GOSSIP_ADDRESS_MAX>;
 	unsigned hyper start;
 	unsigned int seq;
 	bool ready;
 	bool leaving;
+	bool watching;
+	unsigned int store_age;
+	unsigned int outage_age;
 	unsigned hyper revision;
-	unsigned hyper config_version;
 	unsigned hyper convicted<GOSSIP_CONVICTED_MAX>;
 };
 
@@ -29,9 +30,12 @@
 	opaque key<GOSSIP_KEY_MAX>;
 	opaque value<GOSSIP_VALUE_MAX>;
 	unsigned hyper revision;
+	bool gone;
 };
 
-struct gossip_snapshot {
+/* Entries that changed after @after; all entries if that is 0. */
+struct gossip_changes {
+	unsigned hyper after;
 	unsigned hyper revision;
 	gossip_entry entries<GOSSIP_ENTRIES_MAX>;
 };
--- a/proto/gossip_xdr.c
+++ b/proto/gossip_xdr.c
@@ -14,15 +14,13 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->name, GOSSIP_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->zone, GOSSIP_NAME_MAX))
-			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->callers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->peers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->start))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->seq))
 				 return FALSE;
@@ -30,16 +28,23 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->watching))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->outage_age))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->seq);
 		IXDR_PUT_BOOL(buf, objp->ready);
 		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_BOOL(buf, objp->watching);
+		IXDR_PUT_U_LONG(buf, objp->store_age);
+		IXDR_PUT_U_LONG(buf, objp->outage_age);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->convicted.convicted_val, (u_int *) &objp->convicted.convicted_len, GOSSIP_CONVICTED_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
@@ -47,15 +52,13 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->name, GOSSIP_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->zone, GOSSIP_NAME_MAX))
-			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->callers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->peers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->start))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->seq))
 				 return FALSE;
@@ -63,16 +66,23 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->watching))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->outage_age))
+				 return FALSE;
 
 		} else {
 		objp->seq = IXDR_GET_U_LONG(buf);
 		objp->ready = IXDR_GET_BOOL(buf);
 		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->watching = IXDR_GET_BOOL(buf);
+		objp->store_age = IXDR_GET_U_LONG(buf);
+		objp->outage_age = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->convicted.convicted_val, (u_int *) &objp->convicted.convicted_len, GOSSIP_CONVICTED_MAX,
 			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 			 return FALSE;
@@ -81,8 +91,6 @@
 
 	 if (!xdr_string (xdrs, &objp->name, GOSSIP_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->zone, GOSSIP_NAME_MAX))
-		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->callers, GOSSIP_ADDRESS_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->peers, GOSSIP_ADDRESS_MAX))
@@ -95,9 +103,13 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_bool (xdrs, &objp->watching))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+	 if (!xdr_u_int (xdrs, &objp->outage_age))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->convicted.convicted_val, (u_int *) &objp->convicted.convicted_len, GOSSIP_CONVICTED_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
@@ -116,14 +128,18 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_gossip_snapshot (XDR *xdrs, gossip_snapshot *objp)
+xdr_gossip_changes (XDR *xdrs, gossip_changes *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, GOSSIP_ENTRIES_MAX,
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -53,6 +53,7 @@
 	medlar_timer_t tick;
 	medlar_time_t stop_at;
 	medlar_time_t leave_at;
+	bool news;
 	const char *path;
 } daemon_state_t;
 
@@ -77,7 +78,7 @@
 {
 	const daemon_state_t *state = data;
 
-	return state->loop.now - state->store.heard <= FRESH_MAX;
+	return state->loop.now - peers_store_heard(&state->peers) <= FRESH_MAX;
 }
 
 static bool can_take_snapshot(void *data)
@@ -125,7 +126,6 @@
 	if (!state->forward.routes || routes->version > known) {
 		apply_services(state, routes);
 		forward_use(&state->forward, routes);
-		state->peers.config_version = routes->version;
 		LOG_LINE(&state->log, LOG_LEVEL_NOTICE, "config",
 			 MEDLAR_NUM("version", routes->version),
 			 MEDLAR_NUM("known", known),
@@ -153,12 +153,21 @@
 
 /* An entry that ran out while the store was away may come back. */
 static bool may_come_back(const daemon_state_t *state)
+{
+	medlar_time_t back = peers_store_back(&state->peers);
+
+	return back && state->loop.now - back < LAPSE_GRACE;
+}
+
+static void tell_store(daemon_state_t *state)
 {
 	const store_t *store = &state->store;
 
-	return store->down_since ||
-	       (store->up_since &&
-		state->loop.now - store->up_since < LAPSE_GRACE);
+	state->peers.store = (peers_store_t){
+		.watching = store->watching,
+		.heard = store->heard,
+		.back = store->down_since ? state->loop.now : store->up_since,
+	};
 }
 
 static void drop_replica(daemon_state_t *state, medlar_str_t id)
@@ -212,6 +221,8 @@
 	daemon_state_t *state = data;
 	medlar_str_t name;
 
+	tell_store(state);
+	state->news = true;
 	switch (entries_kind(item->key, &name)) {
 	case ENTRY_ROUTES:
 		use_routes(state, item);
@@ -287,8 +298,9 @@
 {
 	int64_t *gauges = state->stats.gauges;
 
-	gauges[GAUGE_CONFIG_VERSION] =
-		(int64_t)state->peers.config_version;
+	if (state->forward.routes)
+		gauges[GAUGE_CONFIG_VERSION] =
+			(int64_t)state->forward.routes->version;
 	gauges[GAUGE_STORE_REVISION] = (int64_t)state->mirror.revision;
 	gauges[GAUGE_STORE_AGE_MS] = state->loop.now - state->store.heard;
 	gauges[GAUGE_REPLICAS] = (int64_t)state->fleet.replicas_len;
@@ -382,6 +394,8 @@
 	upstream_sweep(&state->upstream, &state->fleet);
 	state->fleet.instances = peers_instances(&state->peers);
 	state->peers.ready = is_ready(state);
+	store_watch(&state->store, peers_should_watch(&state->peers));
+	tell_store(state);
 	check_stop(state);
 	(void)medlar_timer_set(client, timer, now + TICK);
 }
@@ -398,6 +412,10 @@
 		reload_signals = 0;
 		reload(state);
 	}
+	if (state->news && state->store.watching) {
+		peers_tell(&state->peers);
+		state->news = false;
+	}
 }
 
 static int listen_at(daemon_state_t *state, h1_server_t *server,
--- a/router/mirror.c
+++ b/router/mirror.c
@@ -32,6 +32,8 @@
 {
 	for (size_t i = 0; i < mirror->len; i++)
 		clear_entry(&mirror->entries[i]);
+	for (size_t i = 0; i < MIRROR_TOMBSTONES; i++)
+		medlar_buf_finish(&mirror->tombstones[i].key);
 	free(mirror->entries);
 	*mirror = (mirror_t){ 0 };
 }
@@ -70,6 +72,19 @@
 	return entry;
 }
 
+static void bury(mirror_t *mirror, medlar_str_t key, uint64_t revision)
+{
+	mirror_tombstone_t *tombstone =
+		&mirror->tombstones[mirror->tombstones_len++ %
+				    MIRROR_TOMBSTONES];
+
+	if (tombstone->revision > mirror->complete_after)
+		mirror->complete_after = tombstone->revision;
+	medlar_buf_reset(&tombstone->key);
+	medlar_buf_add(&tombstone->key, key);
+	tombstone->revision = revision;
+}
+
 static void remove_entry(mirror_t *mirror, mirror_entry_t *entry,
 			 uint64_t revision)
 {
@@ -79,6 +94,7 @@
 				    .gone = true };
 
 	*entry = mirror->entries[--mirror->len];
+	bury(mirror, item.key, revision);
 	mirror->on_change(&item, mirror->data);
 	clear_entry(&gone);
 }
@@ -138,6 +154,50 @@
 	mirror_advance(mirror, revision);
 }
 
+/**
+ * mirror_changes() - visit what changed after a revision
+ * @mirror: mirror
+ * @after: revision; with 0, or if too much has ended since, all entries are
+ *	visited and no ends
+ * @fn: told each entry
+ * @data: passed to @fn
+ *
+ * Return: number of entries visited.
+ */
+size_t mirror_changes(const mirror_t *mirror, uint64_t after,
+		      store_item_fn_t fn, void *data)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < mirror->len; i++) {
+		const mirror_entry_t *entry = &mirror->entries[i];
+		const store_item_t item = {
+			.key = medlar_buf_str(&entry->key),
+			.value = medlar_buf_str(&entry->value),
+			.revision = entry->revision,
+		};
+
+		if (entry->revision <= after)
+			continue;
+		fn(&item, data);
+		count++;
+	}
+	for (size_t i = 0; after > 0 && i < MIRROR_TOMBSTONES; i++) {
+		const mirror_tombstone_t *tombstone = &mirror->tombstones[i];
+		const store_item_t item = {
+			.key = medlar_buf_str(&tombstone->key),
+			.revision = tombstone->revision,
+			.gone = true,
+		};
+
+		if (tombstone->revision <= after)
+			continue;
+		fn(&item, data);
+		count++;
+	}
+	return count;
+}
+
 /**
  * mirror_advance() - all changes up to a revision were applied
  * @mirror: mirror
--- a/router/mirror.h
+++ b/router/mirror.h
@@ -25,6 +25,18 @@
 	uint64_t seen;
 } mirror_entry_t;
 
+#define MIRROR_TOMBSTONES 512
+
+/**
+ * struct mirror_tombstone - an entry that has ended
+ * @key: its key
+ * @revision: of its end
+ */
+typedef struct mirror_tombstone {
+	medlar_buf_t key;
+	uint64_t revision;
+} mirror_tombstone_t;
+
 /**
  * struct mirror - all entries
  * @entries: in no order
@@ -32,6 +44,9 @@
  * @cap: room
  * @revision: of the store that all entries are known up to
  * @list: number of the list being read
+ * @tombstones: entries that have ended, the latest ones, as a ring
+ * @tombstones_len: how many were ever added
+ * @complete_after: changes after this revision are all known
  * @on_change: told each entry that is new, changed or gone
  * @data: passed to @on_change
  */
@@ -41,6 +56,9 @@
 	size_t cap;
 	uint64_t revision;
 	uint64_t list;
+	mirror_tombstone_t tombstones[MIRROR_TOMBSTONES];
+	size_t tombstones_len;
+	uint64_t complete_after;
 	store_item_fn_t on_change;
 	void *data;
 } mirror_t;
@@ -50,6 +68,8 @@
 void mirror_list_begin(mirror_t *mirror);
 void mirror_apply(mirror_t *mirror, const store_item_t *item);
 void mirror_list_end(mirror_t *mirror, uint64_t revision);
+size_t mirror_changes(const mirror_t *mirror, uint64_t after,
+		      store_item_fn_t fn, void *data);
 void mirror_advance(mirror_t *mirror, uint64_t revision);
 
 #endif /* ROUTER_MIRROR_H */
--- a/router/peers.c
+++ b/router/peers.c
@@ -2,6 +2,7 @@
  * DOC: the other instances
  */
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,13 +23,17 @@
 #define FORGET_AFTER (15 * MEDLAR_SECOND)
 /* How long another one must know more before its snapshot is taken, ms. */
 #define BEHIND_MAX 600
+#define BEHIND_MAX_UNWATCHED 0
+/* Instances that watch the store for all. */
+#define WATCHERS 4
+/* A watcher that has not heard the store for so long is of no use, ms. */
+#define WATCHER_SILENT 3500
 #define FETCH_TIMEOUT MEDLAR_SECOND
-#define SNAPSHOT_MAX ((size_t)32 << 20)
+#define CHANGES_MAX ((size_t)32 << 20)
 #define HEAD_MAX ((size_t)4096)
 #define RECEIVES_PER_TURN 64
 
-static const char snapshot_call[] = "GET /snapshot HTTP/1.1\r\n"
-				    "Host: peer\r\n\r\n";
+static const char changes_path[] = "/changes?after=";
 
 static peer_instance_t *find(const peers_t *peers, const char *name)
 {
@@ -150,6 +155,8 @@
 			peer->listed = false;
 }
 
+static void catch_up(peers_t *peers);
+
 static void init_call(struct rpc_msg *call, uint32_t xid)
 {
 	*call = (struct rpc_msg){ .rm_xid = xid, .rm_direction = CALL };
@@ -161,12 +168,26 @@
 	call->rm_call.cb_verf = _null_auth;
 }
 
+/* An age that fits the message; 0 stands for never. */
+static uint32_t age_of(const peers_t *peers, medlar_time_t at)
+{
+	medlar_time_t age = peers->loop->now - at + 1;
+
+	if (at == 0)
+		return 0;
+	return age > INT32_MAX ? INT32_MAX : (uint32_t)age;
+}
+
+static medlar_time_t time_of(const peers_t *peers, uint32_t age)
+{
+	return age ? peers->loop->now - age + 1 : 0;
+}
+
 static size_t encode(peers_t *peers, char *bytes, size_t size)
 {
 	const router_settings_t *settings = peers->settings;
 	gossip_message message = {
 		.name = (char *)settings->instance,
-		.zone = (char *)settings->zone,
 		.callers = (char *)settings->callers,
 		.peers = (char *)settings->peers,
 		.start = peers->start,
@@ -174,7 +195,9 @@
 		.ready = peers->ready,
 		.leaving = peers->leaving,
 		.revision = peers->mirror->revision,
-		.config_version = peers->config_version,
+		.watching = peers->store.watching,
+		.store_age = age_of(peers, peers->store.heard),
+		.outage_age = age_of(peers, peers->store.back),
 		.convicted = { peers->convicted_len, peers->convicted },
 	};
 	struct rpc_msg call;
@@ -259,7 +282,12 @@
 	peer->ready = message->ready;
 	peer->leaving = message->leaving;
 	peer->revision = message->revision;
+	peer->watching = message->watching;
+	peer->store_heard = time_of(peers, message->store_age);
+	peer->store_back = time_of(peers, message->outage_age);
 	peer->heard = now;
+	if (!peers->store.watching)
+		catch_up(peers);
 	for (unsigned i = 0; i < message->convicted.convicted_len; i++)
 		suspects_convict(peers->suspects,
 				 message->convicted.convicted_val[i], now);
@@ -309,61 +337,67 @@
 	}
 }
 
-static void fill_snapshot(const mirror_t *mirror, gossip_snapshot *out)
+static void add_change(const store_item_t *item, void *data)
 {
-	out->revision = mirror->revision;
-	out->entries.entries_len = (u_int)mirror->len;
-	for (size_t i = 0; i < mirror->len; i++) {
-		const mirror_entry_t *entry = &mirror->entries[i];
+	gossip_changes *changes = data;
 
-		out->entries.entries_val[i] = (gossip_entry){
-			.key = { (u_int)entry->key.len, entry->key.ptr },
-			.value = { (u_int)entry->value.len, entry->value.ptr },
-			.revision = entry->revision,
+	changes->entries.entries_val[changes->entries.entries_len++] =
+		(gossip_entry){
+			.key = { (u_int)item->key.len, (char *)item->key.ptr },
+			.value = { (u_int)item->value.len,
+				   (char *)item->value.ptr },
+			.revision = item->revision,
+			.gone = item->gone,
 		};
-	}
 }
 
-static void give_snapshot(h1_conn_t *conn, const mirror_t *mirror)
+static void answer_changes(h1_conn_t *conn, gossip_changes *changes)
 {
-	gossip_snapshot snapshot = { 0 };
-	char *bytes = NULL;
-	size_t size;
+	size_t size = xdr_sizeof((xdrproc_t)xdr_gossip_changes, changes);
+	char *bytes = malloc(size);
+	bool ok = false;
 	XDR xdr;
 
-	snapshot.entries.entries_val =
-		calloc(mirror->len + 1, sizeof(gossip_entry));
-	if (!snapshot.entries.entries_val) {
-		h1_conn_answer(conn, 503, (medlar_str_t){ 0 },
-			       (medlar_str_t){ 0 });
-		return;
-	}
-	fill_snapshot(mirror, &snapshot);
-	size = xdr_sizeof((xdrproc_t)xdr_gossip_snapshot, &snapshot);
-	bytes = malloc(size);
 	if (bytes) {
 		xdrmem_create(&xdr, bytes, (unsigned)size, XDR_ENCODE);
-		if (!xdr_gossip_snapshot(&xdr, &snapshot))
-			size = 0;
+		ok = xdr_gossip_changes(&xdr, changes);
 		XDR_DESTROY(&xdr);
 	}
-	if (bytes && size)
-		h1_conn_answer(conn, 200, (medlar_str_t){ 0 },
-			       (medlar_str_t){ bytes, size });
-	else
+	h1_conn_answer(conn, ok ? 200 : 503, (medlar_str_t){ 0 },
+		       (medlar_str_t){ bytes, ok ? size : 0 });
+	free(bytes);
+}
+
+static void give_changes(h1_conn_t *conn, const mirror_t *mirror,
+			 uint64_t after)
+{
+	gossip_changes changes = { .after = after,
+				   .revision = mirror->revision };
+
+	if (after < mirror->complete_after)
+		changes.after = 0;
+	changes.entries.entries_val = calloc(
+		mirror->len + MIRROR_TOMBSTONES, sizeof(gossip_entry));
+	if (!changes.entries.entries_val) {
 		h1_conn_answer(conn, 503, (medlar_str_t){ 0 },
 			       (medlar_str_t){ 0 });
-	free(bytes);
-	free(snapshot.entries.entries_val);
+		return;
+	}
+	(void)mirror_changes(mirror, changes.after, add_change, &changes);
+	answer_changes(conn, &changes);
+	free(changes.entries.entries_val);
 }
 
 static void on_request(h1_conn_t *conn, void *data)
 {
 	const peers_t *peers = data;
 	medlar_str_t target = h1_message_target(&conn->parser.message);
+	size_t path_len = sizeof(changes_path) - 1;
 
-	if (medlar_str_equal(target, MEDLAR_STR("/snapshot")))
-		give_snapshot(conn, peers->mirror);
+	if (target.len > path_len &&
+	    memcmp(target.ptr, changes_path, path_len) == 0)
+		give_changes(conn, peers->mirror,
+			     strtoull(target.ptr + path_len, NULL, 10));
 	else
 		h1_conn_answer(conn, 404, (medlar_str_t){ 0 },
 			       (medlar_str_t){ 0 });
@@ -385,50 +419,64 @@
 	peers->fetching = false;
 }
 
-static void apply_snapshot(peers_t *peers, const gossip_snapshot *snapshot)
+static void apply_changes(peers_t *peers, const gossip_changes *changes)
 {
 	mirror_t *mirror = peers->mirror;
+	bool all = changes->after == 0;
 
-	if (snapshot->revision <= mirror->revision ||
-	    !peers->can_take(peers->data))
+	if (changes->revision <= mirror->revision ||
+	    changes->after > mirror->revision || !peers->can_take(peers->data))
 		return;
-	LOG_LINE(peers->log, LOG_LEVEL_NOTICE, "snapshot",
-		 MEDLAR_NUM("revision", snapshot->revision),
+	LOG_LINE(peers->log, LOG_LEVEL_INFO, "changes",
+		 MEDLAR_NUM("revision", changes->revision),
 		 MEDLAR_NUM("known", mirror->revision),
-		 MEDLAR_NUM("entries", snapshot->entries.entries_len));
-	peers->stats->counts[STAT_SNAPSHOTS]++;
-	mirror_list_begin(mirror);
-	for (u_int i = 0; i < snapshot->entries.entries_len; i++) {
-		const gossip_entry *entry = &snapshot->entries.entries_val[i];
+		 MEDLAR_NUM("entries", changes->entries.entries_len));
+	peers->stats->counts[STAT_CHANGES_TAKEN]++;
+	if (all)
+		mirror_list_begin(mirror);
+	for (u_int i = 0; i < changes->entries.entries_len; i++) {
+		const gossip_entry *entry = &changes->entries.entries_val[i];
 		const store_item_t item = {
 			.key = { entry->key.key_val, entry->key.key_len },
 			.value = { entry->value.value_val,
 				   entry->value.value_len },
 			.revision = entry->revision,
+			.gone = entry->gone,
 		};
 
 		mirror_apply(mirror, &item);
 	}
-	mirror_list_end(mirror, snapshot->revision);
+	if (all)
+		mirror_list_end(mirror, changes->revision);
+	mirror_advance(mirror, changes->revision);
 }
 
-static void take_snapshot(peers_t *peers, medlar_str_t body)
+static void take_changes(peers_t *peers, medlar_str_t body)
 {
-	gossip_snapshot snapshot = { 0 };
+	gossip_changes changes = { 0 };
 	XDR xdr;
 
+	if (body.len == 0)
+		return;
 	xdrmem_create(&xdr, (char *)body.ptr, (unsigned)body.len, XDR_DECODE);
-	if (body.len && xdr_gossip_snapshot(&xdr, &snapshot))
-		apply_snapshot(peers, &snapshot);
-	xdr_free((xdrproc_t)xdr_gossip_snapshot, (char *)&snapshot);
+	if (xdr_gossip_changes(&xdr, &changes))
+		apply_changes(peers, &changes);
+	xdr_free((xdrproc_t)xdr_gossip_changes, (char *)&changes);
 	XDR_DESTROY(&xdr);
 }
 
 static void fetch_ready(h1_client_t *client, void *data)
 {
-	(void)data;
-	h1_client_send(client, MEDLAR_STR(snapshot_call), (medlar_str_t){ 0 },
+	const peers_t *peers = data;
+	medlar_buf_t call;
+
+	medlar_buf_init(&call);
+	medlar_buf_printf(&call,
+			  "GET %s%" PRIu64 " HTTP/1.1\r\nHost: peer\r\n\r\n",
+			  changes_path, peers->mirror->revision);
+	h1_client_send(client, medlar_buf_str(&call), (medlar_str_t){ 0 },
 		       false);
+	medlar_buf_finish(&call);
 }
 
 static void fetch_done(h1_client_t *client, h1_end_t end, void *data)
@@ -436,8 +484,8 @@
 	peers_t *peers = data;
 
 	if (end == H1_END_REPLY && client->parser.message.status == 200)
-		take_snapshot(peers,
-			      medlar_buf_str(&client->parser.message.body));
+		take_changes(peers,
+			     medlar_buf_str(&client->parser.message.body));
 	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
 			       peers->loop->now);
 }
@@ -475,12 +523,14 @@
 	return best;
 }
 
-/* Takes a snapshot from another one that has known more for a while. */
+/* Takes changes from another one that knows more. */
 static void catch_up(peers_t *peers)
 {
-	static const h1_limits_t limits = { HEAD_MAX, SNAPSHOT_MAX };
+	static const h1_limits_t limits = { HEAD_MAX, CHANGES_MAX };
 	const peer_instance_t *best = best_informed(peers);
 	medlar_time_t now = peers->loop->now;
+	medlar_time_t most = peers->store.watching ? BEHIND_MAX :
+						     BEHIND_MAX_UNWATCHED;
 
 	if (!best || best->revision <= peers->mirror->revision) {
 		peers->behind_since = 0;
@@ -488,7 +538,7 @@
 	}
 	if (!peers->behind_since)
 		peers->behind_since = now;
-	if (peers->fetching || now - peers->behind_since < BEHIND_MAX)
+	if (peers->fetching || now - peers->behind_since < most)
 		return;
 	peers->fetching = true;
 	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
@@ -523,6 +573,65 @@
 	(void)medlar_timer_set(client, timer, now + TELL_EVERY);
 }
 
+/**
+ * peers_should_watch() - tell whether this instance has to watch the store
+ * @peers: the other instances
+ *
+ * A few instances, the first ones by name, watch for all; one that does not
+ * hear the store is not counted.
+ *
+ * Return: whether it has to.
+ */
+bool peers_should_watch(const peers_t *peers)
+{
+	const peer_instance_t *peer;
+	unsigned before = 0;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (peer_is_live(peers, peer) && peer->watching &&
+		    !peer->leaving &&
+		    peers->loop->now - peer->store_heard < WATCHER_SILENT &&
+		    strcmp(peer->name, peers->settings->instance) < 0)
+			before++;
+	return before < WATCHERS;
+}
+
+/**
+ * peers_store_heard() - when any instance last had an answer of the store
+ * @peers: the other instances
+ *
+ * Return: the time, of this instance or of one that tells it changes.
+ */
+medlar_time_t peers_store_heard(const peers_t *peers)
+{
+	const peer_instance_t *peer;
+	medlar_time_t heard = peers->store.heard;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (peer_is_live(peers, peer) &&
+		    peer->revision <= peers->mirror->revision &&
+		    peer->store_heard > heard)
+			heard = peer->store_heard;
+	return heard;
+}
+
+/**
+ * peers_store_back() - when an outage of the store last ended for anyone
+ * @peers: the other instances
+ *
+ * Return: the time; the current one during an outage, 0 if there was none.
+ */
+medlar_time_t peers_store_back(const peers_t *peers)
+{
+	const peer_instance_t *peer;
+	medlar_time_t back = peers->store.back;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (peer_is_live(peers, peer) && peer->store_back > back)
+			back = peer->store_back;
+	return back;
+}
+
 /**
  * peers_convicted() - share that a request crashes replicas
  * @peers: the other instances
--- a/router/peers.h
+++ b/router/peers.h
@@ -3,7 +3,7 @@
  *
  * Instances tell each other a few times a second that they live, whether they
  * take callers, and how much of the store they know. One that lags behind
- * takes a snapshot of the store from another one.
+ * takes what has changed from another one.
  */
 #ifndef ROUTER_PEERS_H
 #define ROUTER_PEERS_H
@@ -31,6 +31,10 @@
  * @leaving: it is about to end
  * @heard: its last message, ms; 0 if there was none
  * @revision: of the store that it knows
+ * @watching: it watches the store itself
+ * @store_heard: when it last had an answer of the store, ms
+ * @store_back: when an outage of the store ended for it, ms; 0 if there was
+ *	none lately
  * @listed: the store holds its entry
  */
 typedef struct peer_instance {
@@ -44,6 +48,9 @@
 	bool leaving;
 	medlar_time_t heard;
 	uint64_t revision;
+	bool watching;
+	medlar_time_t store_heard;
+	medlar_time_t store_back;
 	bool listed;
 } peer_instance_t;
 
@@ -51,6 +58,19 @@
 
 #define PEERS_SEEDS_MAX 8
 
+/**
+ * struct peers_store - what an instance tells of the store
+ * @watching: it watches the store itself
+ * @heard: last answer of the store, ms
+ * @back: end of the last outage, ms; the current time during one, 0 if there
+ *	was none
+ */
+typedef struct peers_store {
+	bool watching;
+	medlar_time_t heard;
+	medlar_time_t back;
+} peers_store_t;
+
 /**
  * struct peers - what is known of the other instances
  * @loop: loop that serves them
@@ -60,25 +80,25 @@
  * @mirror: given to and taken from others
  * @suspects: convictions are shared
  * @fd: UDP socket
- * @server: gives snapshots
- * @client: takes a snapshot
+ * @server: gives changes
+ * @client: takes changes
  * @fetching: @client is in use
  * @list: all others
  * @len: how many
  * @seeds: addresses to try
  * @seeds_len: how many
  * @timer: next message
- * @fetch_timer: end of the time for a snapshot
+ * @fetch_timer: end of the time for changes
  * @start: tells own starts apart
  * @seq: of the last message
  * @ready: callers are taken
  * @leaving: about to end
- * @config_version: in force here
+ * @store: what this instance tells of the store
  * @behind_since: another one knows more since then, ms; 0 if none does
  * @started: when this instance started, ms
  * @convicted: fingerprints refused here, the latest ones
  * @convicted_len: how many
- * @can_take: tells whether a snapshot may be applied now
+ * @can_take: tells whether changes may be applied now
  * @data: passed to @can_take
  */
 typedef struct peers {
@@ -102,7 +122,7 @@
 	uint32_t seq;
 	bool ready;
 	bool leaving;
-	uint64_t config_version;
+	peers_store_t store;
 	medlar_time_t behind_since;
 	medlar_time_t started;
 	uint64_t convicted[GOSSIP_CONVICTED_MAX];
@@ -119,6 +139,9 @@
 void peers_listed(peers_t *peers, medlar_str_t name, medlar_str_t value);
 void peers_unlisted(peers_t *peers, medlar_str_t name);
 void peers_convicted(peers_t *peers, uint64_t fingerprint);
+bool peers_should_watch(const peers_t *peers);
+medlar_time_t peers_store_heard(const peers_t *peers);
+medlar_time_t peers_store_back(const peers_t *peers);
 bool peer_is_live(const peers_t *peers, const peer_instance_t *peer);
 unsigned peers_instances(const peers_t *peers);
 void peers_entry(const router_settings_t *settings, medlar_buf_t *out);
--- a/router/stats.c
+++ b/router/stats.c
@@ -22,7 +22,7 @@
 	[STAT_BAD_ENTRIES] = "store_bad_entries_total",
 	[STAT_GOSSIP_SENT] = "gossip_sent_total",
 	[STAT_GOSSIP_RECEIVED] = "gossip_received_total",
-	[STAT_SNAPSHOTS] = "snapshots_taken_total",
+	[STAT_CHANGES_TAKEN] = "peer_changes_taken_total",
 	[STAT_LOG_LEFT_OUT] = "log_left_out_total",
 };
 
--- a/router/store.c
+++ b/router/store.c
@@ -11,8 +11,8 @@
 #define WATCH_PAUSE 150
 #define BACKOFF_MIN 100
 #define BACKOFF_MAX 1000
-#define LEASE_TTL (12 * MEDLAR_SECOND)
-#define LEASE_RENEW (4 * MEDLAR_SECOND)
+#define LEASE_TTL (20 * MEDLAR_SECOND)
+#define LEASE_RENEW (7 * MEDLAR_SECOND)
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_GONE 410
@@ -243,6 +243,8 @@
 {
 	store_channel_t *channel = &store->reader;
 
+	if (store->listed && !store->watching)
+		return;
 	medlar_buf_reset(&channel->call);
 	if (store->listed) {
 		store->calls->watch(store->mirror->revision, store->wait,
@@ -333,6 +335,7 @@
 			    .address = *address,
 			    .mirror = mirror,
 			    .wait = WATCH_WAIT,
+			    .watching = true,
 			    .heard = loop->now };
 	medlar_buf_init(&store->key);
 	medlar_buf_init(&store->value);
@@ -354,6 +357,20 @@
 	schedule(&store->keeper, BACKOFF_MIN);
 }
 
+/**
+ * store_watch() - watch the store, or leave that to other instances
+ * @store: client
+ * @watching: whether to watch; a watch that is under way is let end
+ */
+void store_watch(store_t *store, bool watching)
+{
+	bool idle = !store->reader.waiting && store->reader.timer.slot == 0;
+
+	store->watching = watching;
+	if (watching && idle)
+		read_next(store);
+}
+
 /**
  * store_entry_lost() - the own entry has vanished from the store
  * @store: client; writes it again
--- a/router/store.h
+++ b/router/store.h
@@ -62,6 +62,7 @@
  * @page: last page of the list being read
  * @list_revision: of the store when the list was begun
  * @wait: longest time of a watch, ms
+ * @watching: this instance watches the store itself; others tell it otherwise
  * @entry: state of the own entry
  * @lease: its lease
  * @key: its key
@@ -83,6 +84,7 @@
 	store_page_t page;
 	uint64_t list_revision;
 	medlar_time_t wait;
+	bool watching;
 	store_entry_t entry;
 	uint64_t lease;
 	medlar_buf_t key;
@@ -96,6 +98,7 @@
 		const store_calls_t *calls, const struct sockaddr_in *address,
 		mirror_t *mirror);
 void store_start(store_t *store, medlar_str_t key, medlar_str_t value);
+void store_watch(store_t *store, bool watching);
 void store_entry_lost(store_t *store);
 void store_leave(store_t *store);
 void store_finish(store_t *store);
