--- a/libroute/fleet.h
+++ b/libroute/fleet.h
@@ -10,6 +10,7 @@
 #include <sys/queue.h>
 
 #include "libmedlar/medlar.h"
+#include "libroute/crash.h"
 #include "libroute/pause.h"
 #include "libroute/spend.h"
 
@@ -92,6 +93,7 @@
  * @estimated: when it was last brought up to date
  * @failures: smoothed share of failed requests, 0 to 1
  * @pause: when it stops for a moment
+ * @crash: signs that a request made it crash
  * @strikes: failures in a row that suggest it is down
  * @avoid_until: not used before, unless there is no other
  * @load: running and waiting requests, as it last reported
@@ -117,6 +119,7 @@
 	medlar_time_t estimated;
 	double failures;
 	pause_t pause;
+	crash_t crash;
 	unsigned strikes;
 	medlar_time_t avoid_until;
 	unsigned load;
--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -81,21 +81,6 @@
 		*suspect = (suspect_t){ 0 };
 }
 
-/**
- * suspects_breaks() - how many replicas a request has broken
- * @suspects: table
- * @fingerprint: of the request
- *
- * Return: the number; 0 for a request that is not suspected.
- */
-unsigned suspects_breaks(const suspects_t *suspects, uint64_t fingerprint)
-{
-	for (size_t i = 0; i < SUSPECTS_MAX; i++)
-		if (suspects->entries[i].fingerprint == fingerprint)
-			return suspects->entries[i].breaks;
-	return 0;
-}
-
 /**
  * suspects_convicted() - tell whether to refuse a request
  * @suspects: table
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -36,6 +36,5 @@
 void suspects_cleared(suspects_t *suspects, uint64_t fingerprint);
 bool suspects_convicted(const suspects_t *suspects, uint64_t fingerprint,
 			medlar_time_t now);
-unsigned suspects_breaks(const suspects_t *suspects, uint64_t fingerprint);
 
 #endif /* LIBROUTE_SUSPECTS_H */
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -245,6 +245,14 @@
 	upstream_forget(&state->upstream, replica);
 }
 
+static void on_crash(uint64_t fingerprint, const replica_t *replica,
+		     void *data)
+{
+	daemon_state_t *state = data;
+
+	forward_crash(&state->forward, fingerprint, replica);
+}
+
 static void answer_plain(h1_conn_t *conn, unsigned status)
 {
 	h1_conn_answer(conn, status, (medlar_str_t){ 0 },
@@ -490,8 +498,8 @@
 		return MEDLAR_ERR_SYNTAX;
 	fleet_init(&state->fleet, medlar_str_from(settings->zone), &limits,
 		   on_replica_removed, state);
-	upstream_init(&state->upstream, &state->loop, &state->stats,
-		      REPLY_MAX);
+	upstream_init(&state->upstream, &state->loop, &state->stats, REPLY_MAX,
+		      on_crash, state);
 	mirror_init(&state->mirror, on_change, state);
 	store_init(&state->store, &state->loop, &state->log, &state->stats,
 		   &platform_store_calls, &store, &state->mirror);
--- a/router/forward.c
+++ b/router/forward.c
@@ -209,13 +209,7 @@
 	forward_t *forward = data;
 	const exchange_t *exchange = attempt->exchange;
 	const forward_request_t *request = exchange->owner;
-	unsigned breaks = 0;
 
-	if (outcome == OUTCOME_LOST)
-		breaks = suspects_breaks(&forward->suspects,
-					 exchange->fingerprint);
-	if (breaks + 1 >= SUSPECT_BREAKS)
-		peers_convicted(forward->peers, exchange->fingerprint);
 	if (!may_log(forward))
 		return;
 	LOG_LINE(forward->log, LOG_LEVEL_INFO, event,
@@ -227,7 +221,7 @@
 			     medlar_str_from(stats_outcome_name(outcome))),
 		 MEDLAR_NUM("after_ms", forward->loop->now - exchange->began),
 		 MEDLAR_NUM("send", attempt->part->attempts_len),
-		 MEDLAR_NUM("breaks", breaks));
+		 MEDLAR_NUM("breaks", exchange->breaks));
 }
 
 static const exchange_events_t exchange_events = {
@@ -407,6 +401,27 @@
 			      forward);
 }
 
+/**
+ * forward_crash() - a replica crashed while it ran a request
+ * @forward: service
+ * @fingerprint: of the request
+ * @replica: the replica
+ */
+void forward_crash(forward_t *forward, uint64_t fingerprint,
+		   const replica_t *replica)
+{
+	unsigned breaks = suspects_broke(&forward->suspects, fingerprint,
+					 replica->hash, forward->loop->now);
+
+	LOG_LINE(forward->log, LOG_LEVEL_WARNING, "crash",
+		 MEDLAR_HEX("request", fingerprint),
+		 MEDLAR_TEXT("replica", medlar_str_from(replica->id)),
+		 MEDLAR_NUM("crashes", breaks),
+		 MEDLAR_NUM("refused", breaks >= SUSPECT_BREAKS));
+	if (breaks == SUSPECT_BREAKS)
+		peers_convicted(forward->peers, fingerprint);
+}
+
 /**
  * forward_use() - put a configuration version into force
  * @forward: service
--- a/router/forward.h
+++ b/router/forward.h
@@ -53,6 +53,8 @@
 		 bool (*is_fresh)(void *), void *data);
 void forward_finish(forward_t *forward);
 void forward_turn(void *data);
+void forward_crash(forward_t *forward, uint64_t fingerprint,
+		   const replica_t *replica);
 void forward_use(forward_t *forward, routes_t *routes);
 
 #endif /* ROUTER_FORWARD_H */
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -34,6 +34,7 @@
 	attempt_t *attempt;
 	flight_t flight;
 	medlar_timer_t timer;
+	uint64_t fingerprint;
 	char id[64];
 	size_t id_len;
 	bool idle;
@@ -50,12 +51,18 @@
  * @loop: loop that serves them
  * @stats: counters
  * @body_max: the longest reply that is accepted, bytes
+ * @on_crash: told a request that made a replica crash
+ * @data: passed to @on_crash
  */
 void upstream_init(upstream_t *upstream, loop_t *loop, stats_t *stats,
-		   size_t body_max)
+		   size_t body_max,
+		   void (*on_crash)(uint64_t, const replica_t *, void *),
+		   void *data)
 {
 	*upstream = (upstream_t){ .loop = loop,
 				  .stats = stats,
+				  .on_crash = on_crash,
+				  .data = data,
 				  .body_max = body_max };
 	TAILQ_INIT(&upstream->closed);
 }
@@ -221,6 +228,25 @@
 	report(conn, &reply, flight_of(reply.outcome));
 }
 
+static void blame(upstream_conn_t *conn, uint64_t fingerprint)
+{
+	if (fingerprint)
+		conn->upstream->on_crash(fingerprint, conn->replica,
+					 conn->upstream->data);
+}
+
+/* Looks for the signs of a crash in the end of a connection. */
+static void examine(upstream_conn_t *conn, h1_end_t end)
+{
+	crash_t *crash = &conn->replica->crash;
+	medlar_time_t now = conn->upstream->loop->now;
+
+	if (end == H1_END_BROKEN)
+		blame(conn, crash_broke(crash, conn->fingerprint, now));
+	else if (!conn->client.reused)
+		blame(conn, crash_refused(crash, now));
+}
+
 static void on_done(h1_client_t *client, h1_end_t end, void *data)
 {
 	upstream_conn_t *conn = data;
@@ -234,6 +260,7 @@
 			dispose(conn);
 		return;
 	}
+	examine(conn, end);
 	if (end == H1_END_NOT_SENT)
 		reply.outcome = OUTCOME_NOT_SENT;
 	if (client->reused && end == H1_END_NOT_SENT)
@@ -249,6 +276,8 @@
 	const exchange_reply_t reply = { .outcome = OUTCOME_NOT_SENT };
 
 	(void)client;
+	blame(conn, crash_lost(&conn->replica->crash,
+			       conn->upstream->loop->now));
 	if (conn->attempt)
 		report(conn, &reply, FLIGHT_FORGOTTEN);
 	dispose(conn);
@@ -283,6 +312,7 @@
 	medlar_time_t now = conn->upstream->loop->now;
 	size_t shared = request->head.len;
 
+	conn->fingerprint = exchange->fingerprint;
 	conn->id_len = request->id.len < sizeof(conn->id) ? request->id.len :
 							    sizeof(conn->id);
 	if (conn->id_len)
@@ -303,6 +333,7 @@
 	upstream_conn_t *conn = data;
 
 	(void)client;
+	crash_connected(&conn->replica->crash);
 	medlar_timer_clear(conn->upstream->loop->client, &conn->timer);
 	if (conn->attempt) {
 		transmit(conn);
--- a/router/upstream.h
+++ b/router/upstream.h
@@ -36,18 +36,25 @@
  * struct upstream - all connections to replicas
  * @loop: loop that serves them
  * @stats: counters
+ * @on_crash: told a request that made a replica crash
+ * @data: passed to @on_crash
  * @closed: connections to be freed at the end of the turn
  * @body_max: the longest reply that is accepted, bytes
  */
 typedef struct upstream {
 	loop_t *loop;
 	stats_t *stats;
+	void (*on_crash)(uint64_t fingerprint, const replica_t *replica,
+			 void *data);
+	void *data;
 	struct upstream_conn_list closed;
 	size_t body_max;
 } upstream_t;
 
 void upstream_init(upstream_t *upstream, loop_t *loop, stats_t *stats,
-		   size_t body_max);
+		   size_t body_max,
+		   void (*on_crash)(uint64_t, const replica_t *, void *),
+		   void *data);
 void upstream_turn(void *data);
 int upstream_send(upstream_t *upstream, attempt_t *attempt);
 bool upstream_drop(upstream_t *upstream, attempt_t *attempt);
