--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -6,7 +6,7 @@
 #include "libroute/exchange.h"
 
 /* Part of the target latency after which a second replica is asked. */
-#define HEDGE_SHARDS 0.24
+#define HEDGE_SHARDS 0.34
 #define HEDGE_SINGLE 0.45
 /* Extra sends that a hedge leaves to retries of failed requests. */
 #define HEDGE_RESERVE 2.0
--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -14,7 +14,7 @@
 #define ESTIMATE_GAIN_FULL 600.0
 /* Weight of a new outcome, and of a latency for the whole service. */
 #define SERVICE_GAIN 0.02
-#define FAILURE_GAIN 0.1
+#define FAILURE_GAIN 0.2
 /* Time in which half of what is known of a replica's latency fades, ms. */
 #define FADE_HALF 3000.0
 #define FIRST_ESTIMATE 5.0
@@ -104,7 +104,8 @@
 	service->estimate = FIRST_ESTIMATE;
 	service->pauses = &fleet->pauses;
 	TAILQ_INIT(&service->replicas);
-	spend_init(&service->spend, now);
+	spend_init(&service->spend, &fleet->spend_limits, fleet_share(fleet),
+		   now);
 	TAILQ_INSERT_TAIL(&fleet->services, service, link);
 	return service;
 }
--- a/libroute/spend.c
+++ b/libroute/spend.c
@@ -5,25 +5,29 @@
 
 /*
  * A bucket that is full at the start of a window and refilled during it gives
- * twice its size. Half of the part is held at most, so the window stays below
- * the whole part.
+ * twice its size; a restart within the window gives what a start does besides.
  */
-#define HOLD_MAX 0.45
+#define HOLD_MAX 0.4
+#define START_PART 0.2
 /* Part of the ratio that is earned; the rest covers what is counted late. */
 #define EARNED_PART 0.95
 /* Extra sends that may be saved up from requests. */
 #define EARNED_MAX 12.0
 
 /**
- * spend_init() - start with an empty budget
+ * spend_init() - start with a small budget
  * @spend: memory of the caller
+ * @limits: what all instances may spend together
+ * @share: this instance's part of the fixed number, 0 to 1
  * @now: current time
  *
  * An instance that restarts has forgotten what it spent in this window.
  */
-void spend_init(spend_t *spend, medlar_time_t now)
+void spend_init(spend_t *spend, const spend_limits_t *limits, double share,
+		medlar_time_t now)
 {
-	*spend = (spend_t){ .refilled = now };
+	*spend = (spend_t){ .fixed = limits->slack * share * START_PART,
+			    .refilled = now };
 }
 
 /**
--- a/libroute/spend.h
+++ b/libroute/spend.h
@@ -35,7 +35,8 @@
 	medlar_time_t refilled;
 } spend_t;
 
-void spend_init(spend_t *spend, medlar_time_t now);
+void spend_init(spend_t *spend, const spend_limits_t *limits, double share,
+		medlar_time_t now);
 void spend_request(spend_t *spend, const spend_limits_t *limits);
 bool spend_try(spend_t *spend, const spend_limits_t *limits, double share,
 	       double reserve, medlar_time_t now);
