Tell callers of instances whose zone has replicas, and gossip in turns

Callers are told of instances whose zone has replicas, and of those in their own zone where there are four or more. Eight others are told every 220 ms, in turns. Instances use 0.95 of a replica's connections, as 0.85 left each of 31 with one.

--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -37,8 +37,8 @@
 #define STRIKES_MAX 2
 #define AVOID_MIN 300
 #define AVOID_MAX 3000
-/* Part of a replica's connections that instances leave free for newcomers. */
-#define CONNS_USED 0.85
+/* Part of a replica's connections that instances use. */
+#define CONNS_USED 0.95
 
 /**
  * fleet_init() - start without services
@@ -283,6 +283,37 @@
 	return 1.0 / (fleet->instances ? fleet->instances : 1);
 }
 
+static bool has_near(const fleet_service_t *service)
+{
+	const replica_t *replica;
+
+	TAILQ_FOREACH(replica, &service->replicas, link)
+		if (replica->near && !replica->info.draining)
+			return true;
+	return false;
+}
+
+/**
+ * fleet_near() - how much of the fleet is in this availability zone
+ * @fleet: fleet
+ *
+ * Return: services with a replica in the zone, in percent of those with any.
+ */
+unsigned fleet_near(const fleet_t *fleet)
+{
+	const fleet_service_t *service;
+	unsigned served = 0;
+	unsigned near = 0;
+
+	TAILQ_FOREACH(service, &fleet->services, link) {
+		if (service->replicas_len == 0)
+			continue;
+		served++;
+		near += has_near(service);
+	}
+	return served ? 100 * near / served : 0;
+}
+
 /* What is known of a replica fades, so that a bad one is tried again. */
 static double kept_part(const replica_t *replica, medlar_time_t now)
 {
--- a/libroute/fleet.h
+++ b/libroute/fleet.h
@@ -197,6 +197,7 @@
 		      medlar_time_t now);
 unsigned fleet_conns_max(const fleet_t *fleet,
 			 const fleet_service_t *service);
+unsigned fleet_near(const fleet_t *fleet);
 double fleet_share(const fleet_t *fleet);
 void replica_hold(replica_t *replica);
 void replica_release(replica_t *replica);
--- a/proto/gossip.h
+++ b/proto/gossip.h
@@ -22,12 +22,14 @@
 
 struct gossip_message {
 	char *name;
+	char *zone;
 	char *callers;
 	char *peers;
 	u_quad_t start;
 	u_int seq;
 	bool_t ready;
 	bool_t leaving;
+	u_int near;
 	bool_t watching;
 	u_int store_age;
 	u_int outage_age;
--- a/proto/gossip.x
+++ b/proto/gossip.x
@@ -13,12 +13,14 @@
 
 struct gossip_message {
 	string name<GOSSIP_NAME_MAX>;
+	string zone<GOSSIP_NAME_MAX>;
 	string callers<GOSSIP_ADDRESS_MAX>;
 	string peers<GOSSIP_ADDRESS_MAX>;
 	unsigned hyper start;
 	unsigned int seq;
 	bool ready;
 	bool leaving;
+	unsigned int near;
 	bool watching;
 	unsigned int store_age;
 	unsigned int outage_age;
--- a/proto/gossip_xdr.c
+++ b/proto/gossip_xdr.c
@@ -14,13 +14,15 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->name, GOSSIP_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->zone, GOSSIP_NAME_MAX))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->callers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->peers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->start))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->seq))
 				 return FALSE;
@@ -28,6 +30,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->near))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->watching))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age))
@@ -39,6 +43,7 @@
 		IXDR_PUT_U_LONG(buf, objp->seq);
 		IXDR_PUT_BOOL(buf, objp->ready);
 		IXDR_PUT_BOOL(buf, objp->leaving);
+		IXDR_PUT_U_LONG(buf, objp->near);
 		IXDR_PUT_BOOL(buf, objp->watching);
 		IXDR_PUT_U_LONG(buf, objp->store_age);
 		IXDR_PUT_U_LONG(buf, objp->outage_age);
@@ -52,13 +57,15 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->name, GOSSIP_NAME_MAX))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->zone, GOSSIP_NAME_MAX))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->callers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->peers, GOSSIP_ADDRESS_MAX))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->start))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->seq))
 				 return FALSE;
@@ -66,6 +73,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->leaving))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->near))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->watching))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age))
@@ -77,6 +86,7 @@
 		objp->seq = IXDR_GET_U_LONG(buf);
 		objp->ready = IXDR_GET_BOOL(buf);
 		objp->leaving = IXDR_GET_BOOL(buf);
+		objp->near = IXDR_GET_U_LONG(buf);
 		objp->watching = IXDR_GET_BOOL(buf);
 		objp->store_age = IXDR_GET_U_LONG(buf);
 		objp->outage_age = IXDR_GET_U_LONG(buf);
@@ -91,6 +101,8 @@
 
 	 if (!xdr_string (xdrs, &objp->name, GOSSIP_NAME_MAX))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, GOSSIP_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->callers, GOSSIP_ADDRESS_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->peers, GOSSIP_ADDRESS_MAX))
@@ -103,6 +115,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->near))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->watching))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->store_age))
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -11,6 +11,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "libroute/entry_points.h"
 #include "libroute/fleet.h"
 #include "medlard/clock.h"
 #include "platform/entries.h"
@@ -23,6 +24,8 @@
 #include "router/store.h"
 
 #define TICK 100
+/* Instances among which addresses for callers are chosen. */
+#define ENTRY_POINTS_MAX 512
 #define REPLY_MAX ((size_t)8 << 20)
 /* How long callers may keep the addresses that they are given, ms. */
 #define ADDRESS_TTL MEDLAR_SECOND
@@ -259,23 +262,46 @@
 		       (medlar_str_t){ 0 });
 }
 
-static void answer_addresses(daemon_state_t *state, h1_conn_t *conn)
+static size_t list_points(daemon_state_t *state, entry_point_t *points,
+			  size_t max)
 {
-	medlar_str_t addresses[ENTRY_ADDRESSES_MAX];
 	const peer_instance_t *peer;
-	medlar_buf_t body;
 	size_t len = 0;
 
 	if (is_ready(state))
-		addresses[len++] = medlar_str_from(state->settings.callers);
+		points[len++] = (entry_point_t){
+			medlar_str_from(state->settings.callers),
+			medlar_str_from(state->settings.zone),
+			state->peers.near,
+		};
 	TAILQ_FOREACH(peer, &state->peers.list, link)
-		if (len < ENTRY_ADDRESSES_MAX && peer->ready &&
-		    !peer->leaving && peer_is_live(&state->peers, peer))
-			addresses[len++] = medlar_str_from(peer->callers);
+		if (len < max && peer->ready && !peer->leaving &&
+		    peer_is_live(&state->peers, peer))
+			points[len++] = (entry_point_t){
+				medlar_str_from(peer->callers),
+				medlar_str_from(peer->zone),
+				peer->near,
+			};
+	return len;
+}
+
+static void answer_addresses(daemon_state_t *state, h1_conn_t *conn,
+			     medlar_str_t zone)
+{
+	entry_point_t points[ENTRY_POINTS_MAX];
+	medlar_str_t addresses[ENTRY_ADDRESSES_MAX];
+	size_t len = list_points(state, points, ENTRY_POINTS_MAX);
+	medlar_buf_t body;
+
+	len = entry_points_choose(points, len, zone);
 	if (len == 0) {
 		answer_plain(conn, 503);
 		return;
 	}
+	if (len > ENTRY_ADDRESSES_MAX)
+		len = ENTRY_ADDRESSES_MAX;
+	for (size_t i = 0; i < len; i++)
+		addresses[i] = points[i].address;
 	medlar_buf_init(&body);
 	entry_write_addresses(addresses, len, ADDRESS_TTL, &body);
 	h1_conn_answer(conn, 200,
@@ -292,7 +318,7 @@
 	switch (entry_read_call(h1_message_target(&conn->parser.message),
 				&zone)) {
 	case ENTRY_ADDRESSES:
-		answer_addresses(state, conn);
+		answer_addresses(state, conn, zone);
 		break;
 	case ENTRY_READY:
 		answer_plain(conn, is_ready(state) ? 200 : 503);
@@ -402,6 +428,7 @@
 	upstream_sweep(&state->upstream, &state->fleet);
 	state->fleet.instances = peers_instances(&state->peers);
 	state->peers.ready = is_ready(state);
+	state->peers.near = fleet_near(&state->fleet);
 	store_watch(&state->store, peers_should_watch(&state->peers));
 	tell_store(state);
 	check_stop(state);
--- a/router/peers.c
+++ b/router/peers.c
@@ -14,11 +14,11 @@
 #include "router/peers.h"
 
 #define DATAGRAM_MAX 2048
-#define TELL_EVERY 200
-/* Others that are told in one round; more are drawn at random. */
-#define TELL_MAX 12
-/* Rounds without a message after which an instance counts as down. */
-#define SILENT_ROUNDS 4
+#define TELL_EVERY 220
+/* Others that are told in one round; more take turns. */
+#define TELL_MAX 8
+/* Turns without a message after which an instance counts as down. */
+#define SILENT_TURNS 3
 /* An instance that is not listed is forgotten after this silence, ms. */
 #define FORGET_AFTER (15 * MEDLAR_SECOND)
 /* How long another one must know more before its snapshot is taken, ms. */
@@ -69,9 +69,10 @@
 
 static medlar_time_t silence_max(const peers_t *peers)
 {
-	size_t rounds = 1 + peers->len / TELL_MAX;
+	size_t rounds = (peers->len + TELL_MAX - 1) / TELL_MAX;
 
-	return (medlar_time_t)(SILENT_ROUNDS * rounds) * TELL_EVERY;
+	return (medlar_time_t)(SILENT_TURNS * rounds) * TELL_EVERY +
+	       TELL_EVERY / 2;
 }
 
 /**
@@ -188,6 +189,7 @@
 	const router_settings_t *settings = peers->settings;
 	gossip_message message = {
 		.name = (char *)settings->instance,
+		.zone = (char *)settings->zone,
 		.callers = (char *)settings->callers,
 		.peers = (char *)settings->peers,
 		.start = peers->start,
@@ -195,6 +197,7 @@
 		.ready = peers->ready,
 		.leaving = peers->leaving,
 		.revision = peers->mirror->revision,
+		.near = peers->near,
 		.watching = peers->store.watching,
 		.store_age = age_of(peers, peers->store.heard),
 		.outage_age = age_of(peers, peers->store.back),
@@ -233,28 +236,37 @@
 	return false;
 }
 
-/**
- * peers_tell() - tell the others how this instance is
- * @peers: the other instances
- */
-void peers_tell(peers_t *peers)
+static void tell(peers_t *peers, bool all)
 {
-	medlar_rand_t *rand = &peers->loop->client->rand;
 	char bytes[DATAGRAM_MAX];
 	size_t len = encode(peers, bytes, sizeof(bytes));
 	const peer_instance_t *peer;
+	size_t at = 0;
 
 	if (len == 0)
 		return;
-	TAILQ_FOREACH(peer, &peers->list, link)
-		if (peers->len <= TELL_MAX || peers->leaving ||
-		    medlar_rand_below(rand, peers->len) < TELL_MAX)
+	TAILQ_FOREACH(peer, &peers->list, link) {
+		size_t turn = (at++ + peers->len - peers->next % peers->len) %
+			      peers->len;
+
+		if (all || turn < TELL_MAX)
 			send_to(peers, &peer->address, bytes, len);
+	}
+	peers->next += TELL_MAX;
 	for (size_t i = 0; i < peers->seeds_len; i++)
 		if (!is_known(peers, &peers->seeds[i]))
 			send_to(peers, &peers->seeds[i], bytes, len);
 }
 
+/**
+ * peers_tell() - tell all others at once how this instance is
+ * @peers: the other instances
+ */
+void peers_tell(peers_t *peers)
+{
+	tell(peers, true);
+}
+
 static void take_message(peers_t *peers, const gossip_message *message)
 {
 	peer_instance_t *peer = find_or_add(peers, message->name);
@@ -282,6 +294,8 @@
 	peer->ready = message->ready;
 	peer->leaving = message->leaving;
 	peer->revision = message->revision;
+	(void)snprintf(peer->zone, sizeof(peer->zone), "%s", message->zone);
+	peer->near = message->near;
 	peer->watching = message->watching;
 	peer->store_heard = time_of(peers, message->store_age);
 	peer->store_back = time_of(peers, message->outage_age);
@@ -567,7 +581,7 @@
 {
 	peers_t *peers = data;
 
-	peers_tell(peers);
+	tell(peers, false);
 	catch_up(peers);
 	forget_silent(peers);
 	(void)medlar_timer_set(client, timer, now + TELL_EVERY);
--- a/router/peers.h
+++ b/router/peers.h
@@ -23,7 +23,9 @@
  * struct peer - another instance
  * @link: in the list of all
  * @name: its name
+ * @zone: its availability zone
  * @callers: address that it gives to callers
+ * @near: services of which a replica is in its zone, in percent
  * @address: for messages
  * @start: tells its starts apart
  * @seq: of its last message
@@ -40,7 +42,9 @@
 typedef struct peer_instance {
 	TAILQ_ENTRY(peer_instance) link;
 	char name[GOSSIP_NAME_MAX + 1];
+	char zone[GOSSIP_NAME_MAX + 1];
 	char callers[GOSSIP_ADDRESS_MAX + 1];
+	unsigned near;
 	struct sockaddr_in address;
 	uint64_t start;
 	uint32_t seq;
@@ -93,6 +97,8 @@
  * @seq: of the last message
  * @ready: callers are taken
  * @leaving: about to end
+ * @near: services of which a replica is in the own zone, in percent
+ * @next: the first of the others to be told in the next round
  * @store: what this instance tells of the store
  * @behind_since: another one knows more since then, ms; 0 if none does
  * @started: when this instance started, ms
@@ -122,6 +128,8 @@
 	uint32_t seq;
 	bool ready;
 	bool leaving;
+	unsigned near;
+	size_t next;
 	peers_store_t store;
 	medlar_time_t behind_since;
 	medlar_time_t started;
