Explain a request from the logs of routers

medlarctl explain orders the lines of one request and names its cause; medlarctl logs check compares lines with the documented fields. The test plays a refusal, a loss, a partial answer and a conviction, and asks the logs alone for the cause.

--- a/cli/ctl.h
+++ b/cli/ctl.h
@@ -60,6 +60,7 @@
 
 extern const ctl_command_t ctl_questionnaire_commands[];
 extern const ctl_command_t ctl_status_commands[];
+extern const ctl_command_t ctl_log_commands[];
 
 /**
  * struct ctl_reply - an HTTP reply
--- a/cli/medlarctl.c
+++ b/cli/medlarctl.c
@@ -49,6 +49,7 @@
 static const ctl_command_t *const command_tables[] = {
 	ctl_questionnaire_commands,
 	ctl_status_commands,
+	ctl_log_commands,
 };
 
 #define TABLE_COUNT (sizeof(command_tables) / sizeof(command_tables[0]))
--- a/router/forward.c
+++ b/router/forward.c
@@ -16,6 +16,7 @@
 #define LINES_PER_SECOND 100.0
 /* One in so many plain successes is logged. */
 #define LOG_SAMPLE 128
+#define MISSING_LISTED_MAX 4
 
 typedef struct forward_request {
 	upstream_request_t upstream; /* first: the owner of the exchange */
@@ -68,9 +69,25 @@
 	       exchange->ok == exchange->parts_len;
 }
 
+/* Names of the services that have not answered, the first few. */
+static void list_missing(const exchange_t *exchange, medlar_buf_t *out)
+{
+	size_t listed = 0;
+
+	for (size_t i = 0; i < exchange->parts_len; i++) {
+		const exchange_part_t *part = &exchange->parts[i];
+
+		if (part->ok || listed == MISSING_LISTED_MAX)
+			continue;
+		medlar_buf_printf(out, "%s%s", listed++ ? "," : "",
+				  part->service->name);
+	}
+}
+
 static void log_answer(forward_request_t *request, answer_t how,
 		       unsigned status)
 {
+	medlar_buf_t lacks;
 	forward_t *forward = request->forward;
 	const exchange_t *exchange = &request->exchange;
 	medlar_time_t took = forward->loop->now - exchange->began;
@@ -86,6 +103,9 @@
 		return;
 	if (!may_log(forward))
 		return;
+	medlar_buf_init(&lacks);
+	if (how != ANSWER_RELAY)
+		list_missing(exchange, &lacks);
 	LOG_LINE(forward->log, LOG_LEVEL_INFO, "answer",
 		 MEDLAR_TEXT("id", medlar_buf_str(&request->id)),
 		 MEDLAR_TEXT("route", medlar_str_from(exchange->route->name)),
@@ -99,7 +119,9 @@
 				    : exchange->parts_len - exchange->ok),
 		 MEDLAR_NUM("sends", exchange->sends),
 		 MEDLAR_NUM("extra", exchange->extra),
+		 MEDLAR_TEXT("lacks", medlar_buf_str(&lacks)),
 		 MEDLAR_NUM("config", exchange->routes->version));
+	medlar_buf_finish(&lacks);
 }
 
 static void answer_relay(h1_conn_t *conn, const forward_request_t *request,
@@ -248,7 +270,8 @@
 	if (may_log(forward))
 		LOG_LINE(forward->log, LOG_LEVEL_INFO, "refuse",
 			 MEDLAR_TEXT("id", head->request_id),
-			 MEDLAR_NUM("status", status), MEDLAR_NUM("why", stat),
+			 MEDLAR_NUM("status", status),
+			 MEDLAR_TEXT("why", medlar_str_from(stats_name(stat))),
 			 MEDLAR_NUM("config", forward->routes
 						      ? forward->routes->version
 						      : 0));
--- a/router/stats.c
+++ b/router/stats.c
@@ -55,6 +55,17 @@
 						40,  60,  80,	120, 180, 250,
 						400, 800, 1500, 3000 };
 
+/**
+ * stats_name() - name of a counter in logs and metrics
+ * @stat: counter
+ *
+ * Return: a static string.
+ */
+const char *stats_name(stat_t stat)
+{
+	return count_names[stat];
+}
+
 /**
  * stats_answer_name() - name of an answer in logs and metrics
  * @how: answer
--- a/tests/e2e_router.sh
+++ b/tests/e2e_router.sh
@@ -4,7 +4,8 @@
 # shellcheck source=scripts/site.sh
 . scripts/site.sh
 count=0 failed=0 id=1000
-dir=$1/e2e/router
+build=$1
+dir=$build/e2e/router
 rm -rf "$dir"
 
 check() {
@@ -27,6 +28,15 @@
 	exit "$failed"
 }
 
+# The operator has only logs: explains TEXT finds the cause of request $id.
+explains() {
+	sleep 0.2
+	"$build/medlarctl" explain "$id" "$dir"/router-*.log >"$dir/story.txt"
+	grep -q "^cause: .*$1" "$dir/story.txt" && return 0
+	sed 's/^/# /' "$dir/story.txt"
+	return 1
+}
+
 no_reports() {
 	! grep -E 'Sanitizer|runtime error' "$dir"/*.log
 }
@@ -114,10 +124,12 @@
 check all-refuse-not-run-is-told has '^HTTP/1.1 503'
 check the-caller-is-told-when-to-come-back has '^Retry-After: 0'
 check it-did-not-run runs_are "id=$id" 0
+check a-refusal-is-explained explains 'ledger-2.* refused it and did not run'
 control 'replica?replica=all&mode=reset' >/dev/null
 ask /order/x -d lost
 check a-lost-answer-is-no-promise has '^HTTP/1.1 502'
 check a-lost-order-ran-once runs_are "id=$id" 1
+check a-loss-is-explained explains 'took it and broke the connection'
 control 'replica?replica=all&mode=ok' >/dev/null
 
 control 'replica?replica=shard-0-0&mode=hang' >/dev/null
@@ -132,6 +144,15 @@
 check a-hung-and-a-failing-replica-cost-no-part test "$partial" -eq 0
 control 'replica?replica=all&mode=ok' >/dev/null
 
+for n in 0 1 2
+do
+	control "replica?replica=shard-2-$n&mode=hang" >/dev/null
+done
+ask /search/x
+check a-hung-shard-is-left-out has '^X-Missing-Parts: 1'
+check a-partial-answer-is-explained explains 'partial; shard-2 had not'
+control 'replica?replica=all&mode=ok' >/dev/null
+
 control 'replica?replica=shard-0-0&state=draining' >/dev/null
 sleep 1
 before=$(control 'runs?replica=shard-0-0')
@@ -187,12 +208,15 @@
 	n=$((n + 1))
 done
 check a-request-that-crashes-replicas-is-refused has '^HTTP/1.1 503'
-crashed=$(control "runs?replica=ledger-0")
+check a-conviction-is-explained explains 'has crashed three replicas'
 check the-crash-is-logged grep -q 'event=crash' "$dir/router-1.log"
 sleep 2
 ask /order/x -d innocent
 check others-are-served-after-the-crashes has innocent
 
+check log-lines-are-as-documented "$build/medlarctl" logs check \
+	"$dir/router-1.log"
+
 metrics=$(curl -s -m 5 "http://127.0.0.1:$((port + 503))/metrics")
 answer=$metrics
 check metrics-are-served has '^medlarrouter_answers_total{how="merged"} [1-9]'
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -720,48 +720,57 @@
 	{ 0 },
 };
 
+static int start(site_t *site)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr = { htonl(INADDR_LOOPBACK) },
+		.sin_port = htons(site->port),
+	};
+
+	if (loop_init(&site->loop, &site->client) || fill(site) ||
+	    h1_server_init(&site->store, &site->loop, &address, &limits, 256,
+			   &store_handler, site))
+		return MEDLAR_ERR_IO;
+	return loop_hook(&site->loop, on_turn, site);
+}
+
+static void finish(site_t *site)
+{
+	h1_server_finish(&site->store);
+	for (size_t i = 0; i < site->replicas_len; i++)
+		if (!site->replicas[i].down)
+			h1_server_finish(&site->replicas[i].server);
+	for (size_t i = 0; i < site->items_len; i++)
+		free(site->items[i].value);
+	loop_finish(&site->loop);
+	medlar_client_finish(&site->client);
+}
+
 int main(int argc, char **argv)
 {
+	static site_t site = { .port = 9500, .shards = 4 };
 	const struct argp argp = {
 		.options = options,
 		.parser = parse_option,
 		.doc = "Stand-in for the platform's store and replicas.",
 	};
-	site_t *site = calloc(1, sizeof(*site));
-	struct sockaddr_in address = { .sin_family = AF_INET };
 
-	if (!site || sodium_init() < 0)
-		return EXIT_FAILURE;
-	site->port = 9500;
-	site->shards = 4;
-	if (argp_parse(&argp, argc, argv, 0, NULL, site) ||
-	    site->shards >= SERVICES_MAX)
+	if (argp_parse(&argp, argc, argv, 0, NULL, &site) ||
+	    site.shards >= SERVICES_MAX || sodium_init() < 0)
 		return EXIT_FAILURE;
 	(void)signal(SIGPIPE, SIG_IGN);
 	(void)signal(SIGTERM, on_signal);
 	(void)signal(SIGINT, on_signal);
-	medlar_client_init(&site->client, MEDLAR_STR("site"), 0, 1);
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons(site->port);
-	if (loop_init(&site->loop, &site->client) || fill(site) ||
-	    h1_server_init(&site->store, &site->loop, &address, &limits, 256,
-			   &store_handler, site) ||
-	    loop_hook(&site->loop, on_turn, site)) {
+	medlar_client_init(&site.client, MEDLAR_STR("site"), 0, 1);
+	if (start(&site)) {
 		fprintf(stderr, "fake-site: cannot listen on port %u\n",
-			site->port);
+			site.port);
 		return EXIT_FAILURE;
 	}
-	printf("ready\n");
+	puts("ready");
 	(void)fflush(stdout);
-	loop_run(&site->loop);
-	h1_server_finish(&site->store);
-	for (size_t i = 0; i < site->replicas_len; i++)
-		if (!site->replicas[i].down)
-			h1_server_finish(&site->replicas[i].server);
-	for (size_t i = 0; i < site->items_len; i++)
-		free(site->items[i].value);
-	loop_finish(&site->loop);
-	medlar_client_finish(&site->client);
-	free(site);
+	loop_run(&site.loop);
+	finish(&site);
 	return EXIT_SUCCESS;
 }
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -120,7 +120,7 @@
 
 	(void)state;
 	mirror_init(&mirror, on_change, &seen);
-	for (uint64_t i = 1; i < 4 * MIRROR_TOMBSTONES; i += 2) {
+	for (uint64_t i = 1; i < UINT64_C(4) * MIRROR_TOMBSTONES; i += 2) {
 		apply(&mirror, "k", "v", i);
 		apply(&mirror, "k", NULL, i + 1);
 	}
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -2,7 +2,7 @@
 #include "libroute/pause.h"
 #include "route_world.h"
 
-#define PERIOD 2400
+#define PERIOD ((medlar_time_t)2400)
 #define LENGTH 100
 
 static void learn(pause_t *pause, pause_period_t *shared, int pauses)
