--- a/cli/ctl_logs.c
+++ b/cli/ctl_logs.c
@@ -132,6 +132,8 @@
 		    !has(line, "outcome", outcome))
 			continue;
 		get(line, "replica", replica, sizeof(replica));
+		if (count && strstr(out->ptr, replica))
+			continue;
 		medlar_buf_printf(out, "%s%s", count++ ? ", " : "", replica);
 	}
 	return count;
--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -12,6 +12,8 @@
 #define HEDGE_RESERVE 2.0
 /* Extra sends that a request past its target leaves to others. */
 #define LATE_RESERVE 3.0
+/* Wait before a replica that refused a request is asked again, ms. */
+#define REFUSED_REST 15
 /* Wait for a free replica or for the budget before the next try, ms. */
 #define WAIT_STEP 5
 /* A request that has broken this many attempts unanswered is held back. */
@@ -214,7 +216,7 @@
 		tried[len++] = part->attempts[i].replica;
 	replica = fleet_pick(exchange->setup->fleet, part->service, tried, len,
 			     now);
-	if (replica)
+	if (replica || now < part->rest_until)
 		return replica;
 	len = 0;
 	for (unsigned i = 0; i < part->attempts_len; i++)
@@ -429,6 +431,7 @@
 {
 	attempt->refused = true;
 	attempt->part->may_have_run--;
+	attempt->part->rest_until = now + REFUSED_REST;
 	advance(attempt->part, attempt->exchange, now);
 }
 
--- a/libroute/exchange.h
+++ b/libroute/exchange.h
@@ -65,6 +65,7 @@
  * @flying: sends under way
  * @may_have_run: sends that are under way, ran or may have run
  * @repeats: the next send is paid from the budget
+ * @rest_until: replicas that refused it are not asked again before
  * @hedged: a send was made while another was under way
  * @settled: answered or given up
  * @ok: answered
@@ -78,6 +79,7 @@
 	unsigned flying;
 	unsigned may_have_run;
 	bool repeats;
+	medlar_time_t rest_until;
 	bool hedged;
 	bool settled;
 	bool ok;
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -173,6 +173,25 @@
 	world_finish(&world);
 }
 
+static void replicas_that_all_refuse_are_given_a_rest(void **state)
+{
+	world_t world;
+
+	(void)state;
+	world_init(&world, 10, 1000);
+	world_replicas(&world, 1);
+	world_route(&world, ROUTE_SHARDS, true, 1);
+	world_start(&world);
+	for (size_t i = 0; i < 3; i++)
+		world_end(&world, i, OUTCOME_REFUSED);
+	assert_int_equal(world.sends_len, 3);
+	world_run(&world, WORLD_START + 20);
+	assert_int_equal(world.sends_len, 4);
+	world_end(&world, 3, OUTCOME_OK);
+	assert_int_equal(world.how, ANSWER_MERGED);
+	world_finish(&world);
+}
+
 static void not_run_is_told_only_if_nothing_ran(void **state)
 {
 	static const struct {
@@ -305,6 +324,7 @@
 			what_may_run_once_is_not_sent_again_after_a_break),
 		cmocka_unit_test(what_may_run_once_is_never_hedged),
 		cmocka_unit_test(a_refused_request_is_sent_elsewhere),
+		cmocka_unit_test(replicas_that_all_refuse_are_given_a_rest),
 		cmocka_unit_test(not_run_is_told_only_if_nothing_ran),
 		cmocka_unit_test(no_connection_costs_no_budget),
 		cmocka_unit_test(attempts_that_may_have_run_are_bounded),
