Soak routers with faults from outside, and release all memory at the end

A proxy resets, silences, slows and cuts links; signals stop, pause, kill and restart routers; replicas and the store misbehave. Callers check every answer, and orders are compared with what ran. The sanitizer found memory that was held at the exit; connections are listed and closed there now.

--- a/Makefile
+++ b/Makefile
@@ -52,13 +52,14 @@
 	test_entry_points test_mirror test_h1 test_platform test_router_settings)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c)) \
 	$(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
+SOAK := $(BUILD)/tests/soak_proxy $(BUILD)/tests/soak_caller
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 
 .PHONY: all demo check lint bench capacity install clean soak plots \
 	build-tests
 .SECONDARY:
 all: $(PROGRAMS) $(FAKES)
-build-tests: all $(TESTS) $(BENCHES)
+build-tests: all $(TESTS) $(BENCHES) $(SOAK)
 
 $(LIB): $(call obj,$(LIB_SRC))
 	@rm -f $@
@@ -94,6 +95,11 @@
 $(BUILD)/fake-%: $(BUILD)/obj/tests/fakes/fake-%.c.o $(call obj,$(FAKE_SRC)) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
+$(SOAK): $(BUILD)/tests/%: $(BUILD)/obj/tests/%.c.o $(ROUTER_LIB) \
+		$(ROUTE_LIB) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(SANFLAGS) -o $@ $^ $(ROUTER_LDLIBS)
+
 $(ROUTER_TESTS): $(BUILD)/tests/%: $(BUILD)/obj/tests/%.c.o $(ROUTER_LIB) \
 		$(ROUTE_LIB) $(LIB)
 	@mkdir -p $(@D)
@@ -148,8 +154,12 @@
 capacity: $(BUILD)/bench/capacity
 	scripts/capacity $(BUILD) build/bench.json docs/CAPACITY.md
 
+# usage: make soak [SEED=number] [MINUTES=number]
+SEED ?= 1
+MINUTES ?= 1
 soak: build-tests
-	tests/soak $(BUILD)
+	tests/soak_router $(BUILD) $$(($(MINUTES) * 60)) $(SEED)
+	tests/soak $(BUILD) $$(($(MINUTES) * 60)) $(SEED)
 
 plots:
 	scripts/plots build/bench.json docs/plots
--- a/libroute/routes.c
+++ b/libroute/routes.c
@@ -225,23 +225,6 @@
 	return NULL;
 }
 
-/**
- * routes_has_host() - tell whether a host has any route
- * @routes: a version
- * @host: name, with or without a port
- *
- * Return: whether it has.
- */
-bool routes_has_host(const routes_t *routes, medlar_str_t host)
-{
-	size_t at;
-
-	host = without_port(host);
-	at = first_of_host(routes, host);
-	return at < routes->routes_len &&
-	       compare_host(&routes->routes[at], host) == 0;
-}
-
 /**
  * route_draw() - choose the service of a request
  * @route: a route of the form %ROUTE_SINGLE or %ROUTE_SPLIT
--- a/libroute/routes.h
+++ b/libroute/routes.h
@@ -112,7 +112,6 @@
 int routes_finish(routes_t *routes);
 const route_t *routes_find(const routes_t *routes, medlar_str_t host,
 			   medlar_str_t path);
-bool routes_has_host(const routes_t *routes, medlar_str_t host);
 size_t route_draw(const route_t *route, double unit);
 size_t route_coverage_parts(const route_t *route);
 
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -260,6 +260,13 @@
 	h1_conn_answer(conn, status, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
 }
 
+static medlar_time_t address_ttl(const daemon_state_t *state)
+{
+	medlar_time_t most = state->settings.address_ttl_max_ms;
+
+	return most < ADDRESS_TTL ? most : ADDRESS_TTL;
+}
+
 static size_t list_points(daemon_state_t *state, entry_point_t *points,
 			  size_t max)
 {
@@ -301,7 +308,7 @@
 	for (size_t i = 0; i < len; i++)
 		addresses[i] = points[i].address;
 	medlar_buf_init(&body);
-	entry_write_addresses(addresses, len, ADDRESS_TTL, &body);
+	entry_write_addresses(addresses, len, address_ttl(state), &body);
 	h1_conn_answer(conn, 200,
 		       MEDLAR_STR("Content-Type: application/json\r\n"),
 		       medlar_buf_str(&body));
@@ -383,7 +390,7 @@
 static void leave(daemon_state_t *state)
 {
 	medlar_time_t now = state->loop.now;
-	medlar_time_t stay = ADDRESS_OVERSTAY * ADDRESS_TTL + TICK;
+	medlar_time_t stay = ADDRESS_OVERSTAY * address_ttl(state) + TICK;
 	medlar_time_t most = state->settings.grace_ms - STOP_MARGIN;
 
 	if (state->leave_at)
@@ -557,8 +564,10 @@
 	forward_finish(&state->forward);
 	peers_finish(&state->peers);
 	store_finish(&state->store);
-	upstream_finish(&state->upstream, &state->fleet);
+	upstream_finish(&state->upstream);
+	fleet_finish(&state->fleet);
 	mirror_finish(&state->mirror);
+	loop_finish(&state->loop);
 }
 
 static int handle_signals(void)
@@ -650,6 +659,7 @@
 		error = run(state);
 	}
 	log_finish(&state->log);
+	medlar_client_finish(&state->client);
 	free(state);
 	return error;
 }
--- a/router/h1_client.c
+++ b/router/h1_client.c
@@ -38,17 +38,6 @@
 	medlar_buf_finish(&client->out);
 }
 
-/**
- * h1_client_unsent() - tell whether the request may still be taken back
- * @client: a busy connection
- *
- * Return: whether no byte of it was sent.
- */
-bool h1_client_unsent(const h1_client_t *client)
-{
-	return client->out_done == 0;
-}
-
 static void end(h1_client_t *client)
 {
 	bool busy = client->state == H1_BUSY || client->state == H1_CONNECTING;
--- a/router/h1_client.h
+++ b/router/h1_client.h
@@ -91,6 +91,5 @@
 		    bool to_head);
 void h1_client_close(h1_client_t *client);
 void h1_client_finish(h1_client_t *client);
-bool h1_client_unsent(const h1_client_t *client);
 
 #endif /* ROUTER_H1_CLIENT_H */
--- a/router/peers.c
+++ b/router/peers.c
@@ -729,7 +729,6 @@
 			    .suspects = suspects,
 			    .fd = -1,
 			    .start = (uint64_t)clock_wall(),
-			    .started = loop->now,
 			    .can_take = can_take,
 			    .data = data };
 	TAILQ_INIT(&peers->list);
--- a/router/peers.h
+++ b/router/peers.h
@@ -101,7 +101,6 @@
  * @next: the first of the others to be told in the next round
  * @store: what this instance tells of the store
  * @behind_since: another one knows more since then, ms; 0 if none does
- * @started: when this instance started, ms
  * @convicted: fingerprints refused here, the latest ones
  * @convicted_len: how many
  * @can_take: tells whether changes may be applied now
@@ -132,7 +131,6 @@
 	size_t next;
 	peers_store_t store;
 	medlar_time_t behind_since;
-	medlar_time_t started;
 	uint64_t convicted[GOSSIP_CONVICTED_MAX];
 	unsigned convicted_len;
 	bool (*can_take)(void *data);
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -27,7 +27,8 @@
  * flight is under way as long as the replica owes a reply.
  */
 struct upstream_conn {
-	TAILQ_ENTRY(upstream_conn) link;
+	TAILQ_ENTRY(upstream_conn) link; /* in open or closed */
+	TAILQ_ENTRY(upstream_conn) resting; /* in the pool of the replica */
 	h1_client_t client;
 	upstream_t *upstream;
 	replica_t *replica;
@@ -65,6 +66,7 @@
 				  .on_crash = on_crash,
 				  .data = data,
 				  .body_max = body_max };
+	TAILQ_INIT(&upstream->open);
 	TAILQ_INIT(&upstream->closed);
 }
 
@@ -91,7 +93,7 @@
 
 	if (!conn->idle)
 		return;
-	TAILQ_REMOVE(&pool->idle, conn, link);
+	TAILQ_REMOVE(&pool->idle, conn, resting);
 	conn->idle = false;
 	conn->replica->conns_idle--;
 }
@@ -100,7 +102,7 @@
 {
 	pool_t *pool = conn->replica->pool;
 
-	TAILQ_INSERT_HEAD(&pool->idle, conn, link);
+	TAILQ_INSERT_HEAD(&pool->idle, conn, resting);
 	conn->idle = true;
 	conn->replica->conns_idle++;
 }
@@ -116,6 +118,7 @@
 	medlar_timer_clear(upstream->loop->client, &conn->timer);
 	h1_client_close(&conn->client);
 	conn->replica->conns--;
+	TAILQ_REMOVE(&upstream->open, conn, link);
 	TAILQ_INSERT_TAIL(&upstream->closed, conn, link);
 }
 
@@ -424,6 +427,7 @@
 	conn->attempt = attempt;
 	if (attempt)
 		attempt->io = conn;
+	TAILQ_INSERT_TAIL(&upstream->open, conn, link);
 	replica_hold(replica);
 	replica->conns++;
 	medlar_timer_init(&conn->timer, on_timer, conn);
@@ -547,15 +551,17 @@
 }
 
 /**
- * upstream_finish() - close all idle connections
- * @upstream: connections
- * @fleet: replicas
+ * upstream_finish() - close all connections
+ * @upstream: connections; no exchange may be under way
  */
-void upstream_finish(upstream_t *upstream, fleet_t *fleet)
+void upstream_finish(upstream_t *upstream)
 {
-	replica_t *replica;
+	upstream_conn_t *conn;
+	upstream_conn_t *next;
 
-	TAILQ_FOREACH(replica, &fleet->replicas, by_id)
-	close_idle(replica);
+	for (conn = TAILQ_FIRST(&upstream->open); conn; conn = next) {
+		next = TAILQ_NEXT(conn, link);
+		dispose(conn);
+	}
 	upstream_turn(upstream);
 }
--- a/router/upstream.h
+++ b/router/upstream.h
@@ -38,6 +38,7 @@
  * @stats: counters
  * @on_crash: told a request that made a replica crash
  * @data: passed to @on_crash
+ * @open: all connections
  * @closed: connections to be freed at the end of the turn
  * @body_max: the longest reply that is accepted, bytes
  */
@@ -47,6 +48,7 @@
 	void (*on_crash)(uint64_t fingerprint, const replica_t *replica,
 			 void *data);
 	void *data;
+	struct upstream_conn_list open;
 	struct upstream_conn_list closed;
 	size_t body_max;
 } upstream_t;
@@ -60,6 +62,6 @@
 bool upstream_drop(upstream_t *upstream, attempt_t *attempt);
 void upstream_forget(upstream_t *upstream, replica_t *replica);
 void upstream_sweep(upstream_t *upstream, fleet_t *fleet);
-void upstream_finish(upstream_t *upstream, fleet_t *fleet);
+void upstream_finish(upstream_t *upstream);
 
 #endif /* ROUTER_UPSTREAM_H */
