Split what grew, and let a conviction end

peers.c held the instances, their messages and the changes they exchange; daemon.c also the directory and the listeners: each is a file now. A conviction was renewed by each message that told of it and never ended; it ends 60 s after the third crash (test_crash).

--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -63,9 +63,10 @@
 {
 	suspect_t *suspect = claim(suspects, fingerprint);
 
+	if (suspect->breaks >= SUSPECT_BREAKS)
+		return;
 	suspect->seen = now;
-	if (suspect->breaks < SUSPECT_BREAKS)
-		suspect->breaks = SUSPECT_BREAKS;
+	suspect->breaks = SUSPECT_BREAKS;
 }
 
 /**
--- /dev/null
+++ b/router/changes.c
@@ -0,0 +1,262 @@
+/**
+ * DOC: changes of the store that instances take from each other
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "router/peers_internal.h"
+
+/* How long another one must know more before its changes are taken, ms. */
+#define BEHIND_MAX 600
+#define BEHIND_MAX_UNWATCHED 0
+#define FETCH_TIMEOUT MEDLAR_SECOND
+#define CHANGES_MAX ((size_t)32 << 20)
+#define HEAD_MAX ((size_t)4096)
+#define CONNECTIONS_MAX 1024
+
+static const char changes_path[] = "/changes?after=";
+
+static void add_change(const store_item_t *item, void *data)
+{
+	gossip_changes *changes = data;
+
+	changes->entries
+		.entries_val[changes->entries.entries_len++] = (gossip_entry){
+		.key = { (u_int)item->key.len, (char *)item->key.ptr },
+		.value = { (u_int)item->value.len, (char *)item->value.ptr },
+		.revision = item->revision,
+		.gone = item->gone,
+	};
+}
+
+static void answer_changes(h1_conn_t *conn, gossip_changes *changes)
+{
+	size_t size = xdr_sizeof((xdrproc_t)xdr_gossip_changes, changes);
+	char *bytes = malloc(size);
+	bool ok = false;
+	XDR xdr;
+
+	if (bytes) {
+		xdrmem_create(&xdr, bytes, (unsigned)size, XDR_ENCODE);
+		ok = xdr_gossip_changes(&xdr, changes);
+		XDR_DESTROY(&xdr);
+	}
+	h1_conn_answer(conn, ok ? 200 : 503, (medlar_str_t){ 0 },
+		       (medlar_str_t){ bytes, ok ? size : 0 });
+	free(bytes);
+}
+
+static void give_changes(h1_conn_t *conn, const mirror_t *mirror,
+			 uint64_t after)
+{
+	gossip_changes changes = { .after = after,
+				   .revision = mirror->revision };
+
+	if (after < mirror->complete_after)
+		changes.after = 0;
+	changes.entries.entries_val = calloc(mirror->len + MIRROR_TOMBSTONES,
+					     sizeof(gossip_entry));
+	if (!changes.entries.entries_val) {
+		h1_conn_answer(conn, 503, (medlar_str_t){ 0 },
+			       (medlar_str_t){ 0 });
+		return;
+	}
+	(void)mirror_changes(mirror, changes.after, add_change, &changes);
+	answer_changes(conn, &changes);
+	free(changes.entries.entries_val);
+}
+
+static void on_request(h1_conn_t *conn, void *data)
+{
+	const peers_t *peers = data;
+	medlar_str_t target = h1_message_target(&conn->parser.message);
+	size_t path_len = sizeof(changes_path) - 1;
+
+	if (target.len > path_len &&
+	    memcmp(target.ptr, changes_path, path_len) == 0)
+		give_changes(conn, peers->mirror,
+			     strtoull(target.ptr + path_len, NULL, 10));
+	else
+		h1_conn_answer(conn, 404, (medlar_str_t){ 0 },
+			       (medlar_str_t){ 0 });
+}
+
+static void on_gone(h1_conn_t *conn, void *data)
+{
+	(void)conn;
+	(void)data;
+}
+
+static const h1_handler_t handler = { .request = on_request, .gone = on_gone };
+
+/* Ends the call that takes changes, if one is under way. */
+static void end_fetch(peers_t *peers)
+{
+	medlar_timer_clear(peers->loop->client, &peers->fetch_timer);
+	if (peers->fetching)
+		h1_client_finish(&peers->client);
+	peers->fetching = false;
+}
+
+static void apply_changes(peers_t *peers, const gossip_changes *changes)
+{
+	mirror_t *mirror = peers->mirror;
+	bool all = changes->after == 0;
+
+	if (changes->revision <= mirror->revision ||
+	    changes->after > mirror->revision || !peers->can_take(peers->data))
+		return;
+	LOG_LINE(peers->log, LOG_LEVEL_INFO, "changes",
+		 MEDLAR_NUM("revision", changes->revision),
+		 MEDLAR_NUM("known", mirror->revision),
+		 MEDLAR_NUM("entries", changes->entries.entries_len));
+	peers->stats->counts[STAT_CHANGES_TAKEN]++;
+	if (all)
+		mirror_list_begin(mirror);
+	for (u_int i = 0; i < changes->entries.entries_len; i++) {
+		const gossip_entry *entry = &changes->entries.entries_val[i];
+		const store_item_t item = {
+			.key = { entry->key.key_val, entry->key.key_len },
+			.value = { entry->value.value_val,
+				   entry->value.value_len },
+			.revision = entry->revision,
+			.gone = entry->gone,
+		};
+
+		mirror_apply(mirror, &item);
+	}
+	if (all)
+		mirror_list_end(mirror, changes->revision);
+	mirror_advance(mirror, changes->revision);
+}
+
+static void take_changes(peers_t *peers, medlar_str_t body)
+{
+	gossip_changes changes = { 0 };
+	XDR xdr;
+
+	if (body.len == 0)
+		return;
+	xdrmem_create(&xdr, (char *)body.ptr, (unsigned)body.len, XDR_DECODE);
+	if (xdr_gossip_changes(&xdr, &changes))
+		apply_changes(peers, &changes);
+	xdr_free((xdrproc_t)xdr_gossip_changes, (char *)&changes);
+	XDR_DESTROY(&xdr);
+}
+
+static void fetch_ready(h1_client_t *client, void *data)
+{
+	const peers_t *peers = data;
+	medlar_buf_t call;
+
+	medlar_buf_init(&call);
+	medlar_buf_printf(&call,
+			  "GET %s%" PRIu64 " HTTP/1.1\r\nHost: peer\r\n\r\n",
+			  changes_path, peers->mirror->revision);
+	h1_client_send(client, medlar_buf_str(&call), (medlar_str_t){ 0 },
+		       false);
+	medlar_buf_finish(&call);
+}
+
+static void fetch_done(h1_client_t *client, h1_end_t end, void *data)
+{
+	peers_t *peers = data;
+
+	if (end == H1_END_REPLY && client->parser.message.status == 200)
+		take_changes(peers,
+			     medlar_buf_str(&client->parser.message.body));
+	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
+			       peers->loop->now);
+}
+
+static void fetch_lost(h1_client_t *client, void *data)
+{
+	(void)client;
+	(void)data;
+}
+
+static const h1_client_events_t fetch_events = {
+	.ready = fetch_ready,
+	.done = fetch_done,
+	.lost = fetch_lost,
+};
+
+static void on_fetch_timer(medlar_client_t *client, medlar_timer_t *timer,
+			   medlar_time_t now, void *data)
+{
+	(void)client;
+	(void)timer;
+	(void)now;
+	end_fetch(data);
+}
+
+static const peer_instance_t *best_informed(const peers_t *peers)
+{
+	const peer_instance_t *best = NULL;
+	const peer_instance_t *peer;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+	if (peer_is_live(peers, peer) &&
+	    (!best || peer->revision > best->revision))
+		best = peer;
+	return best;
+}
+
+/**
+ * changes_catch_up() - take changes from another instance that knows more
+ * @peers: the other instances
+ */
+void changes_catch_up(peers_t *peers)
+{
+	static const h1_limits_t limits = { HEAD_MAX, CHANGES_MAX };
+	const peer_instance_t *best = best_informed(peers);
+	medlar_time_t now = peers->loop->now;
+	medlar_time_t most = peers->store.watching ? BEHIND_MAX
+						   : BEHIND_MAX_UNWATCHED;
+
+	if (!best || best->revision <= peers->mirror->revision) {
+		peers->behind_since = 0;
+		return;
+	}
+	if (!peers->behind_since)
+		peers->behind_since = now;
+	if (peers->fetching || now - peers->behind_since < most)
+		return;
+	peers->fetching = true;
+	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
+			       now + FETCH_TIMEOUT);
+	if (h1_client_open(&peers->client, peers->loop, &best->address, limits,
+			   &fetch_events, peers))
+		end_fetch(peers);
+}
+
+/**
+ * changes_open() - give changes to other instances
+ * @peers: the other instances
+ * @own: address of this one
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_IO.
+ */
+int changes_open(peers_t *peers, const struct sockaddr_in *own)
+{
+	static const h1_server_limits_t limits = {
+		.message = { HEAD_MAX, HEAD_MAX },
+		.head_ms = MEDLAR_SECOND,
+		.idle_ms = MEDLAR_SECOND,
+	};
+
+	medlar_timer_init(&peers->fetch_timer, on_fetch_timer, peers);
+	return h1_server_init(&peers->server, peers->loop, own, &limits,
+			      CONNECTIONS_MAX, &handler, peers);
+}
+
+/**
+ * changes_close() - give and take no changes any more
+ * @peers: the other instances
+ */
+void changes_close(peers_t *peers)
+{
+	end_fetch(peers);
+	h1_server_finish(&peers->server);
+}
--- /dev/null
+++ b/router/gossip.c
@@ -0,0 +1,220 @@
+/**
+ * DOC: messages between instances: ONC RPC calls without replies, over UDP
+ */
+#include <stdio.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "router/peers_internal.h"
+
+#define DATAGRAM_MAX 2048
+#define RECEIVES_PER_TURN 64
+
+static void init_call(struct rpc_msg *call, uint32_t xid)
+{
+	*call = (struct rpc_msg){ .rm_xid = xid, .rm_direction = CALL };
+	call->rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call->rm_call.cb_prog = GOSSIP_PROGRAM;
+	call->rm_call.cb_vers = GOSSIP_VERSION;
+	call->rm_call.cb_proc = GOSSIP_TELL;
+	call->rm_call.cb_cred = _null_auth;
+	call->rm_call.cb_verf = _null_auth;
+}
+
+/* An age that fits the message; 0 stands for never. */
+static uint32_t age_of(const peers_t *peers, medlar_time_t at)
+{
+	medlar_time_t age = peers->loop->now - at + 1;
+
+	if (at == 0)
+		return 0;
+	return age > INT32_MAX ? INT32_MAX : (uint32_t)age;
+}
+
+static medlar_time_t time_of(const peers_t *peers, uint32_t age)
+{
+	return age ? peers->loop->now - age + 1 : 0;
+}
+
+static size_t encode(peers_t *peers, char *bytes, size_t size)
+{
+	const router_settings_t *settings = peers->settings;
+	gossip_message message = {
+		.name = (char *)settings->instance,
+		.zone = (char *)settings->zone,
+		.callers = (char *)settings->callers,
+		.peers = (char *)settings->peers,
+		.start = peers->start,
+		.seq = ++peers->seq,
+		.ready = peers->ready,
+		.leaving = peers->leaving,
+		.revision = peers->mirror->revision,
+		.near = peers->near,
+		.watching = peers->store.watching,
+		.store_age = age_of(peers, peers->store.heard),
+		.outage_age = age_of(peers, peers->store.back),
+		.convicted = { peers->convicted_len, peers->convicted },
+	};
+	struct rpc_msg call;
+	XDR xdr;
+	size_t len = 0;
+
+	init_call(&call, peers->seq);
+	xdrmem_create(&xdr, bytes, (unsigned)size, XDR_ENCODE);
+	if (xdr_callmsg(&xdr, &call) && xdr_gossip_message(&xdr, &message))
+		len = XDR_GETPOS(&xdr);
+	XDR_DESTROY(&xdr);
+	return len;
+}
+
+static void send_to(peers_t *peers, const struct sockaddr_in *address,
+		    const char *bytes, size_t len)
+{
+	if (address->sin_port == 0)
+		return;
+	/* A message that is lost is made good by the next one. */
+	(void)sendto(peers->fd, bytes, len, MSG_DONTWAIT | MSG_NOSIGNAL,
+		     (const struct sockaddr *)address, sizeof(*address));
+	peers->stats->counts[STAT_GOSSIP_SENT]++;
+}
+
+static bool is_known(const peers_t *peers, const struct sockaddr_in *address)
+{
+	const peer_instance_t *peer;
+
+	TAILQ_FOREACH(peer, &peers->list, link)
+	if (peer->address.sin_addr.s_addr == address->sin_addr.s_addr)
+		return true;
+	return false;
+}
+
+/**
+ * gossip_tell() - tell others how this instance is
+ * @peers: the other instances
+ * @all: all of them, not only those whose turn it is
+ */
+void gossip_tell(peers_t *peers, bool all)
+{
+	char bytes[DATAGRAM_MAX];
+	size_t len = encode(peers, bytes, sizeof(bytes));
+	const peer_instance_t *peer;
+	size_t at = 0;
+
+	if (len == 0)
+		return;
+	TAILQ_FOREACH(peer, &peers->list, link)
+	{
+		size_t turn = (at++ + peers->len - peers->next % peers->len) %
+			      peers->len;
+
+		if (all || turn < PEERS_TELL_MAX)
+			send_to(peers, &peer->address, bytes, len);
+	}
+	peers->next += PEERS_TELL_MAX;
+	for (size_t i = 0; i < peers->seeds_len; i++)
+		if (!is_known(peers, &peers->seeds[i]))
+			send_to(peers, &peers->seeds[i], bytes, len);
+}
+
+static void take_message(peers_t *peers, const gossip_message *message)
+{
+	peer_instance_t *peer = peers_find_or_add(peers, message->name);
+	medlar_time_t now = peers->loop->now;
+
+	/* Starts are told apart, not ordered: the time of day may jump. */
+	if (!peer ||
+	    (message->start == peer->start && message->seq <= peer->seq))
+		return;
+	if (router_address_parse(medlar_str_from(message->peers),
+				 &peer->address))
+		return;
+	if (!peer_is_live(peers, peer) || peer->leaving != message->leaving)
+		LOG_LINE(peers->log, LOG_LEVEL_NOTICE, "peer",
+			 MEDLAR_TEXT("name", medlar_str_from(peer->name)),
+			 MEDLAR_TEXT("state", message->leaving
+						      ? MEDLAR_STR("leaving")
+						      : MEDLAR_STR("live")),
+			 MEDLAR_NUM("silent_ms",
+				    peer->heard ? now - peer->heard : -1));
+	(void)snprintf(peer->callers, sizeof(peer->callers), "%s",
+		       message->callers);
+	peer->start = message->start;
+	peer->seq = message->seq;
+	peer->ready = message->ready;
+	peer->leaving = message->leaving;
+	peer->revision = message->revision;
+	(void)snprintf(peer->zone, sizeof(peer->zone), "%s", message->zone);
+	peer->near = message->near;
+	peer->watching = message->watching;
+	peer->store_heard = time_of(peers, message->store_age);
+	peer->store_back = time_of(peers, message->outage_age);
+	peer->heard = now;
+	if (!peers->store.watching)
+		changes_catch_up(peers);
+	for (unsigned i = 0; i < message->convicted.convicted_len; i++)
+		suspects_convict(peers->suspects,
+				 message->convicted.convicted_val[i], now);
+}
+
+static bool is_our_call(const struct rpc_msg *call)
+{
+	return call->rm_direction == CALL &&
+	       call->rm_call.cb_prog == GOSSIP_PROGRAM &&
+	       call->rm_call.cb_vers == GOSSIP_VERSION &&
+	       call->rm_call.cb_proc == GOSSIP_TELL;
+}
+
+static void decode(peers_t *peers, char *bytes, size_t len)
+{
+	char cred[MAX_AUTH_BYTES];
+	char verf[MAX_AUTH_BYTES];
+	gossip_message message = { 0 };
+	struct rpc_msg call = { 0 };
+	XDR xdr;
+
+	call.rm_call.cb_cred.oa_base = cred;
+	call.rm_call.cb_verf.oa_base = verf;
+	xdrmem_create(&xdr, bytes, (unsigned)len, XDR_DECODE);
+	if (xdr_callmsg(&xdr, &call) && is_our_call(&call) &&
+	    xdr_gossip_message(&xdr, &message)) {
+		peers->stats->counts[STAT_GOSSIP_RECEIVED]++;
+		take_message(peers, &message);
+	}
+	xdr_free((xdrproc_t)xdr_gossip_message, (char *)&message);
+	XDR_DESTROY(&xdr);
+}
+
+static void on_datagram(uint32_t events, void *data)
+{
+	peers_t *peers = data;
+	char bytes[DATAGRAM_MAX];
+
+	(void)events;
+	for (int i = 0; i < RECEIVES_PER_TURN; i++) {
+		ssize_t got = recv(peers->fd, bytes, sizeof(bytes),
+				   MSG_DONTWAIT);
+
+		if (got <= 0)
+			return;
+		decode(peers, bytes, (size_t)got);
+	}
+}
+
+/**
+ * gossip_open() - listen to messages
+ * @peers: the other instances
+ * @own: address of this one
+ *
+ * Return: %MEDLAR_OK, or %MEDLAR_ERR_IO.
+ */
+int gossip_open(peers_t *peers, const struct sockaddr_in *own)
+{
+	peers->fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+			   0);
+	if (peers->fd < 0)
+		return MEDLAR_ERR_IO;
+	if (bind(peers->fd, (const struct sockaddr *)own, sizeof(*own)))
+		return MEDLAR_ERR_IO;
+	return loop_watch(peers->loop, peers->fd, EPOLLIN, on_datagram, peers);
+}
--- /dev/null
+++ b/router/listeners.c
@@ -0,0 +1,168 @@
+/**
+ * DOC: the listeners beside the one for callers
+ */
+#include "libroute/entry_points.h"
+#include "platform/entry.h"
+#include "router/daemon_internal.h"
+
+/* Instances among which addresses for callers are chosen. */
+#define ENTRY_POINTS_MAX 512
+
+static void answer_plain(h1_conn_t *conn, unsigned status)
+{
+	h1_conn_answer(conn, status, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
+}
+
+static size_t list_points(daemon_state_t *state, entry_point_t *points,
+			  size_t max)
+{
+	const peer_instance_t *peer;
+	size_t len = 0;
+
+	if (daemon_is_ready(state))
+		points[len++] = (entry_point_t){
+			medlar_str_from(state->settings.callers),
+			medlar_str_from(state->settings.zone),
+			state->peers.near,
+		};
+	TAILQ_FOREACH(peer, &state->peers.list, link)
+	if (len < max && peer->ready && !peer->leaving &&
+	    peer_is_live(&state->peers, peer))
+		points[len++] = (entry_point_t){
+			medlar_str_from(peer->callers),
+			medlar_str_from(peer->zone),
+			peer->near,
+		};
+	return len;
+}
+
+static void answer_addresses(daemon_state_t *state, h1_conn_t *conn,
+			     medlar_str_t zone)
+{
+	entry_point_t points[ENTRY_POINTS_MAX];
+	medlar_str_t addresses[ENTRY_ADDRESSES_MAX];
+	size_t len = list_points(state, points, ENTRY_POINTS_MAX);
+	medlar_buf_t body;
+
+	len = entry_points_choose(points, len, zone);
+	if (len == 0) {
+		answer_plain(conn, 503);
+		return;
+	}
+	if (len > ENTRY_ADDRESSES_MAX)
+		len = ENTRY_ADDRESSES_MAX;
+	for (size_t i = 0; i < len; i++)
+		addresses[i] = points[i].address;
+	medlar_buf_init(&body);
+	entry_write_addresses(addresses, len, daemon_address_ttl(state), &body);
+	h1_conn_answer(conn, 200,
+		       MEDLAR_STR("Content-Type: application/json\r\n"),
+		       medlar_buf_str(&body));
+	medlar_buf_finish(&body);
+}
+
+static void on_entry(h1_conn_t *conn, void *data)
+{
+	daemon_state_t *state = data;
+	medlar_str_t zone;
+
+	switch (entry_read_call(h1_message_target(&conn->parser.message),
+				&zone)) {
+	case ENTRY_ADDRESSES:
+		answer_addresses(state, conn, zone);
+		break;
+	case ENTRY_READY:
+		answer_plain(conn, daemon_is_ready(state) ? 200 : 503);
+		break;
+	default:
+		answer_plain(conn, 404);
+	}
+}
+
+static void set_gauges(daemon_state_t *state)
+{
+	int64_t *gauges = state->stats.gauges;
+
+	if (state->forward.routes)
+		gauges[GAUGE_CONFIG_VERSION] =
+			(int64_t)state->forward.routes->version;
+	gauges[GAUGE_STORE_REVISION] = (int64_t)state->mirror.revision;
+	gauges[GAUGE_STORE_AGE_MS] = state->loop.now - state->store.heard;
+	gauges[GAUGE_REPLICAS] = (int64_t)state->fleet.replicas_len;
+	gauges[GAUGE_INSTANCES] = state->fleet.instances;
+	gauges[GAUGE_CALLER_CONNECTIONS] =
+		(int64_t)state->forward.server.conns_len;
+	state->stats.counts[STAT_BAD_REQUESTS] += state->forward.server.bad;
+	state->forward.server.bad = 0;
+}
+
+static void on_metrics(h1_conn_t *conn, void *data)
+{
+	daemon_state_t *state = data;
+	medlar_buf_t body;
+
+	set_gauges(state);
+	medlar_buf_init(&body);
+	stats_write(&state->stats, &body);
+	h1_conn_answer(conn, 200, MEDLAR_STR("Content-Type: text/plain\r\n"),
+		       medlar_buf_str(&body));
+	medlar_buf_finish(&body);
+}
+
+static void on_entry_gone(h1_conn_t *conn, void *data)
+{
+	(void)conn;
+	(void)data;
+}
+
+static const h1_handler_t entry_handler = { on_entry, on_entry_gone };
+static const h1_handler_t metrics_handler = { on_metrics, on_entry_gone };
+
+static int listen_at(daemon_state_t *state, h1_server_t *server,
+		     const char *text, const h1_handler_t *handler)
+{
+	static const h1_server_limits_t limits = {
+		.message = { 16384, 16384 },
+		.head_ms = 2 * MEDLAR_SECOND,
+		.idle_ms = 30 * MEDLAR_SECOND,
+	};
+	struct sockaddr_in address;
+
+	if (router_address_parse(medlar_str_from(text), &address))
+		return MEDLAR_ERR_SYNTAX;
+	return h1_server_init(server, &state->loop, &address, &limits,
+			      (size_t)state->settings.connections_max, handler,
+			      state);
+}
+
+/**
+ * listeners_open() - listen for readiness checks, directory calls and metrics
+ * @state: the process
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_SYNTAX or %MEDLAR_ERR_IO.
+ */
+int listeners_open(daemon_state_t *state)
+{
+	const router_settings_t *settings = &state->settings;
+	int error = listen_at(state, &state->readiness, settings->readiness,
+			      &entry_handler);
+
+	if (!error)
+		error = listen_at(state, &state->directory, settings->directory,
+				  &entry_handler);
+	if (!error && settings->metrics[0])
+		error = listen_at(state, &state->metrics, settings->metrics,
+				  &metrics_handler);
+	return error;
+}
+
+/**
+ * listeners_close() - stop to listen
+ * @state: the process
+ */
+void listeners_close(daemon_state_t *state)
+{
+	h1_server_finish(&state->metrics);
+	h1_server_finish(&state->directory);
+	h1_server_finish(&state->readiness);
+}
--- /dev/null
+++ b/router/peers_internal.h
@@ -0,0 +1,23 @@
+/**
+ * DOC: parts of the exchange with other instances
+ */
+#ifndef ROUTER_PEERS_INTERNAL_H
+#define ROUTER_PEERS_INTERNAL_H
+
+#include "router/peers.h"
+
+/** Others that are told in one round; more take turns. */
+#define PEERS_TELL_MAX 8
+
+peer_instance_t *peers_find_or_add(peers_t *peers, const char *name);
+
+/* gossip.c */
+int gossip_open(peers_t *peers, const struct sockaddr_in *own);
+void gossip_tell(peers_t *peers, bool all);
+
+/* changes.c */
+int changes_open(peers_t *peers, const struct sockaddr_in *own);
+void changes_catch_up(peers_t *peers);
+void changes_close(peers_t *peers);
+
+#endif /* ROUTER_PEERS_INTERNAL_H */
--- a/tests/soak_proxy.c
+++ b/tests/soak_proxy.c
@@ -281,9 +281,9 @@
 		.sin_family = AF_INET,
 		.sin_addr = { htonl(INADDR_LOOPBACK) },
 	};
-	medlar_client_t client;
-	h1_server_t control;
-	loop_t loop;
+	static medlar_client_t client;
+	static h1_server_t control;
+	static loop_t loop;
 	int error;
 
 	if (argc < 3 || argc - 2 > LINKS_MAX)
