--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -62,8 +62,8 @@
 	assert_false(suspects_convicted(&suspects, 7, 15));
 	suspects_convict(&suspects, 9, 20);
 	assert_true(suspects_convicted(&suspects, 9, 21));
-	suspects_convict(&suspects, 9, 50 * 1000);
-	assert_false(suspects_convicted(&suspects, 9, 70 * 1000));
+	suspects_convict(&suspects, 9, 50 * MEDLAR_SECOND);
+	assert_false(suspects_convicted(&suspects, 9, 70 * MEDLAR_SECOND));
 }
 
 int main(void)
