--- a/Makefile
+++ b/Makefile
@@ -169,7 +169,8 @@
 	install -d $(DESTDIR)$(PREFIX)/share/man/man1
 	install -d $(DESTDIR)$(PREFIX)/share/man/man5
 	install -d $(DESTDIR)$(PREFIX)/share/man/man8
-	install -m 755 $(BUILD)/medlard $(DESTDIR)$(PREFIX)/sbin
+	install -m 755 $(BUILD)/medlard $(BUILD)/medlarrouter \
+		$(DESTDIR)$(PREFIX)/sbin
 	install -m 755 $(BUILD)/medlarctl $(BUILD)/medlarload \
 		$(DESTDIR)$(PREFIX)/bin
 	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
