Tell no changes from before a list

A list now counts as the oldest revision from which changes are complete, so that others take the whole list. test_mirror failed before.

--- a/router/mirror.c
+++ b/router/mirror.c
@@ -151,6 +151,9 @@
 		if (entry->seen != mirror->list && entry->revision <= revision)
 			remove_entry(mirror, entry, revision);
 	}
+	/* What came and went before the list was never seen. */
+	if (revision > mirror->complete_after)
+		mirror->complete_after = revision;
 	mirror_advance(mirror, revision);
 }
 
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -113,6 +113,23 @@
 	mirror_finish(&second);
 }
 
+/* Found by a hunt: a copy that began with a list told others no older ends. */
+static void a_list_knows_no_ends_from_before_it(void **state)
+{
+	seen_t seen = { 0 };
+	static mirror_t mirror;
+
+	(void)state;
+	mirror_init(&mirror, on_change, &seen);
+	mirror_list_begin(&mirror);
+	apply(&mirror, "a", "1", 300);
+	mirror_list_end(&mirror, 400);
+	assert_int_equal(mirror.complete_after, 400);
+	apply(&mirror, "a", NULL, 401);
+	assert_int_equal(mirror.complete_after, 400);
+	mirror_finish(&mirror);
+}
+
 static void too_many_ends_need_a_whole_copy(void **state)
 {
 	seen_t seen = { 0 };
@@ -134,6 +151,7 @@
 		cmocka_unit_test(an_older_revision_changes_nothing),
 		cmocka_unit_test(a_list_ends_what_it_lacks),
 		cmocka_unit_test(changes_bring_another_copy_up_to_date),
+		cmocka_unit_test(a_list_knows_no_ends_from_before_it),
 		cmocka_unit_test(too_many_ends_need_a_whole_copy),
 	};
 
