--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -93,8 +93,8 @@
 	fleet_service_t *service;
 
 	TAILQ_FOREACH(service, &fleet->services, link)
-	if (medlar_str_equal(medlar_str_from(service->name), name))
-		return service;
+		if (medlar_str_equal(medlar_str_from(service->name), name))
+			return service;
 	if (name.len > FLEET_NAME_MAX)
 		return NULL;
 	service = calloc(1, sizeof(*service));
@@ -122,8 +122,8 @@
 	replica_t *replica;
 
 	TAILQ_FOREACH(replica, &fleet->replicas, by_id)
-	if (medlar_str_equal(medlar_str_from(replica->id), id))
-		return replica;
+		if (medlar_str_equal(medlar_str_from(replica->id), id))
+			return replica;
 	return NULL;
 }
 
@@ -288,8 +288,8 @@
 	const replica_t *replica;
 
 	TAILQ_FOREACH(replica, &service->replicas, link)
-	if (replica->near && !replica->info.draining)
-		return true;
+		if (replica->near && !replica->info.draining)
+			return true;
 	return false;
 }
 
@@ -305,8 +305,7 @@
 	unsigned served = 0;
 	unsigned near = 0;
 
-	TAILQ_FOREACH(service, &fleet->services, link)
-	{
+	TAILQ_FOREACH(service, &fleet->services, link) {
 		if (service->replicas_len == 0)
 			continue;
 		served++;
@@ -420,8 +419,7 @@
 	replica_t *replica;
 	double best_cost = 0;
 
-	TAILQ_FOREACH(replica, &service->replicas, link)
-	{
+	TAILQ_FOREACH(replica, &service->replicas, link) {
 		double cost;
 
 		if (replica->info.draining ||
--- a/router/changes.c
+++ b/router/changes.c
@@ -197,9 +197,9 @@
 	const peer_instance_t *peer;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-	if (peer_is_live(peers, peer) &&
-	    (!best || peer->revision > best->revision))
-		best = peer;
+		if (peer_is_live(peers, peer) &&
+		    (!best || peer->revision > best->revision))
+			best = peer;
 	return best;
 }
 
--- a/router/gossip.c
+++ b/router/gossip.c
@@ -84,8 +84,8 @@
 	const peer_instance_t *peer;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-	if (peer->address.sin_addr.s_addr == address->sin_addr.s_addr)
-		return true;
+		if (peer->address.sin_addr.s_addr == address->sin_addr.s_addr)
+			return true;
 	return false;
 }
 
@@ -103,8 +103,7 @@
 
 	if (len == 0)
 		return;
-	TAILQ_FOREACH(peer, &peers->list, link)
-	{
+	TAILQ_FOREACH(peer, &peers->list, link) {
 		size_t turn = (at++ + peers->len - peers->next % peers->len) %
 			      peers->len;
 
--- a/router/h1_server.c
+++ b/router/h1_server.c
@@ -387,7 +387,7 @@
 	size_t busy = 0;
 
 	TAILQ_FOREACH(conn, &server->conns, link)
-	if (conn->busy || conn->parser.started || conn->out.len > 0)
-		busy++;
+		if (conn->busy || conn->parser.started || conn->out.len > 0)
+			busy++;
 	return busy;
 }
--- a/router/listeners.c
+++ b/router/listeners.c
@@ -26,13 +26,13 @@
 			state->peers.near,
 		};
 	TAILQ_FOREACH(peer, &state->peers.list, link)
-	if (len < max && peer->ready && !peer->leaving &&
-	    peer_is_live(&state->peers, peer))
-		points[len++] = (entry_point_t){
-			medlar_str_from(peer->callers),
-			medlar_str_from(peer->zone),
-			peer->near,
-		};
+		if (len < max && peer->ready && !peer->leaving &&
+		    peer_is_live(&state->peers, peer))
+			points[len++] = (entry_point_t){
+				medlar_str_from(peer->callers),
+				medlar_str_from(peer->zone),
+				peer->near,
+			};
 	return len;
 }
 
--- a/router/peers.c
+++ b/router/peers.c
@@ -24,8 +24,8 @@
 	peer_instance_t *peer;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-	if (strcmp(peer->name, name) == 0)
-		return peer;
+		if (strcmp(peer->name, name) == 0)
+			return peer;
 	return NULL;
 }
 
@@ -143,8 +143,8 @@
 	peer_instance_t *peer;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-	if (medlar_str_equal(medlar_str_from(peer->name), name))
-		peer->listed = false;
+		if (medlar_str_equal(medlar_str_from(peer->name), name))
+			peer->listed = false;
 }
 
 /**
@@ -196,10 +196,11 @@
 	unsigned before = 0;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-	if (peer_is_live(peers, peer) && peer->watching && !peer->leaving &&
-	    peers->loop->now - peer->store_heard < WATCHER_SILENT &&
-	    strcmp(peer->name, peers->settings->instance) < 0)
-		before++;
+		if (peer_is_live(peers, peer) && peer->watching &&
+		    !peer->leaving &&
+		    peers->loop->now - peer->store_heard < WATCHER_SILENT &&
+		    strcmp(peer->name, peers->settings->instance) < 0)
+			before++;
 	return before < WATCHERS;
 }
 
@@ -215,10 +216,10 @@
 	medlar_time_t heard = peers->store.heard;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-	if (peer_is_live(peers, peer) &&
-	    peer->revision <= peers->mirror->revision &&
-	    peer->store_heard > heard)
-		heard = peer->store_heard;
+		if (peer_is_live(peers, peer) &&
+		    peer->revision <= peers->mirror->revision &&
+		    peer->store_heard > heard)
+			heard = peer->store_heard;
 	return heard;
 }
 
@@ -234,8 +235,8 @@
 	medlar_time_t back = peers->store.back;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-	if (peer_is_live(peers, peer) && peer->store_back > back)
-		back = peer->store_back;
+		if (peer_is_live(peers, peer) && peer->store_back > back)
+			back = peer->store_back;
 	return back;
 }
 
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -537,8 +537,7 @@
 {
 	replica_t *replica;
 
-	TAILQ_FOREACH(replica, &fleet->replicas, by_id)
-	{
+	TAILQ_FOREACH(replica, &fleet->replicas, by_id) {
 		pool_t *pool = replica->pool;
 		upstream_conn_t *conn;
 
