Read a reply's headers once, and drop state that nothing reads

A reply's headers were parsed when it was matched and again when it was judged; two loops dropped attempts; three fields were set and never read.

--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -120,19 +120,23 @@
 	exchange->routes = NULL;
 }
 
-static void drop_attempts(exchange_t *exchange)
+/* Forgets what is under way for a part; what was sent may have run. */
+static void drop_part(exchange_part_t *part, exchange_t *exchange)
 {
 	const exchange_setup_t *setup = exchange->setup;
 
-	for (size_t i = 0; i < exchange->parts_len; i++) {
-		exchange_part_t *part = &exchange->parts[i];
+	for (unsigned i = 0; i < part->attempts_len; i++)
+		if (part->attempts[i].io &&
+		    !setup->events->drop(&part->attempts[i], setup->data))
+			exchange->ran = true;
+	exchange->flying -= part->flying;
+	part->flying = 0;
+}
 
-		for (unsigned j = 0; j < part->attempts_len; j++)
-			if (part->attempts[j].io &&
-			    !setup->events->drop(&part->attempts[j],
-						 setup->data))
-				exchange->ran = true;
-	}
+static void drop_attempts(exchange_t *exchange)
+{
+	for (size_t i = 0; i < exchange->parts_len; i++)
+		drop_part(&exchange->parts[i], exchange);
 }
 
 /**
@@ -389,17 +393,10 @@
 static void take_part(exchange_part_t *part, exchange_t *exchange,
 		      const exchange_reply_t *reply)
 {
-	const exchange_setup_t *setup = exchange->setup;
-
 	medlar_buf_add(&part->proof, reply->proof);
 	medlar_buf_add(&part->body, reply->body);
 	settle(part, exchange, !part->proof.error && !part->body.error);
-	for (unsigned i = 0; i < part->attempts_len; i++)
-		if (part->attempts[i].io)
-			(void)setup->events->drop(&part->attempts[i],
-						  setup->data);
-	exchange->flying -= part->flying;
-	part->flying = 0;
+	drop_part(part, exchange);
 }
 
 static void end_ok(attempt_t *attempt, const exchange_reply_t *reply)
--- a/router/changes.c
+++ b/router/changes.c
@@ -128,7 +128,8 @@
 	}
 	if (all)
 		mirror_list_end(mirror, changes->revision);
-	mirror_advance(mirror, changes->revision);
+	else
+		mirror_advance(mirror, changes->revision);
 }
 
 static void take_changes(peers_t *peers, medlar_str_t body)
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -66,9 +66,8 @@
 
 static void on_replica_removed(replica_t *replica, void *data)
 {
-	daemon_state_t *state = data;
-
-	upstream_forget(&state->upstream, replica);
+	(void)data;
+	upstream_forget(replica);
 }
 
 static void on_crash(uint64_t fingerprint, const replica_t *replica, void *data)
--- a/router/h1_server.c
+++ b/router/h1_server.c
@@ -184,7 +184,6 @@
 
 static void begin(h1_conn_t *conn)
 {
-	conn->began = conn->server->loop->now;
 	set_timer(conn, conn->server->limits.head_ms);
 }
 
--- a/router/h1_server.h
+++ b/router/h1_server.h
@@ -49,7 +49,6 @@
  * @out: bytes of the answer not yet taken by the kernel
  * @pending: bytes received after the request being answered
  * @timer: ends an idle or slow connection
- * @began: when the first byte of the request came
  * @wants: events last asked for
  * @busy: a request waits for its answer
  * @closing: to be closed once the answer is sent
@@ -64,7 +63,6 @@
 	size_t out_done;
 	medlar_buf_t pending;
 	medlar_timer_t timer;
-	medlar_time_t began;
 	uint32_t wants;
 	bool busy;
 	bool closing;
--- a/router/store.c
+++ b/router/store.c
@@ -5,8 +5,9 @@
 
 #define REPLY_HEAD_MAX ((size_t)16 * 1024)
 #define REPLY_BODY_MAX ((size_t)16 << 20)
-#define CALL_TIMEOUT (1500)
-#define WATCH_WAIT (3000)
+#define CALL_TIMEOUT 1500
+/* Longest time of a watch, ms. */
+#define WATCH_WAIT 3000
 /* Time after a change in which further ones are collected, ms. */
 #define WATCH_PAUSE 150
 #define BACKOFF_MIN 100
@@ -135,7 +136,6 @@
 
 	store->stats->counts[STAT_STORE_CALLS]++;
 	channel->waiting = true;
-	channel->timeout = timeout;
 	schedule(channel, timeout);
 	if (channel->open && channel->client.state == H1_IDLE) {
 		on_ready(&channel->client, channel);
@@ -247,9 +247,9 @@
 		return;
 	medlar_buf_reset(&channel->call);
 	if (store->listed) {
-		store->calls->watch(store->mirror->revision, store->wait,
+		store->calls->watch(store->mirror->revision, WATCH_WAIT,
 				    &channel->call);
-		call(channel, store->wait + CALL_TIMEOUT);
+		call(channel, WATCH_WAIT + CALL_TIMEOUT);
 	} else {
 		store->calls->list(medlar_str_from(store->page.last_key),
 				   &channel->call);
@@ -334,7 +334,6 @@
 			    .calls = calls,
 			    .address = *address,
 			    .mirror = mirror,
-			    .wait = WATCH_WAIT,
 			    .watching = true,
 			    .heard = loop->now };
 	medlar_buf_init(&store->key);
--- a/router/store.h
+++ b/router/store.h
@@ -22,7 +22,6 @@
  * @waiting: a call waits for its answer
  * @call: request to send
  * @timer: next call, or the end of the time for an answer
- * @timeout: time for an answer, ms
  * @failures: calls that failed in a row
  * @next: makes the next call
  * @done: takes an answer; a failure has status 0
@@ -34,7 +33,6 @@
 	bool waiting;
 	medlar_buf_t call;
 	medlar_timer_t timer;
-	medlar_time_t timeout;
 	unsigned failures;
 	void (*next)(store_t *store);
 	void (*done)(store_t *store, unsigned status, medlar_str_t body);
@@ -61,7 +59,6 @@
  * @listed: the mirror is complete; watch from its revision
  * @page: last page of the list being read
  * @list_revision: of the store when the list was begun
- * @wait: longest time of a watch, ms
  * @watching: this instance watches the store itself; others tell it otherwise
  * @entry: state of the own entry
  * @lease: its lease
@@ -83,7 +80,6 @@
 	bool listed;
 	store_page_t page;
 	uint64_t list_revision;
-	medlar_time_t wait;
 	bool watching;
 	store_entry_t entry;
 	uint64_t lease;
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -36,6 +36,7 @@
 	flight_t flight;
 	medlar_timer_t timer;
 	uint64_t fingerprint;
+	reply_head_t head; /* of the last reply, until the next request */
 	char id[64];
 	size_t id_len;
 	bool idle;
@@ -174,17 +175,23 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-static outcome_t judge(const upstream_conn_t *conn, const reply_head_t *head,
-		       unsigned status)
+/* Tells whether a reply names the request of its connection. */
+static bool is_mine(const upstream_conn_t *conn)
 {
-	bool mine = head->request_id.len == conn->id_len &&
-		    memcmp(head->request_id.ptr, conn->id, conn->id_len) == 0;
+	return medlar_str_equal(conn->head.request_id,
+				(medlar_str_t){ conn->id, conn->id_len });
+}
+
+static outcome_t judge(const upstream_conn_t *conn, unsigned status)
+{
+	const reply_head_t *head = &conn->head;
 
 	if (status == 421)
 		return OUTCOME_ELSEWHERE;
 	if (head->not_run)
 		return OUTCOME_REFUSED;
-	if (!mine || head->encoded || (is_success(status) && !head->proof.len))
+	if (!is_mine(conn) || head->encoded ||
+	    (is_success(status) && !head->proof.len))
 		return OUTCOME_LOST;
 	if (is_success(status))
 		return OUTCOME_OK;
@@ -215,17 +222,16 @@
 	medlar_time_t now = conn->upstream->loop->now;
 	exchange_reply_t reply = { .body = medlar_buf_str(&message->body),
 				   .message = message };
-	reply_head_t head;
+	const reply_head_t *head = &conn->head;
 
-	headers_read_reply(message, &head);
-	reply.proof = head.proof;
-	reply.outcome = judge(conn, &head, message->status);
+	reply.proof = head->proof;
+	reply.outcome = judge(conn, message->status);
 	if (reply.outcome == OUTCOME_LOST || promises_not_run(message->status))
 		reply.message = NULL;
-	if (head.keep_for)
-		conn->client.idle_max = head.keep_for;
-	if (head.has_load)
-		replica_report_load(conn->replica, head.load, now);
+	if (head->keep_for)
+		conn->client.idle_max = head->keep_for;
+	if (head->has_load)
+		replica_report_load(conn->replica, head->load, now);
 	if (reply.outcome == OUTCOME_ELSEWHERE)
 		replica_drain(conn->replica);
 	report(conn, &reply, flight_of(reply.outcome));
@@ -296,12 +302,9 @@
 static bool on_wanted(h1_client_t *client, void *data)
 {
 	upstream_conn_t *conn = data;
-	reply_head_t head;
 
-	headers_read_reply(&client->parser.message, &head);
-	if (head.request_id.len == 0 ||
-	    (head.request_id.len == conn->id_len &&
-	     memcmp(head.request_id.ptr, conn->id, conn->id_len) == 0))
+	headers_read_reply(&client->parser.message, &conn->head);
+	if (conn->head.request_id.len == 0 || is_mine(conn))
 		return true;
 	conn->upstream->stats->counts[STAT_STRAY_REPLIES]++;
 	return false;
@@ -517,12 +520,10 @@
 
 /**
  * upstream_forget() - a replica has left the directory
- * @upstream: connections
  * @replica: its idle connections are closed
  */
-void upstream_forget(upstream_t *upstream, replica_t *replica)
+void upstream_forget(replica_t *replica)
 {
-	(void)upstream;
 	close_idle(replica);
 	free(replica->pool);
 	replica->pool = NULL;
--- a/router/upstream.h
+++ b/router/upstream.h
@@ -60,7 +60,7 @@
 void upstream_turn(void *data);
 int upstream_send(upstream_t *upstream, attempt_t *attempt);
 bool upstream_drop(upstream_t *upstream, attempt_t *attempt);
-void upstream_forget(upstream_t *upstream, replica_t *replica);
+void upstream_forget(replica_t *replica);
 void upstream_sweep(upstream_t *upstream, fleet_t *fleet);
 void upstream_finish(upstream_t *upstream);
 
