--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 ROUTE_SRC := $(wildcard libroute/*.c)
 ROUTER_SRC := $(filter-out router/main.c,$(wildcard router/*.c)) \
 	$(wildcard platform/*.c) proto/gossip_xdr.c \
-	medlard/clock.c medlard/log.c medlard/loop.c medlard/settings.c
+	medlard/clock.c medlard/log.c medlard/loop.c medlard/options.c \
+	medlard/settings.c
 FAKE_SRC := $(wildcard tests/fakes/common_*.c)
 
 obj = $(patsubst %,$(BUILD)/obj/%.o,$(1))
