Refuse requests whose end is in doubt on medlard's port; run last calls

A call posted to a mailbox while its loop ended was dropped with its memory (leak in e2e_stop under ASan). The control thread runs such calls after the threads have ended; test_handoff has the case.

--- a/medlard/caller.c
+++ b/medlard/caller.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -20,6 +21,11 @@
 #define TICK (MEDLAR_SECOND / 4)
 #define RUNS_MAX 64
 
+/* What a header's name is made of, RFC 9110, section 5.6.2. */
+#define TOKEN_BYTES                                           \
+	"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz" \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 static const route_t caller_routes[] = {
 	{ "POST", "/v1/services/", service_handle },
 	{ "GET", "/v1/addresses", addresses_handle },
@@ -194,6 +200,51 @@
 	return MEDLAR_OK;
 }
 
+/**
+ * struct framing - the headers that tell where a request ends
+ * @lengths: headers "Content-Length"
+ * @codings: headers "Transfer-Encoding"
+ * @strange: a header that two readers could take for different ones
+ */
+typedef struct framing {
+	unsigned lengths;
+	unsigned codings;
+	bool strange;
+} framing_t;
+
+static bool is_token(const char *name)
+{
+	return name[0] != '\0' && strspn(name, TOKEN_BYTES) == strlen(name);
+}
+
+static enum MHD_Result look_at_header(void *data, enum MHD_ValueKind kind,
+				      const char *name, const char *value)
+{
+	framing_t *framing = data;
+
+	(void)kind;
+	if (strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
+		framing->lengths++;
+	if (strcasecmp(name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0) {
+		framing->codings++;
+		if (!value || strcasecmp(value, "chunked") != 0)
+			framing->strange = true;
+	}
+	if (!is_token(name))
+		framing->strange = true;
+	return MHD_YES;
+}
+
+/* See RFC 9112, section 6.3: the end of the request must be beyond doubt. */
+static bool end_is_in_doubt(const request_t *request)
+{
+	framing_t framing = { 0 };
+
+	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
+				  look_at_header, &framing);
+	return framing.strange || framing.lengths + framing.codings > 1;
+}
+
 static bool announces_too_much(const request_t *request)
 {
 	const char *text = MHD_lookup_connection_value(
@@ -204,6 +255,12 @@
 			       (uint64_t)request->home->settings->body_max;
 }
 
+/* After a refusal of a request whose end is in doubt no other is read. */
+static bool ends_connection(unsigned status)
+{
+	return status == MHD_HTTP_BAD_REQUEST;
+}
+
 static enum MHD_Result refuse_now(request_t *request, unsigned status,
 				  int error, const char *field)
 {
@@ -220,6 +277,9 @@
 		return MHD_NO;
 	(void)MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				      request->type);
+	if (ends_connection(status))
+		(void)MHD_add_response_header(
+			response, MHD_HTTP_HEADER_CONNECTION, "close");
 	result = MHD_queue_response(request->connection, status, response);
 	MHD_destroy_response(response);
 	return result;
@@ -235,6 +295,9 @@
 	metrics_add(&request->home->metrics, METRIC_REQUESTS, 1);
 	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
 				  add_length, &headers);
+	if (end_is_in_doubt(request))
+		return refuse_now(request, MHD_HTTP_BAD_REQUEST,
+				  MEDLAR_ERR_SYNTAX, "framing");
 	if (headers > HEADERS_MAX)
 		return refuse_now(request,
 				  MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
--- a/medlard/control.c
+++ b/medlard/control.c
@@ -13,6 +13,9 @@
 #include "medlard/control.h"
 #include "medlard/stop.h"
 
+/* Times that a call may be passed on between the threads at the end. */
+#define LAST_CALLS_MAX 16
+
 /**
  * control_worker() - a worker by its number
  * @control: control thread
@@ -208,10 +211,23 @@
 	return error;
 }
 
+/* Calls that were posted while the loops ended own memory and release it. */
+static void run_last_calls(control_t *control)
+{
+	size_t ran = 1;
+
+	for (int i = 0; i < LAST_CALLS_MAX && ran > 0; i++) {
+		ran = handoff_run(&control->inbox);
+		for (size_t j = 0; j < control->workers_len; j++)
+			ran += handoff_run(&control->workers[j].inbox);
+	}
+}
+
 static void finish(control_t *control)
 {
 	for (size_t i = 0; i < control->workers_len; i++)
 		worker_join(&control->workers[i]);
+	run_last_calls(control);
 	peering_finish(&control->peering);
 	directory_finish(&control->directory);
 	store_finish(&control->store);
--- a/medlard/handoff.c
+++ b/medlard/handoff.c
@@ -67,10 +67,28 @@
 	return call;
 }
 
-static void run_calls(uint32_t events, void *data)
+/**
+ * handoff_run() - run the calls that wait
+ * @handoff: mailbox; the caller is in the thread of its loop, or that thread
+ * has ended
+ *
+ * Return: how many ran.
+ */
+size_t handoff_run(handoff_t *handoff)
 {
-	handoff_t *handoff = data;
 	handoff_call_t *call;
+	size_t count = 0;
+
+	while ((call = take(handoff))) {
+		call->fn(call, call->data);
+		count++;
+	}
+	return count;
+}
+
+static void on_wakeup(uint32_t events, void *data)
+{
+	handoff_t *handoff = data;
 	uint64_t count;
 
 	(void)events;
@@ -78,8 +96,7 @@
 		count = 0;
 	/* A call posted after this store signals anew. */
 	ck_pr_fas_32(&handoff->signalled, 0);
-	while ((call = take(handoff)))
-		call->fn(call, call->data);
+	(void)handoff_run(handoff);
 }
 
 /**
@@ -97,14 +114,15 @@
 	handoff->wakeup = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (handoff->wakeup < 0)
 		return MEDLAR_ERR_IO;
-	return loop_watch(loop, handoff->wakeup, EPOLLIN, run_calls, handoff);
+	return loop_watch(loop, handoff->wakeup, EPOLLIN, on_wakeup, handoff);
 }
 
 /**
  * handoff_finish() - close a mailbox
  * @handoff: a mailbox that nobody posts to any more
  *
- * Calls that have not run are dropped.
+ * Calls that have not run are dropped with the memory that they own, see
+ * handoff_run().
  */
 void handoff_finish(handoff_t *handoff)
 {
--- a/medlard/handoff.h
+++ b/medlard/handoff.h
@@ -46,6 +46,7 @@
 
 int handoff_init(handoff_t *handoff, loop_t *loop);
 void handoff_finish(handoff_t *handoff);
+size_t handoff_run(handoff_t *handoff);
 void handoff_post(handoff_t *handoff, handoff_call_t *call, handoff_fn_t fn,
 		  void *data);
 
--- a/tests/test_handoff.c
+++ b/tests/test_handoff.c
@@ -129,11 +129,32 @@
 	free_box(box);
 }
 
+static void a_call_posted_after_the_loop_ended_can_still_run(void **state)
+{
+	box_t *box = new_box(2);
+
+	(void)state;
+	for (unsigned i = 0; i < 2; i++) {
+		parcel_t *parcel = calloc(1, sizeof(*parcel));
+
+		parcel->box = box;
+		parcel->number = i;
+		handoff_post(&box->inbox, &parcel->call, receive, parcel);
+	}
+	assert_int_equal(handoff_run(&box->inbox), 2);
+	assert_int_equal(handoff_run(&box->inbox), 0);
+	assert_int_equal(box->left, 0);
+	assert_true(box->in_order);
+	free_box(box);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(calls_of_each_sender_arrive_in_order),
 		cmocka_unit_test(a_call_posted_before_the_loop_runs_arrives),
+		cmocka_unit_test(
+			a_call_posted_after_the_loop_ended_can_still_run),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
