--- a/Makefile
+++ b/Makefile
@@ -50,10 +50,11 @@
 	tests/fakes/fake-*.c))
 ROUTER_TESTS := $(patsubst %,$(BUILD)/tests/%,test_routes test_records \
 	test_spend test_pause test_crash test_fleet test_exchange \
-	test_entry_points test_mirror test_h1 test_platform test_router_settings)
+	test_entry_points test_admission test_mirror test_h1 test_platform \
+	test_router_settings)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c)) \
 	$(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
-SOAK := $(BUILD)/tests/soak_proxy $(BUILD)/tests/soak_caller
+SOAK := $(BUILD)/tests/soak_proxy
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 
 .PHONY: all demo check lint bench capacity install clean soak plots \
@@ -87,8 +88,9 @@
 $(BUILD)/medlarctl: $(call obj,cli/medlarctl.c $(CTL_SRC)) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/medlarload: $(call obj,cli/medlarload.c $(LOAD_SRC)) $(LIB)
-	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/medlarload: $(call obj,cli/medlarload.c $(LOAD_SRC)) $(ROUTER_LIB) \
+		$(ROUTE_LIB) $(LIB)
+	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS) -lhttp_parser
 
 $(BUILD)/fake-site: $(call obj,tests/fakes/fake-site.c) $(ROUTER_LIB) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(ROUTER_LDLIBS)
--- a/cli/ctl_logs.c
+++ b/cli/ctl_logs.c
@@ -29,7 +29,7 @@
 	{ "changes", { "revision", "known", "entries" } },
 	{ "bad_entry", { "key", "why" } },
 	{ "error", { "code", "field", "advice" } },
-	{ "refuse", { "id", "status", "why", "config" } },
+	{ "refuse", { "id", "status", "why", "config", "delay_ms" } },
 	{ "hedge", { "id", "service", "replica", "after_ms" } },
 	{ "attempt_end", { "id", "service", "replica", "outcome" } },
 	{ "crash", { "request", "replica", "crashes", "refused" } },
@@ -174,6 +174,8 @@
 				    "has this host and path" },
 		{ "not_ready_total", "the instance had no configuration yet; "
 				     "see event=store" },
+		{ "overload_total", "more requests came than this instance's "
+				    "processor serves in time; see delay_ms" },
 		{ "bad_requests_total", "a header that matters is missing, "
 					"doubled or does not parse" },
 	};
--- a/cli/load.h
+++ b/cli/load.h
@@ -66,6 +66,9 @@
  * @keys: keys of each lookup
  * @naive: talk to the upstreams directly
  * @naive_timeout_ms: fixed timeout of each try of the naive client
+ * @site: the entries are routers on the users' platform
+ * @shards: shards of a search there
+ * @target_ms: later answers are no goodput; 0: all answers are
  * @query: text that every request holds
  * @executions: URL of the upstreams' execution log, or NULL
  * @json: file for the result, ``-`` for standard output, or NULL
@@ -89,6 +92,9 @@
 	unsigned keys;
 	bool naive;
 	unsigned naive_timeout_ms;
+	bool site;
+	unsigned shards;
+	unsigned target_ms;
 	const char *query;
 	const char *executions;
 	const char *json;
@@ -231,6 +237,9 @@
 /* load_run.c */
 int load_run(load_t *load, const load_options_t *options);
 void load_finish(load_t *load);
+load_kind_t load_draw_kind(load_t *load);
+void load_request_count(const load_request_t *request,
+			const load_result_t *result);
 void load_request_end(load_request_t *request, const load_result_t *result);
 const char *load_service(const load_request_t *request);
 
--- a/cli/load_options.c
+++ b/cli/load_options.c
@@ -13,6 +13,7 @@
 #define CALLERS_DEFAULT 16
 #define RESENDS_DEFAULT 2
 #define KEYS_DEFAULT 4
+#define SHARDS_DEFAULT 4
 #define NAIVE_TIMEOUT_MS_DEFAULT 500
 
 enum key {
@@ -32,6 +33,9 @@
 	KEY_JSON,
 	KEY_COMPARE,
 	KEY_WARMUP,
+	KEY_SITE,
+	KEY_SHARDS,
+	KEY_TARGET,
 };
 
 static const struct argp_option option_table[] = {
@@ -61,6 +65,14 @@
 	  "timeout of each try of the naive client", 0 },
 	{ "platform", KEY_PLATFORM, "HOST:PORT", 0,
 	  "platform that the naive client asks", 0 },
+	{ "site", KEY_SITE, NULL, 0,
+	  "each HOST:PORT is a router on the users' platform; searches and "
+	  "orders go to the services of fake-site",
+	  0 },
+	{ "shards", KEY_SHARDS, "N", 0,
+	  "shards that a search there covers (default 4)", 0 },
+	{ "target", KEY_TARGET, "MS", 0,
+	  "answers that take longer are no goodput", 0 },
 	{ "executions", KEY_EXECUTIONS, "URL", 0,
 	  "execution log to compare the outcomes of writes with", 0 },
 	{ "json", KEY_JSON, "FILE", OPTION_ARG_OPTIONAL,
@@ -136,6 +148,8 @@
 		{ KEY_DEADLINE, &options->deadline_ms },
 		{ KEY_KEYS, &options->keys },
 		{ KEY_NAIVE_TIMEOUT, &options->naive_timeout_ms },
+		{ KEY_SHARDS, &options->shards },
+		{ KEY_TARGET, &options->target_ms },
 	};
 	size_t i;
 
@@ -171,10 +185,12 @@
 
 static void check(const load_options_t *options, struct argp_state *state)
 {
-	if (!options->service)
+	if (!options->service && !options->site)
 		argp_error(state, "--service is missing");
 	if (options->rate <= 0 || options->duration_s <= 0)
 		argp_error(state, "--rate and --duration must be positive");
+	if (options->site && options->shards == 0)
+		argp_error(state, "--shards must be positive");
 	if (options->callers == 0)
 		argp_error(state, "--callers must be positive");
 	if (options->keys > LOAD_KEYS_MAX)
@@ -200,6 +216,8 @@
 		options->callers = strtoul(arg, NULL, 10);
 	else if (key == KEY_NAIVE)
 		options->naive = true;
+	else if (key == KEY_SITE)
+		options->site = true;
 	else if (key == KEY_JSON)
 		options->json = arg ? arg : "-";
 	else if (key == ARGP_KEY_ARG)
@@ -244,6 +262,7 @@
 		.callers = CALLERS_DEFAULT,
 		.resends = RESENDS_DEFAULT,
 		.keys = KEYS_DEFAULT,
+		.shards = SHARDS_DEFAULT,
 		.naive_timeout_ms = NAIVE_TIMEOUT_MS_DEFAULT,
 		.query = QUERY_DEFAULT,
 	};
--- a/cli/load_report.c
+++ b/cli/load_report.c
@@ -129,9 +129,9 @@
 	fprintf(out,
 		"{\"service\":\"%s\",\"client\":\"%s\",\"rate\":%g,"
 		"\"duration_s\":%g,\"seed\":%llu",
-		options->service, options->naive ? "naive" : "medlard",
-		options->rate, options->duration_s,
-		(unsigned long long)options->seed);
+		options->site ? "site" : options->service,
+		options->naive ? "naive" : "medlard", options->rate,
+		options->duration_s, (unsigned long long)options->seed);
 	for (i = 0; i < count; i++) {
 		fprintf(out, ",\n\"%s\":{", names[i]);
 		for (k = 0; k < summaries[i].len; k++)
--- a/cli/load_run.c
+++ b/cli/load_run.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <time.h>
 
-#include "cli/load.h"
+#include "cli/load_site.h"
 
 #define GIVE_UP_DEFAULT (10 * LOAD_SECOND)
 #define GIVE_UP_MARGIN LOAD_SECOND
@@ -27,7 +27,13 @@
 					   : options->service;
 }
 
-static load_kind_t draw_kind(load_t *load)
+/**
+ * load_draw_kind() - the kind of the next request
+ * @load: run
+ *
+ * Return: a kind, by the relative frequencies of the options.
+ */
+load_kind_t load_draw_kind(load_t *load)
 {
 	const double *mix = load->options->mix;
 	double sum = mix[LOAD_SEARCH] + mix[LOAD_LOOKUP] + mix[LOAD_WRITE];
@@ -114,7 +120,7 @@
 	if (!request)
 		abort();
 	request->load = load;
-	request->kind = draw_kind(load);
+	request->kind = load_draw_kind(load);
 	request->caller = medlar_rand_below(&load->rand, options->callers);
 	request->planned = planned;
 	request->counted = planned >= load->drops_until;
@@ -147,6 +153,11 @@
 	write->outcome = outcome;
 }
 
+static bool in_target(const load_t *load, double ms)
+{
+	return load->options->target_ms == 0 || ms <= load->options->target_ms;
+}
+
 static void count(load_t *load, const load_request_t *request,
 		  const load_result_t *result)
 {
@@ -156,7 +167,7 @@
 	int i;
 
 	stats->outcomes[result->outcome]++;
-	stats->in_time += load_now() <= load->ends &&
+	stats->in_time += load_now() <= load->ends && in_target(load, ms) &&
 			  (result->outcome == LOAD_COMPLETE ||
 			   result->outcome == LOAD_RAN);
 	if (result->outcome == LOAD_NOT_RUN)
@@ -177,6 +188,20 @@
 		stats->faults[i] += result->faults[i];
 }
 
+/**
+ * load_request_count() - count a request that has ended
+ * @request: request
+ * @result: its result
+ */
+void load_request_count(const load_request_t *request,
+			const load_result_t *result)
+{
+	if (request->counted)
+		count(request->load, request, result);
+	if (request->kind == LOAD_WRITE)
+		record_write(request->load, request, result->outcome);
+}
+
 /**
  * load_request_end() - take the result of a request
  * @request: request; released by this call
@@ -186,10 +211,7 @@
 {
 	load_t *load = request->load;
 
-	if (request->counted)
-		count(load, request, result);
-	if (request->kind == LOAD_WRITE)
-		record_write(load, request, result->outcome);
+	load_request_count(request, result);
 	medlar_buf_finish(&request->body);
 	free(request);
 	load->pending--;
@@ -235,6 +257,24 @@
 	load->loop.stop = true;
 }
 
+static void run_requests(load_t *load)
+{
+	medlar_timer_init(&load->arrival, on_arrival, load);
+	medlar_timer_set(&load->loop.client, &load->arrival, load->started);
+	medlar_timer_init(&load->limit, on_limit, load);
+	medlar_timer_set(&load->loop.client, &load->limit,
+			 load->ends + GIVE_UP_DEFAULT + GIVE_UP_MARGIN);
+	load_loop_run(&load->loop);
+}
+
+static int init_clients(load_t *load)
+{
+	if (load->options->site)
+		return MEDLAR_OK;
+	return load->options->naive ? load_naive_init(load)
+				    : load_callers_init(load);
+}
+
 /**
  * load_run() - make the load of the options and wait for all answers
  * @load: memory of the caller; load_finish() releases it
@@ -249,8 +289,7 @@
 	*load = (load_t){ .rand = { options->seed }, .options = options };
 	err = load_loop_init(&load->loop);
 	if (!err)
-		err = options->naive ? load_naive_init(load)
-				     : load_callers_init(load);
+		err = init_clients(load);
 	if (err)
 		return err;
 	load->started = load_now();
@@ -259,12 +298,9 @@
 					    (double)LOAD_SECOND);
 	load->ends = load->drops_until +
 		     (medlar_time_t)(options->duration_s * (double)LOAD_SECOND);
-	medlar_timer_init(&load->arrival, on_arrival, load);
-	medlar_timer_set(&load->loop.client, &load->arrival, load->started);
-	medlar_timer_init(&load->limit, on_limit, load);
-	medlar_timer_set(&load->loop.client, &load->limit,
-			 load->ends + GIVE_UP_DEFAULT + GIVE_UP_MARGIN);
-	load_loop_run(&load->loop);
+	if (options->site)
+		return load_site_run(load);
+	run_requests(load);
 	return MEDLAR_OK;
 }
 
--- /dev/null
+++ b/cli/load_site.c
@@ -0,0 +1,269 @@
+/**
+ * DOC: load for routers, in the forms of the users' platform
+ *
+ * Each caller has one connection and keeps it until the router closes it.
+ * Searches are merged from all shards and orders must not run twice. A caller
+ * never sends a request again, so that what ran twice did so behind the
+ * routers.
+ */
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "cli/load.h"
+#include "cli/load_site.h"
+
+#define REPLY_HEAD_MAX 65536
+#define REPLY_BODY_MAX 65536
+#define DEADLINE_MS_DEFAULT 2000
+/* Time after its deadline that a caller waits for an answer, ms. */
+#define GRACE_MS 500
+#define TICK_MS 1
+/* Ids of a run: those of other seeds differ. */
+#define IDS_A_SEED ((uint64_t)100000000)
+
+typedef struct caller {
+	load_request_t request;
+	site_load_t *site;
+	h1_client_t client;
+	bool open;
+	medlar_timer_t limit;
+	medlar_buf_t head;
+} caller_t;
+
+struct site_load {
+	load_t *load;
+	loop_t loop;
+	medlar_client_t client;
+	struct sockaddr_in *entries;
+	caller_t *callers;
+	caller_t **idle;
+	size_t idle_len;
+	size_t turn;
+	double planned;
+	medlar_timer_t tick;
+};
+
+static void end(caller_t *caller, const load_result_t *result)
+{
+	caller->site->idle[caller->site->idle_len++] = caller;
+	medlar_timer_clear(&caller->site->client, &caller->limit);
+	load_request_count(&caller->request, result);
+	caller->site->load->pending--;
+}
+
+static void on_done(h1_client_t *client, h1_end_t how, void *data)
+{
+	caller_t *caller = data;
+	load_result_t result = { .outcome = LOAD_NO_ANSWER };
+
+	if (how == H1_END_REPLY)
+		load_site_check(&caller->request, &client->parser.message,
+				&result);
+	end(caller, &result);
+}
+
+static void on_ready(h1_client_t *client, void *data)
+{
+	caller_t *caller = data;
+
+	h1_client_send(client, medlar_buf_str(&caller->head),
+		       medlar_buf_str(&caller->request.body), false);
+}
+
+static void on_lost(h1_client_t *client, void *data)
+{
+	(void)client;
+	(void)data;
+}
+
+static const h1_client_events_t events = {
+	.ready = on_ready,
+	.done = on_done,
+	.lost = on_lost,
+};
+
+static void on_limit(medlar_client_t *client, medlar_timer_t *timer,
+		     medlar_time_t now, void *data)
+{
+	caller_t *caller = data;
+	const load_result_t result = { .outcome = LOAD_NO_ANSWER };
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	h1_client_finish(&caller->client);
+	caller->open = false;
+	end(caller, &result);
+}
+
+static void reopen(caller_t *caller)
+{
+	const h1_limits_t limits = { REPLY_HEAD_MAX, REPLY_BODY_MAX };
+	site_load_t *site = caller->site;
+	size_t entry;
+
+	if (caller->open)
+		h1_client_finish(&caller->client);
+	caller->open = true;
+	entry = site->turn++ % site->load->options->entries_len;
+	if (h1_client_open(&caller->client, &site->loop, &site->entries[entry],
+			   limits, &events, caller))
+		on_done(&caller->client, H1_END_NOT_SENT, caller);
+}
+
+static unsigned deadline_ms(const load_t *load)
+{
+	return load->options->deadline_ms ? load->options->deadline_ms
+					  : DEADLINE_MS_DEFAULT;
+}
+
+static void write_request(caller_t *caller)
+{
+	load_request_t *request = &caller->request;
+	load_t *load = request->load;
+	bool order = request->kind == LOAD_WRITE;
+
+	(void)snprintf(request->key, sizeof(request->key), "%" PRIu64,
+		       load->options->seed * IDS_A_SEED + ++load->sequence);
+	medlar_buf_reset(&request->body);
+	if (order)
+		medlar_buf_printf(&request->body, "body %s", request->key);
+	medlar_buf_reset(&caller->head);
+	medlar_buf_printf(&caller->head,
+			  "%s HTTP/1.1\r\nHost: site.example\r\n"
+			  "X-Request-Id: %s\r\nX-Deadline-Ms: %u\r\n",
+			  order ? "POST /order/x" : "GET /search/x",
+			  request->key, deadline_ms(load));
+	if (order)
+		medlar_buf_printf(&caller->head, "Content-Length: %zu\r\n",
+				  request->body.len);
+	medlar_buf_add(&caller->head, MEDLAR_STR("\r\n"));
+}
+
+static void begin(caller_t *caller, medlar_time_t planned)
+{
+	site_load_t *site = caller->site;
+	load_t *load = site->load;
+
+	caller->request.kind = load_draw_kind(load);
+	caller->request.planned = planned;
+	caller->request.counted = planned >= load->drops_until;
+	load->pending++;
+	write_request(caller);
+	(void)medlar_timer_set(&site->client, &caller->limit,
+			       site->loop.now + deadline_ms(load) + GRACE_MS);
+	if (caller->open && caller->client.state == H1_IDLE)
+		on_ready(&caller->client, caller);
+	else
+		reopen(caller);
+}
+
+/* Arrivals whose callers are all busy wait; their latency goes on. */
+static void on_tick(medlar_client_t *client, medlar_timer_t *timer,
+		    medlar_time_t now, void *data)
+{
+	site_load_t *site = data;
+	load_t *load = site->load;
+	medlar_time_t clock = load_now();
+
+	while (site->planned < (double)clock &&
+	       site->planned < (double)load->ends && site->idle_len > 0) {
+		begin(site->idle[--site->idle_len],
+		      (medlar_time_t)site->planned);
+		site->planned -= log(1 - medlar_rand_unit(&load->rand)) /
+				 load->options->rate * (double)LOAD_SECOND;
+	}
+	load_progress(load);
+	if (clock >= load->ends && load->pending == 0)
+		loop_stop(&site->loop);
+	else
+		(void)medlar_timer_set(client, timer, now + TICK_MS);
+}
+
+static int read_entry(const char *text, struct sockaddr_in *address)
+{
+	const char *colon = strrchr(text, ':');
+	char host[INET_ADDRSTRLEN];
+
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return MEDLAR_ERR_SYNTAX;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	address->sin_family = AF_INET;
+	address->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	return inet_pton(AF_INET, host, &address->sin_addr) == 1
+		       ? MEDLAR_OK
+		       : MEDLAR_ERR_SYNTAX;
+}
+
+static int init(site_load_t *site, load_t *load)
+{
+	const load_options_t *options = load->options;
+	int error;
+
+	*site = (site_load_t){ .load = load };
+	medlar_client_init(&site->client, MEDLAR_STR("callers"), 0,
+			   options->seed);
+	site->entries = calloc(options->entries_len, sizeof(*site->entries));
+	site->callers = calloc(options->callers, sizeof(*site->callers));
+	site->idle = calloc(options->callers, sizeof(caller_t *));
+	if (!site->entries || !site->callers || !site->idle)
+		return MEDLAR_ERR_NOMEM;
+	error = loop_init(&site->loop, &site->client);
+	for (size_t i = 0; !error && i < options->entries_len; i++)
+		error = read_entry(options->entries[i], &site->entries[i]);
+	for (size_t i = 0; i < options->callers; i++) {
+		caller_t *caller = &site->callers[i];
+
+		site->idle[site->idle_len++] = caller;
+		caller->site = site;
+		caller->request.load = load;
+		medlar_timer_init(&caller->limit, on_limit, caller);
+		medlar_buf_init(&caller->head);
+		medlar_buf_init(&caller->request.body);
+	}
+	return error;
+}
+
+static void finish(site_load_t *site)
+{
+	for (size_t i = 0; site->callers && i < site->load->options->callers;
+	     i++) {
+		if (site->callers[i].open)
+			h1_client_finish(&site->callers[i].client);
+		medlar_buf_finish(&site->callers[i].head);
+		medlar_buf_finish(&site->callers[i].request.body);
+	}
+	loop_finish(&site->loop);
+	medlar_client_finish(&site->client);
+	free(site->callers);
+	free(site->idle);
+	free(site->entries);
+}
+
+/**
+ * load_site_run() - make the load of the options on routers
+ * @load: a run that load_begin() has prepared
+ *
+ * Return: %MEDLAR_OK; %MEDLAR_ERR_SYNTAX for an entry that is no address;
+ * %MEDLAR_ERR_NOMEM or %MEDLAR_ERR_IO.
+ */
+int load_site_run(load_t *load)
+{
+	site_load_t site;
+	int error = init(&site, load);
+
+	if (!error) {
+		site.planned = (double)load->started;
+		medlar_timer_init(&site.tick, on_tick, &site);
+		(void)medlar_timer_set(&site.client, &site.tick, site.loop.now);
+		loop_run(&site.loop);
+	}
+	finish(&site);
+	return error;
+}
--- a/medlard/loop.c
+++ b/medlard/loop.c
@@ -9,7 +9,8 @@
 #include "medlard/clock.h"
 #include "medlard/loop.h"
 
-#define EVENTS_MAX 256
+/* More than are ready at once, so that the length of a turn tells the load. */
+#define EVENTS_MAX 4096
 #define WATCHES_MIN 64
 #define GENERATION_SHIFT 32
 
--- a/router/forward.c
+++ b/router/forward.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "libroute/records.h"
+#include "medlard/clock.h"
 #include "platform/headers.h"
 #include "router/forward.h"
 
@@ -27,13 +28,8 @@
 	medlar_buf_t id;
 } forward_request_t;
 
-/**
- * forward_turn() - free what was finished in this turn of the loop
- * @data: the service; the type fits a loop hook
- */
-void forward_turn(void *data)
+static void free_finished(forward_t *forward)
 {
-	forward_t *forward = data;
 	forward_request_t *request;
 
 	while ((request = TAILQ_FIRST(&forward->finished))) {
@@ -46,6 +42,24 @@
 	}
 }
 
+/* Time since the first event of this turn, ms. */
+static medlar_time_t elapsed(const forward_t *forward)
+{
+	return clock_now() - forward->loop->now;
+}
+
+/**
+ * forward_turn() - end a turn of the loop
+ * @data: the service; the type fits a loop hook
+ */
+void forward_turn(void *data)
+{
+	forward_t *forward = data;
+
+	free_finished(forward);
+	admission_turn(&forward->admission, elapsed(forward));
+}
+
 static bool may_log(forward_t *forward)
 {
 	medlar_time_t now = forward->loop->now;
@@ -274,7 +288,10 @@
 			 MEDLAR_TEXT("why", medlar_str_from(stats_name(stat))),
 			 MEDLAR_NUM("config", forward->routes
 						      ? forward->routes->version
-						      : 0));
+						      : 0),
+			 MEDLAR_NUM("delay_ms",
+				    admission_delay(&forward->admission,
+						    elapsed(forward))));
 	answer_status(conn, status, retry_after);
 }
 
@@ -301,7 +318,6 @@
 {
 	forward_request_t *request = calloc(1, sizeof(*request));
 	medlar_time_t now = forward->loop->now;
-	medlar_time_t wait = head->wait ? head->wait : route->timeout;
 
 	if (!request) {
 		answer_status(conn, 503, RETRY_LATER);
@@ -311,7 +327,7 @@
 	request->forward = forward;
 	request->conn = conn;
 	if (exchange_init(&request->exchange, &forward->setup, forward->routes,
-			  route, wait, now) ||
+			  route, head->wait, now) ||
 	    request->upstream.head.error || request->upstream.body.error) {
 		TAILQ_INSERT_TAIL(&forward->finished, request, link);
 		answer_status(conn, 503, RETRY_LATER);
@@ -357,6 +373,12 @@
 		refuse(forward, conn, 503, RETRY_LATER, STAT_CONVICTED, &head);
 		return;
 	}
+	head.wait = head.wait ? head.wait : route->timeout;
+	if (!admission_allows(&forward->admission, route, elapsed(forward),
+			      head.wait)) {
+		refuse(forward, conn, 503, RETRY_LATER, STAT_OVERLOAD, &head);
+		return;
+	}
 	start(forward, conn, route, &head, fingerprint);
 }
 
@@ -469,6 +491,6 @@
 void forward_finish(forward_t *forward)
 {
 	h1_server_finish(&forward->server);
-	forward_turn(forward);
+	free_finished(forward);
 	routes_release(forward->routes);
 }
--- a/router/forward.h
+++ b/router/forward.h
@@ -6,6 +6,7 @@
 
 #include <sys/queue.h>
 
+#include "libroute/admission.h"
 #include "libroute/exchange.h"
 #include "router/h1_server.h"
 #include "router/peers.h"
@@ -22,6 +23,7 @@
  * @upstream: connections to replicas
  * @peers: told of convicted requests
  * @setup: shared by all exchanges
+ * @admission: how busy this process is
  * @suspects: requests that seem to crash replicas
  * @routes: version in force; NULL before the first one
  * @is_fresh: tells whether @routes is known to be up to date
@@ -38,6 +40,7 @@
 	upstream_t *upstream;
 	peers_t *peers;
 	exchange_setup_t setup;
+	admission_t admission;
 	suspects_t suspects;
 	routes_t *routes;
 	bool (*is_fresh)(void *data);
--- a/router/stats.c
+++ b/router/stats.c
@@ -12,6 +12,7 @@
 	[STAT_NO_ROUTE] = "no_route_total",
 	[STAT_CONVICTED] = "convicted_total",
 	[STAT_NOT_READY] = "not_ready_total",
+	[STAT_OVERLOAD] = "overload_total",
 	[STAT_SENDS] = "upstream_sends_total",
 	[STAT_EXTRA_SENDS] = "upstream_extra_sends_total",
 	[STAT_CONNS_OPENED] = "upstream_connections_opened_total",
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -388,6 +388,23 @@
 	medlar_buf_finish(&body);
 }
 
+/* The orders that replicas ran, in the form that medlarload compares. */
+static void control_executions(const site_t *site, h1_conn_t *conn)
+{
+	medlar_buf_t body;
+
+	medlar_buf_init(&body);
+	medlar_buf_add(&body, MEDLAR_STR("["));
+	for (size_t i = 0; i < site->runs_len; i++)
+		if (strcmp(site->runs[i].replica->service, "ledger") == 0)
+			medlar_buf_printf(&body, "%s{\"key\":\"%s\"}",
+					  body.len > 1 ? "," : "",
+					  site->runs[i].id);
+	medlar_buf_add(&body, MEDLAR_STR("]"));
+	answer(conn, 200, &body);
+	medlar_buf_finish(&body);
+}
+
 static void control_item(site_t *site, h1_conn_t *conn)
 {
 	const medlar_buf_t *body = &conn->parser.message.body;
@@ -415,6 +432,8 @@
 		control_replica(site, conn);
 	} else if (has_path(target, "/control/runs")) {
 		control_runs(site, conn);
+	} else if (has_path(target, "/control/executions")) {
+		control_executions(site, conn);
 	} else if (has_path(target, "/control/item")) {
 		control_item(site, conn);
 	} else if (has_path(target, "/control/store")) {
