Blame a crash on a request though its replica accepted the probe

Cause: e2e_router a-request-that-crashes-replicas-is-refused failed once. Its log: ledger-0 and ledger-1 broke, but only ledger-1 counted as crashed. After a break the router opens a connection to see whether the replica lives; the system accepted it between the end of the replica's connections and that of its port, and an accepted connection cleared the blame. Ruled out: load, the turn's size.

--- a/cli/load_site_check.c
+++ b/cli/load_site_check.c
@@ -9,7 +9,7 @@
 #include "libroute/records.h"
 
 /* The configuration of fake-site: records of a merged answer, least coverage. */
-#define TOP_RECORDS 5
+#define TOP_RECORDS ((size_t)5)
 #define COVERAGE_MIN 0.75
 #define SHARDS_MAX 64
 #define PROOFS_MAX 4096
--- a/libroute/crash.c
+++ b/libroute/crash.c
@@ -38,11 +38,12 @@
 		crash->lost_at = now;
 	crash->fingerprint = fingerprint;
 	crash->broke_at = now;
+	crash->connected_at = 0;
 	return is_recent(crash->lost_at, now, TOGETHER) ? blame(crash) : 0;
 }
 
 /**
- * crash_lost() - an idle connection was ended by the replica
+ * crash_lost() - a connection without a request was ended by the replica
  * @crash: signs of the replica
  * @now: current time
  *
@@ -50,8 +51,11 @@
  */
 uint64_t crash_lost(crash_t *crash, medlar_time_t now)
 {
+	bool together = is_recent(crash->broke_at, now, TOGETHER) ||
+			is_recent(crash->connected_at, now, TOGETHER);
+
 	crash->lost_at = now;
-	return is_recent(crash->broke_at, now, TOGETHER) ? blame(crash) : 0;
+	return together ? blame(crash) : 0;
 }
 
 /**
@@ -63,14 +67,21 @@
  */
 uint64_t crash_refused(crash_t *crash, medlar_time_t now)
 {
+	if (crash->connected_at &&
+	    !is_recent(crash->connected_at, now, TOGETHER))
+		crash->fingerprint = 0;
 	return is_recent(crash->broke_at, now, DOWN) ? blame(crash) : 0;
 }
 
 /**
- * crash_connected() - a new connection was accepted: the replica lives
+ * crash_connected() - a new connection was accepted
  * @crash: signs of the replica
+ * @now: current time
+ *
+ * The replica lives if the connection lasts: the system may have accepted it
+ * just before it closed the port of a process that has ended.
  */
-void crash_connected(crash_t *crash)
+void crash_connected(crash_t *crash, medlar_time_t now)
 {
-	crash->fingerprint = 0;
+	crash->connected_at = now;
 }
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -346,7 +346,7 @@
 	upstream_conn_t *conn = data;
 
 	(void)client;
-	crash_connected(&conn->replica->crash);
+	crash_connected(&conn->replica->crash, conn->upstream->loop->now);
 	medlar_timer_clear(conn->upstream->loop->client, &conn->timer);
 	if (conn->attempt) {
 		transmit(conn);
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -9,7 +9,7 @@
 
 	(void)state;
 	assert_int_equal(crash_broke(&crash, 7, 1000), 0);
-	crash_connected(&crash);
+	crash_connected(&crash, 1001);
 	assert_int_equal(crash_refused(&crash, 1100), 0);
 	assert_int_equal(crash_lost(&crash, 2000), 0);
 }
@@ -36,6 +36,22 @@
 	assert_int_equal(crash_lost(&crash, 1005), 8);
 }
 
+/* Found by e2e_router: the probe came between the last close and the port's. */
+static void
+a_connection_that_a_dying_replica_accepts_clears_nothing(void **state)
+{
+	crash_t crash = { 0 };
+
+	(void)state;
+	assert_int_equal(crash_broke(&crash, 7, 1000), 0);
+	crash_connected(&crash, 1001);
+	assert_int_equal(crash_lost(&crash, 1002), 7);
+	crash = (crash_t){ 0 };
+	assert_int_equal(crash_broke(&crash, 8, 1000), 0);
+	crash_connected(&crash, 1001);
+	assert_int_equal(crash_refused(&crash, 1020), 8);
+}
+
 static void a_long_past_break_is_not_blamed(void **state)
 {
 	crash_t crash = { 0 };
@@ -72,6 +88,8 @@
 		cmocka_unit_test(a_reset_answer_is_no_crash),
 		cmocka_unit_test(a_refused_connection_confirms_a_crash),
 		cmocka_unit_test(connections_that_end_together_confirm_a_crash),
+		cmocka_unit_test(
+			a_connection_that_a_dying_replica_accepts_clears_nothing),
 		cmocka_unit_test(a_long_past_break_is_not_blamed),
 		cmocka_unit_test(three_replicas_convict_and_an_answer_clears),
 	};
