--- a/libroute/admission.c
+++ b/libroute/admission.c
@@ -1,5 +1,5 @@
 /**
- * DOC: admission by the work that waits for this process
+ * DOC: admission by the work that waits, here and at the replicas
  */
 #include "libroute/admission.h"
 
@@ -8,6 +8,8 @@
 /* What each rank of priority takes off that, and what is left at least. */
 #define RANK_PART 0.2
 #define RANK_MIN 0.4
+/* Times the target latency that a request may be expected to take. */
+#define LATE_FACTOR 1.5
 
 /**
  * admission_turn() - note the length of a turn that has ended
@@ -67,3 +69,25 @@
 
 	return (double)admission_delay(admission, elapsed) <= bound;
 }
+
+/**
+ * admission_is_in_time() - tell whether the replicas have room for a request
+ * @exchange: a prepared exchange that has not been started
+ * @now: current time
+ *
+ * Return: false if so many parts are expected late that the answer is.
+ */
+bool admission_is_in_time(const exchange_t *exchange, medlar_time_t now)
+{
+	const route_t *route = exchange->route;
+	double bound = LATE_FACTOR * (double)(exchange->aim - now);
+	size_t needed = route->form == ROUTE_SHARDS
+				? route_coverage_parts(route)
+				: 1;
+	size_t in_time = 0;
+
+	for (size_t i = 0; i < exchange->parts_len; i++)
+		in_time += fleet_expected(exchange->parts[i].service, now) <=
+			   bound;
+	return in_time >= needed;
+}
--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -30,6 +30,8 @@
 #define PAUSE_COST 15.0
 #define FAILURE_COST 300.0
 #define AVOID_COST 10000.0
+/* How much longer requests take at a replica whose slots are all but full. */
+#define BUSY_PART 0.25
 /* A request that takes this much longer than expected has met a pause. */
 #define STALL_FACTOR 2.5
 #define STALL_MIN 8.0
@@ -338,8 +340,8 @@
 	if (now - replica->load_at <= LOAD_FRESH && replica->load > queue)
 		queue = replica->load;
 	if (queue < slots)
-		return 1 + 0.25 * queue / slots;
-	return 1.25 + (double)(queue - slots + 1) / slots;
+		return 1 + BUSY_PART * queue / slots;
+	return 1 + BUSY_PART + (double)(queue - slots + 1) / slots;
 }
 
 static bool is_stall(double took, double expected)
@@ -368,11 +370,18 @@
 	return left ? PAUSE_COST + (double)left : 0;
 }
 
+static double usual_time(const replica_t *replica, medlar_time_t now)
+{
+	double usual = replica->service->estimate;
+
+	return usual + (replica->estimate - usual) * kept_part(replica, now);
+}
+
 static double score(const replica_t *replica, medlar_time_t now)
 {
 	double keep = kept_part(replica, now);
 	double usual = replica->service->estimate;
-	double expected = usual + (replica->estimate - usual) * keep;
+	double expected = usual_time(replica, now);
 	double cost;
 
 	if (now < replica->warm_until)
@@ -400,6 +409,33 @@
 	return false;
 }
 
+/**
+ * fleet_expected() - how long a new request to an overloaded service takes
+ * @service: service
+ * @now: current time
+ *
+ * Return: ms until the replica that is expected to be first has answered;
+ * 0 while a replica has a free slot, or none is known.
+ */
+double fleet_expected(const fleet_service_t *service, medlar_time_t now)
+{
+	const replica_t *replica;
+	double least = 0;
+
+	TAILQ_FOREACH(replica, &service->replicas, link) {
+		double factor = queue_factor(replica, now);
+		double expected = usual_time(replica, now) * factor;
+
+		if (replica->info.draining || now < replica->avoid_until)
+			continue;
+		if (factor < 1 + BUSY_PART)
+			return 0;
+		if (least == 0 || expected < least)
+			least = expected;
+	}
+	return least;
+}
+
 /**
  * fleet_pick() - choose the replica that should answer first
  * @fleet: fleet
--- a/libroute/fleet.h
+++ b/libroute/fleet.h
@@ -191,6 +191,7 @@
 void fleet_lapse(replica_t *replica, medlar_time_t until);
 void fleet_remove(fleet_t *fleet, replica_t *replica);
 void fleet_sweep(fleet_t *fleet, medlar_time_t now);
+double fleet_expected(const fleet_service_t *service, medlar_time_t now);
 replica_t *fleet_pick(fleet_t *fleet, fleet_service_t *service,
 		      replica_t *const *except, size_t except_len,
 		      medlar_time_t now);
--- a/router/forward.c
+++ b/router/forward.c
@@ -313,6 +313,16 @@
 	upstream->to_head = strcmp(message->method, "HEAD") == 0;
 }
 
+/* Ends a request that was prepared and is not started. */
+static void refuse_prepared(forward_request_t *request, stat_t stat,
+			    const call_head_t *head)
+{
+	forward_t *forward = request->forward;
+
+	TAILQ_INSERT_TAIL(&forward->finished, request, link);
+	refuse(forward, request->conn, 503, RETRY_LATER, stat, head);
+}
+
 static void start(forward_t *forward, h1_conn_t *conn, const route_t *route,
 		  const call_head_t *head, uint64_t fingerprint)
 {
@@ -320,7 +330,7 @@
 	medlar_time_t now = forward->loop->now;
 
 	if (!request) {
-		answer_status(conn, 503, RETRY_LATER);
+		refuse(forward, conn, 503, RETRY_LATER, STAT_NO_MEMORY, head);
 		return;
 	}
 	fill_request(request, &conn->parser.message, head);
@@ -329,8 +339,11 @@
 	if (exchange_init(&request->exchange, &forward->setup, forward->routes,
 			  route, head->wait, now) ||
 	    request->upstream.head.error || request->upstream.body.error) {
-		TAILQ_INSERT_TAIL(&forward->finished, request, link);
-		answer_status(conn, 503, RETRY_LATER);
+		refuse_prepared(request, STAT_NO_MEMORY, head);
+		return;
+	}
+	if (!admission_is_in_time(&request->exchange, now)) {
+		refuse_prepared(request, STAT_REPLICAS_BUSY, head);
 		return;
 	}
 	request->exchange.fingerprint = fingerprint;
