--- a/libroute/fleet.c
+++ b/libroute/fleet.c
@@ -30,8 +30,6 @@
 #define PAUSE_COST 15.0
 #define FAILURE_COST 300.0
 #define AVOID_COST 10000.0
-/* How much longer requests take at a replica whose slots are all but full. */
-#define BUSY_PART 0.25
 /* A request that takes this much longer than expected has met a pause. */
 #define STALL_FACTOR 2.5
 #define STALL_MIN 8.0
@@ -340,8 +338,8 @@
 	if (now - replica->load_at <= LOAD_FRESH && replica->load > queue)
 		queue = replica->load;
 	if (queue < slots)
-		return 1 + BUSY_PART * queue / slots;
-	return 1 + BUSY_PART + (double)(queue - slots + 1) / slots;
+		return 1 + 0.25 * queue / slots;
+	return 1.25 + (double)(queue - slots + 1) / slots;
 }
 
 static bool is_stall(double took, double expected)
@@ -409,13 +407,20 @@
 	return false;
 }
 
+/* By its own account: what was sent there may wait for a pause to end. */
+static bool is_full(const replica_t *replica, medlar_time_t now)
+{
+	return now - replica->load_at <= LOAD_FRESH &&
+	       replica->load > replica->info.slots;
+}
+
 /**
  * fleet_expected() - how long a new request to an overloaded service takes
  * @service: service
  * @now: current time
  *
  * Return: ms until the replica that is expected to be first has answered;
- * 0 while a replica has a free slot, or none is known.
+ * 0 unless all say that requests wait there.
  */
 double fleet_expected(const fleet_service_t *service, medlar_time_t now)
 {
@@ -423,12 +428,12 @@
 	double least = 0;
 
 	TAILQ_FOREACH(replica, &service->replicas, link) {
-		double factor = queue_factor(replica, now);
-		double expected = usual_time(replica, now) * factor;
+		double expected = usual_time(replica, now) *
+				  queue_factor(replica, now);
 
 		if (replica->info.draining || now < replica->avoid_until)
 			continue;
-		if (factor < 1 + BUSY_PART)
+		if (!is_full(replica, now))
 			return 0;
 		if (least == 0 || expected < least)
 			least = expected;
