--- a/libroute/admission.c
+++ b/libroute/admission.c
@@ -5,6 +5,8 @@
 
 /* Part of the time of the most urgent request that may go by unread. */
 #define DELAY_PART 0.04
+/* A shorter delay than this refuses nothing, ms. */
+#define DELAY_MIN 8.0
 /* What each rank of priority takes off that, and what is left at least. */
 #define RANK_PART 0.2
 #define RANK_MIN 0.4
@@ -67,6 +69,8 @@
 				     : route->target_latency;
 	double bound = (double)time * DELAY_PART * rank_part(route->priority);
 
+	if (bound < DELAY_MIN)
+		bound = DELAY_MIN;
 	return (double)admission_delay(admission, elapsed) <= bound;
 }
 
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -68,9 +68,20 @@
 	admission_t admission = after(15, 10);
 
 	(void)state;
+	assert_true(admission_allows(&admission, &urgent, 0, 500));
 	assert_false(admission_allows(&admission, &urgent, 0, 100));
 }
 
+/* Found by kv quiet-1: a target of 40 ms and a turn of 2 ms. */
+static void short_targets_are_not_refused_for_short_turns(void **state)
+{
+	const route_t short_target = { .target_latency = 40, .priority = 2 };
+	admission_t admission = after(2, 10);
+
+	(void)state;
+	assert_true(admission_allows(&admission, &short_target, 3, 500));
+}
+
 static void fill(world_t *world, unsigned load)
 {
 	replica_t *replica;
@@ -146,6 +157,7 @@
 		cmocka_unit_test(a_long_turn_refuses_its_own_rest),
 		cmocka_unit_test(the_least_urgent_are_refused_first),
 		cmocka_unit_test(little_time_left_is_refused_first),
+		cmocka_unit_test(short_targets_are_not_refused_for_short_turns),
 		cmocka_unit_test(what_waits_too_long_at_replicas_is_refused),
 		cmocka_unit_test(old_reports_of_load_refuse_nothing),
 		cmocka_unit_test(one_busy_shard_in_ten_refuses_nothing),
