--- a/bench/router.sh
+++ b/bench/router.sh
@@ -106,9 +106,9 @@
 	row router 30-shards-at-2000/s memory MB "$(router_memory)"
 }
 
-# The rate is doubled until less than nine tenths are served in time.
+# The rate is raised until less than nine tenths are served in time.
 router_overload_rows() {
-	router_best=0 rate=$router_rate
+	router_best=0 rate=$router_rate began=$(date +%s)
 	while test "$rate" -lt 5000
 	do
 		router_load best "$rate"
@@ -132,33 +132,50 @@
 		row router "load-x$times" untrue-answers requests \
 			"$(untrue "$work/x$times.ours")" '' 0
 	done
+	loaded=$(($(date +%s) - began))
 	site_stop
 	wait "$router_reader"
-	row router all-loads log-bytes B "$(cat "$site_dir/log-bytes")"
+	row router all-loads log-volume KB/s \
+		"$(calc "$(cat "$site_dir/log-bytes") / $loaded / 1000")" '' 300
 }
 
-# The same load with and without lines, and with a reader that stands still.
+# Runs a part of the load with lines from a level on: LEVEL NAME RATE
+router_slice() {
+	sed "s/\"log_level\": \"[a-z]*\"/\"log_level\": \"$1\"/" \
+		"$site_dir/router-1.json" >"$site_dir/settings.new"
+	mv "$site_dir/settings.new" "$site_dir/router-1.json"
+	kill -HUP "$router_pid"
+	sleep 0.2
+	router_load "$2" "$3"
+}
+
+# The same process under the same load, by turns with lines and without.
 router_log_rows() {
 	full=$(calc "int(0.7 * $router_best)")
-	for level in error info
+	router_begin info router_reads || return
+	whole=$seconds seconds=$((seconds / 3)) quiet=0 loud=0
+	router_slice info log-info "$full"
+	for n in 1 2 3
 	do
-		router_begin "$level" router_reads || return
-		router_load "log-$level" "$full"
-		eval "cpu_$level=\$router_cpu"
-		site_stop
-		wait "$router_reader"
+		router_slice error log-error "$full"
+		quiet=$(calc "$quiet + $router_cpu")
+		router_slice info log-info "$full"
+		loud=$(calc "$loud + $router_cpu")
 	done
-	row router logging share-of-cpu share \
-		"$(calc "$cpu_info / $cpu_error - 1")" '' 0.05
-	row router logging volume KB/s \
-		"$(calc "$(cat "$site_dir/log-bytes") / $seconds / 1000")" '' 300
+	seconds=$whole
+	row router logging share-of-cpu share "$(calc "$loud / $quiet - 1")" \
+		'' 0.05
+	router_load log-read "$full"
+	read_memory=$(router_memory)
+	site_stop
+	wait "$router_reader"
 	router_begin info router_stands || return
-	before_memory=$(router_memory)
 	router_load log-stopped "$full"
 	row router reader-stopped p99 ms \
 		"$(get "$work/log-stopped.ours" p99_ms)" \
-		"$(get "$work/log-info.ours" p99_ms)"
-	row router reader-stopped memory MB "$(router_memory)" "$before_memory"
+		"$(get "$work/log-read.ours" p99_ms)"
+	row router reader-stopped memory MB "$(router_memory)" "$read_memory" \
+		"$(calc "$read_memory + 1")"
 	kill "$router_reader"
 	site_stop
 }
