--- a/cli/ctl_logs.c
+++ b/cli/ctl_logs.c
@@ -176,8 +176,9 @@
 				     "see event=store" },
 		{ "overload_total", "more requests came than this instance's "
 				    "processor serves in time; see delay_ms" },
-		{ "replicas_busy_total", "so much waits at the replicas that "
-					 "the answer would have come too late" },
+		{ "replicas_busy_total",
+		  "so much waits at the replicas that "
+		  "the answer would have come too late" },
 		{ "no_memory_total", "the instance was out of memory" },
 		{ "bad_requests_total", "a header that matters is missing, "
 					"doubled or does not parse" },
--- a/cli/load_site.c
+++ b/cli/load_site.c
@@ -16,6 +16,7 @@
 
 #include "cli/load.h"
 #include "cli/load_site.h"
+#include "platform/headers.h"
 
 #define REPLY_HEAD_MAX 65536
 #define REPLY_BODY_MAX 65536
@@ -135,10 +136,10 @@
 		medlar_buf_printf(&request->body, "body %s", request->key);
 	medlar_buf_reset(&caller->head);
 	medlar_buf_printf(&caller->head,
-			  "%s HTTP/1.1\r\nHost: site.example\r\n"
-			  "X-Request-Id: %s\r\nX-Deadline-Ms: %u\r\n",
-			  order ? "POST /order/x" : "GET /search/x",
-			  request->key, deadline_ms(load));
+			  "%s HTTP/1.1\r\nHost: site.example\r\n",
+			  order ? "POST /order/x" : "GET /search/x");
+	headers_write_call(medlar_str_from(request->key), deadline_ms(load),
+			   &caller->head);
 	if (order)
 		medlar_buf_printf(&caller->head, "Content-Length: %zu\r\n",
 				  request->body.len);
--- a/cli/load_site_check.c
+++ b/cli/load_site_check.c
@@ -7,6 +7,7 @@
 
 #include "cli/load_site.h"
 #include "libroute/records.h"
+#include "platform/headers.h"
 
 /* The configuration of fake-site: records of a merged answer, least coverage. */
 #define TOP_RECORDS ((size_t)5)
@@ -27,12 +28,13 @@
 static void check_order(const load_request_t *request,
 			const h1_message_t *reply, load_result_t *result)
 {
-	medlar_str_t id = h1_message_find(reply, MEDLAR_STR("x-request-id"));
+	answer_head_t head;
 
+	headers_read_answer(reply, &head);
 	result->outcome = LOAD_RAN;
 	if (!medlar_str_equal(medlar_buf_str(&reply->body),
 			      medlar_buf_str(&request->body)) ||
-	    !medlar_str_equal(id, medlar_str_from(request->key)))
+	    !medlar_str_equal(head.request_id, medlar_str_from(request->key)))
 		find(request, result, LOAD_CROSSED,
 		     "an order got another one's answer");
 }
@@ -83,19 +85,15 @@
 			 const h1_message_t *reply, load_result_t *result)
 {
 	size_t shards = request->load->options->shards;
-	medlar_str_t text = h1_message_find(reply,
-					    MEDLAR_STR("x-missing-parts"));
-	size_t missing = 0;
+	answer_head_t head;
 
-	for (size_t i = 0; i < text.len; i++)
-		missing = missing * 10 + (size_t)(text.ptr[i] - '0');
-	result->outcome = missing ? LOAD_PARTIAL : LOAD_COMPLETE;
-	result->parts = check_proofs(
-		request, h1_message_find(reply, MEDLAR_STR("x-part-stamps")),
-		result);
+	headers_read_answer(reply, &head);
+	result->outcome = head.missing ? LOAD_PARTIAL : LOAD_COMPLETE;
+	result->parts = check_proofs(request, head.proofs, result);
 	result->sends = result->parts;
 	result->coverage = (double)result->parts / (double)shards;
-	if (!text.ptr || result->parts + missing != shards ||
+	if (head.missing < 0 ||
+	    result->parts + (size_t)head.missing != shards ||
 	    result->coverage < COVERAGE_MIN)
 		find(request, result, LOAD_COVERAGE, "parts are miscounted");
 	check_records(request, &reply->body, result);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
@@ -224,6 +225,41 @@
 	assert_true(read > 5000);
 }
 
+static void an_answer_says_which_parts_are_missing(void **state)
+{
+	static const struct {
+		const char *header;
+		long missing;
+	} cases[] = {
+		{ "X-Missing-Parts: 12\r\n", 12 },
+		{ "X-Missing-Parts: 0\r\n", 0 },
+		{ "X-Missing-Parts: 1x\r\n", -1 },
+		{ "", -1 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const h1_limits_t limits = { 1024, 1024 };
+		h1_parser_t parser;
+		answer_head_t head;
+		char text[256];
+		size_t used;
+
+		(void)snprintf(text, sizeof(text),
+			       "HTTP/1.1 200 OK\r\nX-Part-Stamps: a, b\r\n"
+			       "%sContent-Length: 0\r\n\r\n",
+			       cases[i].header);
+		h1_parser_init(&parser, HTTP_RESPONSE, limits);
+		assert_int_equal(
+			h1_parser_feed(&parser, medlar_str_from(text), &used),
+			H1_COMPLETE);
+		headers_read_answer(&parser.message, &head);
+		assert_int_equal(head.missing, cases[i].missing);
+		assert_true(medlar_str_equal(head.proofs, MEDLAR_STR("a, b")));
+		h1_parser_finish(&parser);
+	}
+}
+
 static void keys_tell_what_they_hold(void **state)
 {
 	medlar_str_t name;
@@ -453,6 +489,7 @@
 		cmocka_unit_test(an_entry_of_another_writer_names_no_replica),
 		cmocka_unit_test(mutated_entries_do_not_crash),
 		cmocka_unit_test(mutated_replies_do_not_crash),
+		cmocka_unit_test(an_answer_says_which_parts_are_missing),
 		cmocka_unit_test(keys_tell_what_they_hold),
 		cmocka_unit_test(a_request_is_forwarded_byte_for_byte),
 		cmocka_unit_test(the_head_of_a_call_is_read),
