--- a/Makefile
+++ b/Makefile
@@ -157,11 +157,12 @@
 capacity: $(BUILD)/bench/capacity
 	scripts/capacity $(BUILD) build/bench.json docs/CAPACITY.md
 
-# usage: make soak [SEED=number] [MINUTES=number]
+# usage: make soak [SEED=number] [MINUTES=number] [ROUTERS=number]
 SEED ?= 1
 MINUTES ?= 1
+ROUTERS ?= 3
 soak: build-tests
-	tests/soak_router $(BUILD) $$(($(MINUTES) * 60)) $(SEED)
+	tests/soak_router $(BUILD) $$(($(MINUTES) * 60)) $(SEED) 24000 $(ROUTERS)
 	tests/soak $(BUILD) $$(($(MINUTES) * 60)) $(SEED)
 
 plots:
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -23,6 +23,8 @@
 #define ITEMS_MAX 1024
 #define WATCHERS_MAX 64
 #define RUNS_MAX 65536
+/* Connections of all routers to the store, and to each replica. */
+#define CONNECTIONS_MAX 1024
 #define TEXT_MAX 128
 #define VALUE_MAX 65536
 #define DOWN_MS 1500
@@ -637,8 +639,8 @@
 static int listen_replica(replica_stub_t *replica)
 {
 	return h1_server_init(&replica->server, &replica->site->loop,
-			      &replica->address, &limits, 100, &replica_handler,
-			      replica);
+			      &replica->address, &limits, CONNECTIONS_MAX,
+			      &replica_handler, replica);
 }
 
 static int add_replica(site_t *site, const char *service, unsigned number)
@@ -748,8 +750,8 @@
 	};
 
 	if (loop_init(&site->loop, &site->client) || fill(site) ||
-	    h1_server_init(&site->store, &site->loop, &address, &limits, 256,
-			   &store_handler, site))
+	    h1_server_init(&site->store, &site->loop, &address, &limits,
+			   CONNECTIONS_MAX, &store_handler, site))
 		return MEDLAR_ERR_IO;
 	return loop_hook(&site->loop, on_turn, site);
 }
--- a/tests/soak_proxy.c
+++ b/tests/soak_proxy.c
@@ -3,7 +3,8 @@
  *
  * usage: soak_proxy CONTROL-PORT LISTEN:TARGET...
  *
- * GET /set?LINK=MODE on the control port changes a link: pass, reset (its
+ * GET /set?LINK=MODE on the control port changes a link, counted from 0, or all
+ * of them with LINK "all": pass, reset (its
  * connections end at once, and so do new ones), silent (open connections carry
  * nothing any more, new ones work), oneway (nothing comes back), slow (bytes
  * are held for a while).
@@ -19,7 +20,7 @@
 
 #include "router/h1_server.h"
 
-#define LINKS_MAX 16
+#define LINKS_MAX 512
 #define READ_SIZE 16384
 #define SLOW_MS 60
 
@@ -218,20 +219,32 @@
 	}
 }
 
+static bool read_mode(const char *text, harm_t *harm)
+{
+	for (size_t i = 0; i <= HARM_SLOW; i++)
+		if (strcmp(text, harm_names[i]) == 0) {
+			*harm = (harm_t)i;
+			return true;
+		}
+	return false;
+}
+
 static void on_control(h1_conn_t *conn, void *data)
 {
 	medlar_str_t target = h1_message_target(&conn->parser.message);
 	char text[64];
-	unsigned number;
+	char which[8];
 	char mode[32];
+	harm_t harm;
 
 	(void)data;
 	(void)snprintf(text, sizeof(text), "%.*s", (int)target.len, target.ptr);
-	if (sscanf(text, "/set?%2u=%31s", &number, mode) == 2 &&
-	    number < links_len)
-		for (size_t i = 0; i <= HARM_SLOW; i++)
-			if (strcmp(mode, harm_names[i]) == 0)
-				set_harm(&links[number], (harm_t)i);
+	if (sscanf(text, "/set?%7[a-z0-9]=%31s", which, mode) == 2 &&
+	    read_mode(mode, &harm))
+		for (size_t i = 0; i < links_len; i++)
+			if (strcmp(which, "all") == 0 ||
+			    strtoul(which, NULL, 10) == i)
+				set_harm(&links[i], harm);
 	h1_conn_answer(conn, 200, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
 }
 
