--- a/cli/load_site.c
+++ b/cli/load_site.c
@@ -249,7 +249,7 @@
 
 /**
  * load_site_run() - make the load of the options on routers
- * @load: a run that load_begin() has prepared
+ * @load: run that load_run() has prepared
  *
  * Return: %MEDLAR_OK; %MEDLAR_ERR_SYNTAX for an entry that is no address;
  * %MEDLAR_ERR_NOMEM or %MEDLAR_ERR_IO.
