Call one piece of code where the change had written it again

- What an outcome tells of a replica, and its name, stand in libroute/outcome; the test world calls it instead of repeating the table.
- Callbacks that did nothing are left out: lost and gone may be NULL.
An answer that is a status only has a function of its own.
- Headers of medlard's callers are looked at once instead of twice.
- A request that is refused for busy replicas is no longer copied first.

--- a/cli/load.h
+++ b/cli/load.h
@@ -238,6 +238,7 @@
 int load_run(load_t *load, const load_options_t *options);
 void load_finish(load_t *load);
 load_kind_t load_draw_kind(load_t *load);
+double load_draw_gap(load_t *load);
 void load_request_count(const load_request_t *request,
 			const load_result_t *result);
 void load_request_end(load_request_t *request, const load_result_t *result);
--- a/cli/load_run.c
+++ b/cli/load_run.c
@@ -48,6 +48,18 @@
 	return (load_kind_t)kind;
 }
 
+/**
+ * load_draw_gap() - the time between two arrivals of a Poisson process
+ * @load: run
+ *
+ * Return: microseconds.
+ */
+double load_draw_gap(load_t *load)
+{
+	return -log(1 - medlar_rand_unit(&load->rand)) / load->options->rate *
+	       (double)LOAD_SECOND;
+}
+
 /* Makes a UUID of version 7. */
 static void make_key(load_t *load, char *out, size_t size)
 {
@@ -224,7 +236,6 @@
 {
 	load_t *load = data;
 	medlar_time_t planned = timer->due;
-	double gap;
 
 	while (planned <= now && planned < load->ends) {
 		load_request_t *request = request_new(load, planned);
@@ -233,9 +244,7 @@
 			load_naive_start(request);
 		else
 			load_caller_start(request);
-		gap = -log(1 - medlar_rand_unit(&load->rand)) /
-		      load->options->rate;
-		planned += (medlar_time_t)(gap * (double)LOAD_SECOND);
+		planned += (medlar_time_t)load_draw_gap(load);
 	}
 	load_progress(load);
 	if (planned < load->ends)
--- a/cli/load_site.c
+++ b/cli/load_site.c
@@ -6,17 +6,15 @@
  * never sends a request again, so that what ran twice did so behind the
  * routers.
  */
-#include <arpa/inet.h>
 #include <inttypes.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "cli/load.h"
 #include "cli/load_site.h"
 #include "platform/headers.h"
+#include "router/settings.h"
 
 #define REPLY_HEAD_MAX 65536
 #define REPLY_BODY_MAX 65536
@@ -76,16 +74,9 @@
 		       medlar_buf_str(&caller->request.body), false);
 }
 
-static void on_lost(h1_client_t *client, void *data)
-{
-	(void)client;
-	(void)data;
-}
-
 static const h1_client_events_t events = {
 	.ready = on_ready,
 	.done = on_done,
-	.lost = on_lost,
 };
 
 static void on_limit(medlar_client_t *client, medlar_timer_t *timer,
@@ -176,8 +167,7 @@
 	       site->planned < (double)load->ends && site->idle_len > 0) {
 		begin(site->idle[--site->idle_len],
 		      (medlar_time_t)site->planned);
-		site->planned -= log(1 - medlar_rand_unit(&load->rand)) /
-				 load->options->rate * (double)LOAD_SECOND;
+		site->planned += load_draw_gap(load);
 	}
 	load_progress(load);
 	if (clock >= load->ends && load->pending == 0)
@@ -186,22 +176,6 @@
 		(void)medlar_timer_set(client, timer, now + TICK_MS);
 }
 
-static int read_entry(const char *text, struct sockaddr_in *address)
-{
-	const char *colon = strrchr(text, ':');
-	char host[INET_ADDRSTRLEN];
-
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		return MEDLAR_ERR_SYNTAX;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	address->sin_family = AF_INET;
-	address->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	return inet_pton(AF_INET, host, &address->sin_addr) == 1
-		       ? MEDLAR_OK
-		       : MEDLAR_ERR_SYNTAX;
-}
-
 static int init(site_load_t *site, load_t *load)
 {
 	const load_options_t *options = load->options;
@@ -217,7 +191,9 @@
 		return MEDLAR_ERR_NOMEM;
 	error = loop_init(&site->loop, &site->client);
 	for (size_t i = 0; !error && i < options->entries_len; i++)
-		error = read_entry(options->entries[i], &site->entries[i]);
+		error = router_address_parse(
+			medlar_str_from(options->entries[i]),
+			&site->entries[i]);
 	for (size_t i = 0; i < options->callers; i++) {
 		caller_t *caller = &site->callers[i];
 
--- a/libroute/exchange.h
+++ b/libroute/exchange.h
@@ -8,7 +8,7 @@
 #ifndef LIBROUTE_EXCHANGE_H
 #define LIBROUTE_EXCHANGE_H
 
-#include "libroute/fleet.h"
+#include "libroute/outcome.h"
 #include "libroute/routes.h"
 #include "libroute/suspects.h"
 
@@ -19,26 +19,6 @@
 typedef struct exchange_part exchange_part_t;
 typedef struct attempt attempt_t;
 
-/**
- * enum outcome - how an attempt has ended
- * @OUTCOME_OK: a success of the replica asked
- * @OUTCOME_FAILED: the replica ran it and answered with a failure
- * @OUTCOME_REFUSED: the replica states that it did not run it
- * @OUTCOME_ELSEWHERE: another replica has the address; it was not run
- * @OUTCOME_NOT_SENT: no byte was sent
- * @OUTCOME_LOST: no answer that can be used; it may have run
- * @OUTCOME_COUNT: number of outcomes
- */
-typedef enum outcome {
-	OUTCOME_OK,
-	OUTCOME_FAILED,
-	OUTCOME_REFUSED,
-	OUTCOME_ELSEWHERE,
-	OUTCOME_NOT_SENT,
-	OUTCOME_LOST,
-	OUTCOME_COUNT
-} outcome_t;
-
 /**
  * struct attempt - one send of a part
  * @exchange: exchange
--- a/medlard/caller.c
+++ b/medlard/caller.c
@@ -151,16 +151,6 @@
 	free(request);
 }
 
-static enum MHD_Result add_length(void *data, enum MHD_ValueKind kind,
-				  const char *name, const char *value)
-{
-	size_t *len = data;
-
-	(void)kind;
-	*len += strlen(name) + (value ? strlen(value) : 0);
-	return MHD_YES;
-}
-
 static uint64_t hash_address(const struct sockaddr *address)
 {
 	const struct sockaddr_in *v4 = (const struct sockaddr_in *)address;
@@ -201,16 +191,18 @@
 }
 
 /**
- * struct framing - the headers that tell where a request ends
+ * struct header_facts - what the headers of a request say together
+ * @bytes: length of all names and values
  * @lengths: headers "Content-Length"
  * @codings: headers "Transfer-Encoding"
  * @strange: a header that two readers could take for different ones
  */
-typedef struct framing {
+typedef struct header_facts {
+	size_t bytes;
 	unsigned lengths;
 	unsigned codings;
 	bool strange;
-} framing_t;
+} header_facts_t;
 
 static bool is_token(const char *name)
 {
@@ -220,29 +212,26 @@
 static enum MHD_Result look_at_header(void *data, enum MHD_ValueKind kind,
 				      const char *name, const char *value)
 {
-	framing_t *framing = data;
+	header_facts_t *facts = data;
 
 	(void)kind;
+	facts->bytes += strlen(name) + (value ? strlen(value) : 0);
 	if (strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
-		framing->lengths++;
+		facts->lengths++;
 	if (strcasecmp(name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0) {
-		framing->codings++;
+		facts->codings++;
 		if (!value || strcasecmp(value, "chunked") != 0)
-			framing->strange = true;
+			facts->strange = true;
 	}
 	if (!is_token(name))
-		framing->strange = true;
+		facts->strange = true;
 	return MHD_YES;
 }
 
 /* See RFC 9112, section 6.3: the end of the request must be beyond doubt. */
-static bool end_is_in_doubt(const request_t *request)
+static bool end_is_in_doubt(const header_facts_t *facts)
 {
-	framing_t framing = { 0 };
-
-	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
-				  look_at_header, &framing);
-	return framing.strange || framing.lengths + framing.codings > 1;
+	return facts->strange || facts->lengths + facts->codings > 1;
 }
 
 static bool announces_too_much(const request_t *request)
@@ -255,12 +244,6 @@
 			       (uint64_t)request->home->settings->body_max;
 }
 
-/* After a refusal of a request whose end is in doubt no other is read. */
-static bool ends_connection(unsigned status)
-{
-	return status == MHD_HTTP_BAD_REQUEST;
-}
-
 static enum MHD_Result refuse_now(request_t *request, unsigned status,
 				  int error, const char *field)
 {
@@ -277,7 +260,8 @@
 		return MHD_NO;
 	(void)MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				      request->type);
-	if (ends_connection(status))
+	/* What comes after a malformed request cannot be told from it. */
+	if (status == MHD_HTTP_BAD_REQUEST)
 		(void)MHD_add_response_header(
 			response, MHD_HTTP_HEADER_CONNECTION, "close");
 	result = MHD_queue_response(request->connection, status, response);
@@ -289,16 +273,16 @@
 static enum MHD_Result on_headers(request_t *request, const char *method,
 				  const char *path)
 {
-	size_t headers = strlen(path);
+	header_facts_t facts = { .bytes = strlen(path) };
 	bool known;
 
 	metrics_add(&request->home->metrics, METRIC_REQUESTS, 1);
 	MHD_get_connection_values(request->connection, MHD_HEADER_KIND,
-				  add_length, &headers);
-	if (end_is_in_doubt(request))
+				  look_at_header, &facts);
+	if (end_is_in_doubt(&facts))
 		return refuse_now(request, MHD_HTTP_BAD_REQUEST,
 				  MEDLAR_ERR_SYNTAX, "framing");
-	if (headers > HEADERS_MAX)
+	if (facts.bytes > HEADERS_MAX)
 		return refuse_now(request,
 				  MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
 				  MEDLAR_ERR_TOO_LARGE, "headers");
--- a/medlard/settings.c
+++ b/medlard/settings.c
@@ -204,15 +204,7 @@
 	return MEDLAR_OK;
 }
 
-/**
- * settings_read_file() - read a whole file of settings
- * @path: name of the file
- * @out: appended to
- *
- * Return: %MEDLAR_OK, %MEDLAR_ERR_IO, %MEDLAR_ERR_TOO_LARGE or
- * %MEDLAR_ERR_NOMEM.
- */
-int settings_read_file(const char *path, medlar_buf_t *out)
+static int read_file(const char *path, medlar_buf_t *out)
 {
 	char chunk[4096];
 	ssize_t got = 0;
@@ -230,6 +222,29 @@
 	return out->len > FILE_MAX ? MEDLAR_ERR_TOO_LARGE : out->error;
 }
 
+/**
+ * settings_read_text() - read the text of a settings file
+ * @client: its error handler is told why it cannot be read
+ * @path: name of the file
+ * @out: appended to
+ *
+ * Return: %MEDLAR_OK, %MEDLAR_ERR_IO, %MEDLAR_ERR_TOO_LARGE or
+ * %MEDLAR_ERR_NOMEM.
+ */
+int settings_read_text(medlar_client_t *client, const char *path,
+		       medlar_buf_t *out)
+{
+	const medlar_fault_report_t report = {
+		.error = read_file(path, out),
+		.file = medlar_str_from(path),
+		.advice = MEDLAR_STR("check the file's name and permissions"),
+	};
+
+	if (report.error)
+		medlar_client_report(client, &report);
+	return report.error;
+}
+
 /**
  * settings_read() - read settings from a file
  * @settings: memory of the caller; needs settings_finish() only on success
@@ -241,22 +256,16 @@
 int settings_read(settings_t *settings, medlar_client_t *client,
 		  const char *path)
 {
-	medlar_str_t file = medlar_str_from(path);
-	medlar_fault_report_t report = { .file = file,
-					 .advice = MEDLAR_STR(
-						 "check the file's name and "
-						 "permissions") };
 	medlar_buf_t text;
+	int error;
 
 	medlar_buf_init(&text);
-	report.error = settings_read_file(path, &text);
-	if (report.error)
-		medlar_client_report(client, &report);
-	else
-		report.error = settings_parse(settings, client, file,
-					      medlar_buf_str(&text));
+	error = settings_read_text(client, path, &text);
+	if (!error)
+		error = settings_parse(settings, client, medlar_str_from(path),
+				       medlar_buf_str(&text));
 	medlar_buf_finish(&text);
-	return report.error;
+	return error;
 }
 
 /**
--- a/medlard/settings.h
+++ b/medlard/settings.h
@@ -101,7 +101,8 @@
 	int64_t stop_ms;
 } settings_t;
 
-int settings_read_file(const char *path, medlar_buf_t *out);
+int settings_read_text(medlar_client_t *client, const char *path,
+		       medlar_buf_t *out);
 int settings_read(settings_t *settings, medlar_client_t *client,
 		  const char *path);
 int settings_parse(settings_t *settings, medlar_client_t *client,
--- a/router/changes.c
+++ b/router/changes.c
@@ -58,8 +58,7 @@
 	changes.entries.entries_val = calloc(mirror->len + MIRROR_TOMBSTONES,
 					     sizeof(gossip_entry));
 	if (!changes.entries.entries_val) {
-		h1_conn_answer(conn, 503, (medlar_str_t){ 0 },
-			       (medlar_str_t){ 0 });
+		h1_conn_answer_status(conn, 503);
 		return;
 	}
 	(void)mirror_changes(mirror, changes.after, add_change, &changes);
@@ -78,17 +77,10 @@
 		give_changes(conn, peers->mirror,
 			     strtoull(target.ptr + path_len, NULL, 10));
 	else
-		h1_conn_answer(conn, 404, (medlar_str_t){ 0 },
-			       (medlar_str_t){ 0 });
+		h1_conn_answer_status(conn, 404);
 }
 
-static void on_gone(h1_conn_t *conn, void *data)
-{
-	(void)conn;
-	(void)data;
-}
-
-static const h1_handler_t handler = { .request = on_request, .gone = on_gone };
+static const h1_handler_t handler = { .request = on_request };
 
 /* Ends the call that takes changes, if one is under way. */
 static void end_fetch(peers_t *peers)
@@ -171,16 +163,9 @@
 			       peers->loop->now);
 }
 
-static void fetch_lost(h1_client_t *client, void *data)
-{
-	(void)client;
-	(void)data;
-}
-
 static const h1_client_events_t fetch_events = {
 	.ready = fetch_ready,
 	.done = fetch_done,
-	.lost = fetch_lost,
 };
 
 static void on_fetch_timer(medlar_client_t *client, medlar_timer_t *timer,
--- a/router/forward.c
+++ b/router/forward.c
@@ -253,8 +253,7 @@
 		 MEDLAR_TEXT("service",
 			     medlar_str_from(attempt->part->service->name)),
 		 MEDLAR_TEXT("replica", medlar_str_from(attempt->replica->id)),
-		 MEDLAR_TEXT("outcome",
-			     medlar_str_from(stats_outcome_name(outcome))),
+		 MEDLAR_TEXT("outcome", medlar_str_from(outcome_name(outcome))),
 		 MEDLAR_NUM("after_ms", forward->loop->now - exchange->began),
 		 MEDLAR_NUM("send", attempt->part->attempts_len),
 		 MEDLAR_NUM("breaks", exchange->breaks));
@@ -333,12 +332,10 @@
 		refuse(forward, conn, 503, RETRY_LATER, STAT_NO_MEMORY, head);
 		return;
 	}
-	fill_request(request, &conn->parser.message, head);
 	request->forward = forward;
 	request->conn = conn;
 	if (exchange_init(&request->exchange, &forward->setup, forward->routes,
-			  route, head->wait, now) ||
-	    request->upstream.head.error || request->upstream.body.error) {
+			  route, head->wait, now)) {
 		refuse_prepared(request, STAT_NO_MEMORY, head);
 		return;
 	}
@@ -346,6 +343,11 @@
 		refuse_prepared(request, STAT_REPLICAS_BUSY, head);
 		return;
 	}
+	fill_request(request, &conn->parser.message, head);
+	if (request->upstream.head.error || request->upstream.body.error) {
+		refuse_prepared(request, STAT_NO_MEMORY, head);
+		return;
+	}
 	request->exchange.fingerprint = fingerprint;
 	request->exchange.owner = request;
 	conn->job = request;
--- a/router/h1_client.c
+++ b/router/h1_client.c
@@ -46,7 +46,7 @@
 	h1_client_close(client);
 	if (busy)
 		client->events->done(client, how, client->data);
-	else
+	else if (client->events->lost)
 		client->events->lost(client, client->data);
 }
 
--- a/router/h1_client.h
+++ b/router/h1_client.h
@@ -40,7 +40,7 @@
  * @ready: connected and without a request; may send or close
  * @done: the request has ended; the connection is %H1_IDLE if it can be used
  *	again, else %H1_CLOSED
- * @lost: the connection has ended while it carried no request
+ * @lost: the connection has ended while it carried no request. May be NULL.
  * @wanted: tells whether a whole reply answers the request; one that does not
  *	is skipped, and the connection is closed after the next one. May be
  *	NULL.
--- a/router/h1_server.c
+++ b/router/h1_server.c
@@ -48,7 +48,7 @@
 {
 	h1_server_t *server = conn->server;
 
-	if (conn->busy)
+	if (conn->busy && server->handler->gone)
 		server->handler->gone(conn, server->data);
 	medlar_timer_clear(server->loop->client, &conn->timer);
 	loop_unwatch(server->loop, conn->fd);
@@ -168,6 +168,16 @@
 		resume(conn);
 }
 
+/**
+ * h1_conn_answer_status() - answer with a status only
+ * @conn: a connection with a request; may be invalid afterwards
+ * @status: status
+ */
+void h1_conn_answer_status(h1_conn_t *conn, unsigned status)
+{
+	h1_conn_answer(conn, status, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
+}
+
 static void refuse(h1_conn_t *conn, h1_progress_t why)
 {
 	unsigned status = 400;
@@ -179,7 +189,7 @@
 	conn->server->bad++;
 	conn->closing = true;
 	conn->parser.message.method = NULL;
-	h1_conn_answer(conn, status, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
+	h1_conn_answer_status(conn, status);
 }
 
 static void begin(h1_conn_t *conn)
@@ -266,7 +276,7 @@
 	}
 	conn->closing = true;
 	conn->parser.message.method = NULL;
-	h1_conn_answer(conn, 408, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
+	h1_conn_answer_status(conn, 408);
 }
 
 static void add_conn(h1_server_t *server, int fd)
--- a/router/h1_server.h
+++ b/router/h1_server.h
@@ -21,7 +21,8 @@
  * struct h1_handler - who answers requests
  * @request: a whole request is in the connection's parser; answer it now or
  *	later with h1_conn_answer()
- * @gone: the client of an unanswered request has left; forget the connection
+ * @gone: the client of an unanswered request has left; forget the connection.
+ *	May be NULL if all requests are answered at once.
  */
 typedef struct h1_handler {
 	void (*request)(h1_conn_t *conn, void *data);
@@ -105,6 +106,7 @@
 size_t h1_server_busy(const h1_server_t *server);
 void h1_conn_answer(h1_conn_t *conn, unsigned status, medlar_str_t headers,
 		    medlar_str_t body);
+void h1_conn_answer_status(h1_conn_t *conn, unsigned status);
 void h1_conn_close(h1_conn_t *conn);
 
 #endif /* ROUTER_H1_SERVER_H */
--- a/router/listeners.c
+++ b/router/listeners.c
@@ -8,11 +8,6 @@
 /* Instances among which addresses for callers are chosen. */
 #define ENTRY_POINTS_MAX 512
 
-static void answer_plain(h1_conn_t *conn, unsigned status)
-{
-	h1_conn_answer(conn, status, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
-}
-
 static size_t list_points(daemon_state_t *state, entry_point_t *points,
 			  size_t max)
 {
@@ -46,7 +41,7 @@
 
 	len = entry_points_choose(points, len, zone);
 	if (len == 0) {
-		answer_plain(conn, 503);
+		h1_conn_answer_status(conn, 503);
 		return;
 	}
 	if (len > ENTRY_ADDRESSES_MAX)
@@ -72,10 +67,10 @@
 		answer_addresses(state, conn, zone);
 		break;
 	case ENTRY_READY:
-		answer_plain(conn, daemon_is_ready(state) ? 200 : 503);
+		h1_conn_answer_status(conn, daemon_is_ready(state) ? 200 : 503);
 		break;
 	default:
-		answer_plain(conn, 404);
+		h1_conn_answer_status(conn, 404);
 	}
 }
 
@@ -109,14 +104,8 @@
 	medlar_buf_finish(&body);
 }
 
-static void on_entry_gone(h1_conn_t *conn, void *data)
-{
-	(void)conn;
-	(void)data;
-}
-
-static const h1_handler_t entry_handler = { on_entry, on_entry_gone };
-static const h1_handler_t metrics_handler = { on_metrics, on_entry_gone };
+static const h1_handler_t entry_handler = { .request = on_entry };
+static const h1_handler_t metrics_handler = { .request = on_metrics };
 
 static int listen_at(daemon_state_t *state, h1_server_t *server,
 		     const char *text, const h1_handler_t *handler)
--- a/router/settings.c
+++ b/router/settings.c
@@ -177,19 +177,15 @@
 int router_settings_read(router_settings_t *settings, medlar_client_t *client,
 			 const char *path)
 {
-	medlar_fault_report_t report = { .file = medlar_str_from(path),
-					 .advice = MEDLAR_STR(
-						 "check the file's name and "
-						 "permissions") };
 	medlar_buf_t text;
+	int error;
 
 	medlar_buf_init(&text);
-	report.error = settings_read_file(path, &text);
-	if (report.error)
-		medlar_client_report(client, &report);
-	else
-		report.error = router_settings_parse(
-			settings, client, report.file, medlar_buf_str(&text));
+	error = settings_read_text(client, path, &text);
+	if (!error)
+		error = router_settings_parse(settings, client,
+					      medlar_str_from(path),
+					      medlar_buf_str(&text));
 	medlar_buf_finish(&text);
-	return report.error;
+	return error;
 }
--- a/router/stats.c
+++ b/router/stats.c
@@ -44,15 +44,6 @@
 	[ANSWER_TIMEOUT] = "timeout",
 };
 
-static const char *const outcome_names[OUTCOME_COUNT] = {
-	[OUTCOME_OK] = "ok",
-	[OUTCOME_FAILED] = "failed",
-	[OUTCOME_REFUSED] = "refused",
-	[OUTCOME_ELSEWHERE] = "other_replica",
-	[OUTCOME_NOT_SENT] = "not_sent",
-	[OUTCOME_LOST] = "lost",
-};
-
 /* Upper bounds of the latency buckets in milliseconds. */
 static const unsigned bounds[STATS_BUCKETS] = { 2,   5,	  10,	15,  20,  30,
 						40,  60,  80,	120, 180, 250,
@@ -80,17 +71,6 @@
 	return answer_names[how];
 }
 
-/**
- * stats_outcome_name() - name of an outcome in logs and metrics
- * @outcome: outcome of an attempt
- *
- * Return: a static string.
- */
-const char *stats_outcome_name(outcome_t outcome)
-{
-	return outcome < OUTCOME_COUNT ? outcome_names[outcome] : "none";
-}
-
 /**
  * stats_took() - count an answer by its latency
  * @stats: counters
@@ -155,7 +135,8 @@
 		medlar_buf_printf(out,
 				  "medlarrouter_attempts_total{outcome=\"%s\"} "
 				  "%" PRIu64 "\n",
-				  outcome_names[i], stats->outcomes[i]);
+				  outcome_name((outcome_t)i),
+				  stats->outcomes[i]);
 	medlar_buf_printf(out,
 			  "medlarrouter_answers_partial_total %" PRIu64
 			  "\nmedlarrouter_answers_late_total %" PRIu64 "\n",
--- a/router/stats.h
+++ b/router/stats.h
@@ -72,6 +72,5 @@
 void stats_write(const stats_t *stats, medlar_buf_t *out);
 const char *stats_name(stat_t stat);
 const char *stats_answer_name(answer_t how);
-const char *stats_outcome_name(outcome_t outcome);
 
 #endif /* ROUTER_STATS_H */
--- a/router/store.c
+++ b/router/store.c
@@ -116,16 +116,9 @@
 		end_call(channel, 0, (medlar_str_t){ 0 });
 }
 
-static void on_lost(h1_client_t *client, void *data)
-{
-	(void)client;
-	(void)data;
-}
-
 static const h1_client_events_t channel_events = {
 	.ready = on_ready,
 	.done = on_done,
-	.lost = on_lost,
 };
 
 /* Sends the call that was written into the channel. */
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -202,20 +202,6 @@
 							 : OUTCOME_FAILED;
 }
 
-static flight_end_t flight_of(outcome_t outcome)
-{
-	static const flight_end_t ends[OUTCOME_COUNT] = {
-		[OUTCOME_OK] = FLIGHT_OK,
-		[OUTCOME_FAILED] = FLIGHT_FAILED,
-		[OUTCOME_REFUSED] = FLIGHT_REFUSED,
-		[OUTCOME_ELSEWHERE] = FLIGHT_FORGOTTEN,
-		[OUTCOME_NOT_SENT] = FLIGHT_UNREACHABLE,
-		[OUTCOME_LOST] = FLIGHT_FAILED,
-	};
-
-	return ends[outcome];
-}
-
 static void take_reply(upstream_conn_t *conn)
 {
 	const h1_message_t *message = &conn->client.parser.message;
@@ -234,7 +220,7 @@
 		replica_report_load(conn->replica, head->load, now);
 	if (reply.outcome == OUTCOME_ELSEWHERE)
 		replica_drain(conn->replica);
-	report(conn, &reply, flight_of(reply.outcome));
+	report(conn, &reply, outcome_flight(reply.outcome));
 }
 
 static int open_conn(upstream_t *upstream, replica_t *replica,
@@ -280,7 +266,7 @@
 	if (client->reused && end == H1_END_NOT_SENT)
 		report(conn, &reply, FLIGHT_FORGOTTEN);
 	else
-		report(conn, &reply, flight_of(reply.outcome));
+		report(conn, &reply, outcome_flight(reply.outcome));
 	if (conn->broke && !conn->replica->removed)
 		(void)open_conn(conn->upstream, conn->replica, NULL);
 	dispose(conn);
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -108,10 +108,9 @@
 	stopped = 1;
 }
 
-static void answer(h1_conn_t *conn, unsigned status, const medlar_buf_t *body)
+static void answer(h1_conn_t *conn, const medlar_buf_t *body)
 {
-	h1_conn_answer(conn, status, (medlar_str_t){ 0 },
-		       body ? medlar_buf_str(body) : (medlar_str_t){ 0 });
+	h1_conn_answer(conn, 200, (medlar_str_t){ 0 }, medlar_buf_str(body));
 }
 
 /* Value of a query parameter, decoded; empty without it. */
@@ -194,7 +193,7 @@
 	watcher->conn = NULL;
 	medlar_timer_clear(site->loop.client, &watcher->timer);
 	conn->job = NULL;
-	answer(conn, 200, &body);
+	answer(conn, &body);
 	medlar_buf_finish(&body);
 }
 
@@ -253,7 +252,7 @@
 				       site->loop.now + atoi(text));
 		return;
 	}
-	answer(conn, 429, NULL);
+	h1_conn_answer_status(conn, 429);
 }
 
 static void list(const site_t *site, h1_conn_t *conn)
@@ -266,7 +265,7 @@
 	medlar_buf_printf(
 		&body, "],\"morePages\":false,\"storeRevision\":%" PRIu64 "}",
 		site->revision);
-	answer(conn, 200, &body);
+	answer(conn, &body);
 	medlar_buf_finish(&body);
 }
 
@@ -300,14 +299,14 @@
 	if (sodium_base642bin((unsigned char *)value, sizeof(value) - 1, text,
 			      strlen(text), NULL, &len, NULL,
 			      sodium_base64_VARIANT_ORIGINAL)) {
-		answer(conn, 400, NULL);
+		h1_conn_answer_status(conn, 400);
 		return;
 	}
 	value[len] = '\0';
 	put(site, key, value, strtoull(lease, NULL, 10));
 	medlar_buf_init(&out);
 	medlar_buf_printf(&out, "{\"revision\":%" PRIu64 "}", site->revision);
-	answer(conn, 200, &out);
+	answer(conn, &out);
 	medlar_buf_finish(&out);
 }
 
@@ -367,7 +366,7 @@
 				replica->mode = (behaviour_t)j;
 		query(conn, "replica", text, sizeof(text));
 	}
-	answer(conn, 200, NULL);
+	h1_conn_answer_status(conn, 200);
 }
 
 static void control_runs(const site_t *site, h1_conn_t *conn)
@@ -386,7 +385,7 @@
 			count++;
 	medlar_buf_init(&body);
 	medlar_buf_printf(&body, "%zu\n", count);
-	answer(conn, 200, &body);
+	answer(conn, &body);
 	medlar_buf_finish(&body);
 }
 
@@ -403,7 +402,7 @@
 					  body.len > 1 ? "," : "",
 					  site->runs[i].id);
 	medlar_buf_add(&body, MEDLAR_STR("]"));
-	answer(conn, 200, &body);
+	answer(conn, &body);
 	medlar_buf_finish(&body);
 }
 
@@ -414,7 +413,7 @@
 
 	query(conn, "key", key, sizeof(key));
 	put(site, key, body->len ? body->ptr : NULL, 0);
-	answer(conn, 200, NULL);
+	h1_conn_answer_status(conn, 200);
 }
 
 static bool has_path(medlar_str_t target, const char *path)
@@ -440,9 +439,9 @@
 		control_item(site, conn);
 	} else if (has_path(target, "/control/store")) {
 		site->store_down = !site->store_down;
-		answer(conn, 200, NULL);
+		h1_conn_answer_status(conn, 200);
 	} else if (site->store_down) {
-		answer(conn, 503, NULL);
+		h1_conn_answer_status(conn, 503);
 	} else if (has_path(target, "/api/kv-range")) {
 		list(site, conn);
 	} else if (has_path(target, "/api/kv-watch")) {
@@ -451,15 +450,15 @@
 		transact(site, conn);
 	} else if (has_path(target, "/api/kv-lease-end/")) {
 		end_lease(site, strtoull(target.ptr + 18, NULL, 10));
-		answer(conn, 200, NULL);
+		h1_conn_answer_status(conn, 200);
 	} else if (has_path(target, "/api/kv-lease") ||
 		   has_path(target, "/api/kv-keep")) {
 		medlar_buf_printf(&body,
 				  "{\"lease\":%" PRIu64 ",\"ttlMs\":20000}",
 				  ++site->leases);
-		answer(conn, 200, &body);
+		answer(conn, &body);
 	} else {
-		answer(conn, 404, NULL);
+		h1_conn_answer_status(conn, 404);
 	}
 	medlar_buf_finish(&body);
 }
@@ -597,7 +596,7 @@
 
 	if (expected.ptr &&
 	    !medlar_str_equal(expected, medlar_str_from(replica->id))) {
-		answer(conn, 421, NULL);
+		h1_conn_answer_status(conn, 421);
 		return;
 	}
 	if (replica->mode == MODE_SHED) {
--- a/tests/route_world.h
+++ b/tests/route_world.h
@@ -192,14 +192,6 @@
 
 static inline void world_end(world_t *world, size_t index, outcome_t outcome)
 {
-	static const flight_end_t ends[OUTCOME_COUNT] = {
-		[OUTCOME_OK] = FLIGHT_OK,
-		[OUTCOME_FAILED] = FLIGHT_FAILED,
-		[OUTCOME_REFUSED] = FLIGHT_REFUSED,
-		[OUTCOME_ELSEWHERE] = FLIGHT_FORGOTTEN,
-		[OUTCOME_NOT_SENT] = FLIGHT_UNREACHABLE,
-		[OUTCOME_LOST] = FLIGHT_FAILED,
-	};
 	world_send_t *send = &world->sends[index];
 	const exchange_reply_t reply = { .outcome = outcome,
 					 .proof = MEDLAR_STR("proof"),
@@ -207,7 +199,7 @@
 					 .message = world };
 
 	assert_non_null(send->attempt);
-	flight_end(&send->flight, ends[outcome], world->now);
+	flight_end(&send->flight, outcome_flight(outcome), world->now);
 	exchange_end(send->attempt, &reply, world->now);
 	send->attempt = NULL;
 }
--- a/tests/soak_proxy.c
+++ b/tests/soak_proxy.c
@@ -245,13 +245,7 @@
 			if (strcmp(which, "all") == 0 ||
 			    strtoul(which, NULL, 10) == i)
 				set_harm(&links[i], harm);
-	h1_conn_answer(conn, 200, (medlar_str_t){ 0 }, (medlar_str_t){ 0 });
-}
-
-static void on_control_gone(h1_conn_t *conn, void *data)
-{
-	(void)conn;
-	(void)data;
+	h1_conn_answer_status(conn, 200);
 }
 
 static int add_link(loop_t *loop, const char *text)
@@ -288,7 +282,7 @@
 
 int main(int argc, char **argv)
 {
-	static const h1_handler_t handler = { on_control, on_control_gone };
+	static const h1_handler_t handler = { .request = on_control };
 	static const h1_server_limits_t limits = { { 4096, 4096 }, 5000, 5000 };
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
