One frame for TAP lines, one way to run and await processes

tests/report.sh holds result, check, await, no_reports and metric for all end-to-end tests; scripts/site.sh runs and awaits by scripts/fleet.sh.

Two faults found on the way: e2e_router and soak_router ended with status 0 when a router did not start, as their trap for EXIT gave the status of the cases only; and tests left their processes behind when a closed pipe ended them.

--- a/bench/router.sh
+++ b/bench/router.sh
@@ -6,15 +6,19 @@
 router_port=24000
 router_rate=67
 
+# Starts a stand-in whose replicas answer at once: NAME PORT
+router_site() {
+	site_run "$1" "$build/fake-site" --port "$2" --shards "$router_shards"
+	fleet_wait "http://127.0.0.1:$2/control/runs" &&
+		curl -s -m 5 -o /dev/null \
+			"http://127.0.0.1:$2/control/replica?replica=all&work=0"
+}
+
 # Lets a stand-in of its own serve a third of the shards, so that the replicas
 # bear more than the router: NUMBER, 1 or 2
 router_spread() {
 	base=$((router_port + 1000 * $1))
-	site_run "site-$1" "$build/fake-site" --port "$base" \
-		--shards "$router_shards"
-	site_wait "http://127.0.0.1:$base/control/runs" || return 1
-	curl -s -m 5 -o /dev/null \
-		"http://127.0.0.1:$base/control/replica?replica=all&work=0"
+	router_site "site-$1" "$base" || return 1
 	shard=$((router_shards * $1 / 3))
 	while test "$shard" -lt $((router_shards * ($1 + 1) / 3))
 	do
@@ -38,12 +42,8 @@
 	rm -rf "$site_dir"
 	mkdir -p "$site_dir"
 	site_store=127.0.0.1:$router_port
-	site_run site "$build/fake-site" --port "$router_port" \
-		--shards "$router_shards"
-	site_wait "http://$site_store/control/runs" || return 1
-	curl -s -m 5 -o /dev/null \
-		"http://$site_store/control/replica?replica=all&work=0"
-	router_spread 1 && router_spread 2 || return 1
+	router_site site "$router_port" && router_spread 1 &&
+		router_spread 2 || return 1
 	site_settings 1 $((router_port + 500)) |
 		sed "s/\"store\":/\"log_level\": \"$1\", &/" \
 			>"$site_dir/router-1.json"
@@ -52,7 +52,7 @@
 	router_reader=$!
 	site_run router-1 "$build/medlarrouter" \
 		--config "$site_dir/router-1.json"
-	site_wait "http://127.0.0.1:$((router_port + 501))/api/ready" || return 1
+	fleet_wait "http://127.0.0.1:$((router_port + 501))/api/ready" || return 1
 	router_pid=$(cat "$site_dir/router-1.pid")
 }
 
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -8,28 +8,13 @@
 # Afterwards $site_store is HOST:PORT of the store and its control, and
 # $site_router1 and $site_router2 serve callers.
 
-site_pids=
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
 
+# Runs a program in the background; its output goes to $site_dir/NAME.log.
 site_run() {
-	site_name=$1
-	shift
-	"$@" >>"$site_dir/$site_name.log" 2>&1 &
-	site_pids="$site_pids $!"
-	echo $! >"$site_dir/$site_name.pid"
-}
-
-# Waits up to 10 s until an URL answers with success.
-site_wait() {
-	site_tries=0
-	until curl -s -f -o /dev/null -m 2 "$1"
-	do
-		site_tries=$((site_tries + 1))
-		test "$site_tries" -lt 100 || {
-			echo "no success from $1" >&2
-			return 1
-		}
-		sleep 0.1
-	done
+	fleet_dir=$site_dir
+	fleet_run "$@"
 }
 
 site_settings() {
@@ -57,21 +42,22 @@
 	site_router1=127.0.0.1:$((site_port + 500))
 	site_router2=127.0.0.1:$((site_port + 510))
 	site_run site "$site_build/fake-site" --port "$site_port" --shards 4
-	site_wait "http://$site_store/control/runs" || return 1
+	fleet_wait "http://$site_store/control/runs" || return 1
 	site_start_router 1 "$((site_port + 500))"
 	site_start_router 2 "$((site_port + 510))"
-	site_wait "http://127.0.0.1:$((site_port + 501))/api/ready" &&
-		site_wait "http://127.0.0.1:$((site_port + 511))/api/ready"
+	fleet_wait "http://127.0.0.1:$((site_port + 501))/api/ready" &&
+		fleet_wait "http://127.0.0.1:$((site_port + 511))/api/ready"
 }
 
+# Everything ends in order, so that what a program leaves behind is seen.
 site_stop() {
-	for site_pid in $site_pids
+	for fleet_pid in $fleet_pids
 	do
-		kill "$site_pid" 2>/dev/null
+		kill "$fleet_pid" 2>/dev/null
 	done
-	for site_pid in $site_pids
+	for fleet_pid in $fleet_pids
 	do
-		wait "$site_pid"
+		wait "$fleet_pid"
 	done
-	site_pids=
+	fleet_pids=
 }
--- a/tests/e2e_questionnaire.sh
+++ b/tests/e2e_questionnaire.sh
@@ -45,7 +45,6 @@
 }
 
 trap 'fleet_stop' EXIT
-trap 'exit 1' INT TERM
 rm -rf "$dir"
 fleet_prepare "$build" kraisorn "$dir" 23000
 fleet_start || exit 1
--- a/tests/e2e_router.sh
+++ b/tests/e2e_router.sh
@@ -3,29 +3,20 @@
 cd "$(dirname "$0")/.." || exit 1
 # shellcheck source=scripts/site.sh
 . scripts/site.sh
-count=0 failed=0 id=1000
+# shellcheck source=tests/report.sh
+. tests/report.sh
+id=1000
 build=$1
 dir=$build/e2e/router
 rm -rf "$dir"
 
-check() {
-	count=$((count + 1))
-	name=$1
-	shift
-	if "$@"
-	then
-		echo "ok $count - $name"
-	else
-		echo "not ok $count - $name"
-		failed=1
-	fi
-}
-
 finish() {
+	status=$?
 	site_stop
 	check no-sanitizer-reports no_reports
+	test "$failed" -eq 0 || status=1
 	echo "1..$count"
-	exit "$failed"
+	exit "$status"
 }
 
 # The operator has only logs: explains TEXT finds the cause of request $id.
@@ -37,12 +28,7 @@
 	return 1
 }
 
-no_reports() {
-	! grep -E 'Sanitizer|runtime error' "$dir"/*.log
-}
-
 trap 'finish' EXIT
-trap 'exit 1' INT TERM
 port=$((23000 - 1000 * ${FLEET_PORT_SHIFT:-0}))
 site_start "$1" "$dir" "$port" || exit 1
 
--- a/tests/tap.sh
+++ b/tests/tap.sh
@@ -4,26 +4,15 @@
 # usage: . tests/tap.sh; tap_start BUILD NAME SERVICE
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
-
-tap_count=0
-tap_failed=0
-
-# Succeeds if no sanitizer has written to the log of a process.
-no_reports() {
-	for tap_log in "$dir"/*.log
-	do
-		grep -E 'Sanitizer|runtime error' "$tap_log" | head -n 3 |
-			grep . && return 1
-	done
-	return 0
-}
+# shellcheck source=tests/report.sh
+. tests/report.sh
 
 tap_end() {
 	tap_status=$?
 	fleet_stop
 	check no-sanitizer-reports no_reports
-	test "$tap_failed" -eq 0 || tap_status=1
-	echo "1..$tap_count"
+	test "$failed" -eq 0 || tap_status=1
+	echo "1..$count"
 	exit "$tap_status"
 }
 
@@ -33,7 +22,6 @@
 	dir=$build/e2e/$2
 	rm -rf "$dir"
 	trap 'tap_end' EXIT
-	trap 'exit 1' INT TERM
 	fleet_prepare "$build" kraisorn "$dir" 23000
 }
 
@@ -54,20 +42,6 @@
 	done
 }
 
-# Reports the case $1: it passes if the rest, a command, succeeds.
-check() {
-	tap_count=$((tap_count + 1))
-	tap_name=$1
-	shift
-	if "$@"
-	then
-		echo "ok $tap_count - $tap_name"
-	else
-		echo "not ok $tap_count - $tap_name"
-		tap_failed=1
-	fi
-}
-
 # Runs a load of a few seconds: NAME SECONDS [OPTION...]
 load() {
 	tap_load=$1 tap_seconds=$2
@@ -79,12 +53,6 @@
 	cat "$dir/$tap_load.txt"
 }
 
-# Prints a metric of the total of a load: NAME METRIC
-metric() {
-	sed -n "s/.*\"total\":{.*\"$2\":\\([^,}]*\\)[,}].*/\\1/p" \
-		"$dir/$1.json"
-}
-
 # Succeeds if a metric has a value: NAME METRIC VALUE
 metric_is() {
 	test "$(metric "$1" "$2")" = "$3" && return 0
