Take changes from different instances that know the same

Change: among those that know the same, each picks by a hash of both names. Test: instances_take_changes_from_different_ones, which fails without it.

--- a/router/changes.c
+++ b/router/changes.c
@@ -177,15 +177,35 @@
 	end_fetch(data);
 }
 
-static const peer_instance_t *best_informed(const peers_t *peers)
+/**
+ * changes_source() - the instance to take changes from
+ * @peers: the other instances
+ *
+ * Instances choose differently among those that know the same, so that one
+ * does not hand the same changes to all.
+ *
+ * Return: a live instance of which none knows more, or NULL.
+ */
+const peer_instance_t *changes_source(const peers_t *peers)
 {
+	uint64_t own = medlar_str_hash(
+		medlar_str_from(peers->settings->instance), 0);
 	const peer_instance_t *best = NULL;
 	const peer_instance_t *peer;
+	uint64_t best_rank = 0;
+
+	TAILQ_FOREACH(peer, &peers->list, link) {
+		uint64_t rank = medlar_str_hash(medlar_str_from(peer->name),
+						own);
 
-	TAILQ_FOREACH(peer, &peers->list, link)
-		if (peer_is_live(peers, peer) &&
-		    (!best || peer->revision > best->revision))
+		if (!peer_is_live(peers, peer))
+			continue;
+		if (!best || peer->revision > best->revision ||
+		    (peer->revision == best->revision && rank > best_rank)) {
 			best = peer;
+			best_rank = rank;
+		}
+	}
 	return best;
 }
 
@@ -196,7 +216,7 @@
 void changes_catch_up(peers_t *peers)
 {
 	static const h1_limits_t limits = { HEAD_MAX, CHANGES_MAX };
-	const peer_instance_t *best = best_informed(peers);
+	const peer_instance_t *best = changes_source(peers);
 	medlar_time_t now = peers->loop->now;
 	medlar_time_t most = peers->store.watching ? BEHIND_MAX
 						   : BEHIND_MAX_UNWATCHED;
--- a/router/peers_internal.h
+++ b/router/peers_internal.h
@@ -18,6 +18,7 @@
 /* changes.c */
 int changes_open(peers_t *peers, const struct sockaddr_in *own);
 void changes_catch_up(peers_t *peers);
+const peer_instance_t *changes_source(const peers_t *peers);
 void changes_close(peers_t *peers);
 
 #endif /* ROUTER_PEERS_INTERNAL_H */
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -11,7 +11,7 @@
 #include <sodium.h>
 #include <cmocka.h>
 
-#include "router/peers.h"
+#include "router/peers_internal.h"
 
 /* Runs at the same time get ports of their own, within 24500 to 24599. */
 #define PORT_BASE 24500
@@ -208,6 +208,48 @@
 	assert_int_equal(world->peers.len, PEERS_MAX);
 }
 
+/* Found by the day at 300 machines: one instance handed changes to all. */
+static void instances_take_changes_from_different_ones(void **state)
+{
+	world_t *world = *state;
+	unsigned taken[4] = { 0 };
+	char name[32];
+
+	for (unsigned i = 0; i < 4; i++) {
+		gossip_message message = proper();
+
+		(void)snprintf(name, sizeof(name), "other-%u", i);
+		message.name = name;
+		message.revision = 7;
+		deliver_message(world, &message);
+	}
+	for (unsigned i = 0; i < 300; i++) {
+		const peer_instance_t *source;
+
+		(void)snprintf(world->settings.instance,
+			       sizeof(world->settings.instance), "own-%u", i);
+		source = changes_source(&world->peers);
+		assert_non_null(source);
+		taken[source->name[strlen("other-")] - '0']++;
+	}
+	for (unsigned i = 0; i < 4; i++)
+		assert_in_range(taken[i], 50, 100);
+}
+
+static void the_best_informed_one_is_the_source(void **state)
+{
+	world_t *world = *state;
+	gossip_message message = proper();
+
+	assert_null(changes_source(&world->peers));
+	message.revision = 8;
+	deliver_message(world, &message);
+	message.name = (char *)"another";
+	message.revision = 9;
+	deliver_message(world, &message);
+	assert_string_equal(changes_source(&world->peers)->name, "another");
+}
+
 static void mutated_messages_do_no_harm(void **state)
 {
 	world_t *world = *state;
@@ -241,6 +283,12 @@
 			close_world),
 		cmocka_unit_test_setup_teardown(strange_names_are_bounded,
 						open_world, close_world),
+		cmocka_unit_test_setup_teardown(
+			instances_take_changes_from_different_ones, open_world,
+			close_world),
+		cmocka_unit_test_setup_teardown(
+			the_best_informed_one_is_the_source, open_world,
+			close_world),
 		cmocka_unit_test_setup_teardown(mutated_messages_do_no_harm,
 						open_world, close_world),
 	};
