Bound the time for which a lost watch of the store is waited for

Cause: a watch that is sent while the store is away is never answered, and looks like one without changes for 4.5 s (3 s wait and 1.5 s margin). Watches that were sent just before the store returned therefore hid it for that long, and if all instances had one under way, nobody had changes to pass on.

Change: libroute/watchers decides how long a watch may take: 1.5 s wait and 0.7 s margin, and after a failure 0.1 s wait and 1.4 s margin, so that a call that finds the store away ends soon. With the backoff of at most 1 s the next call starts in less than 3 s, whatever the phase.

Price: a call each 1.5 s instead of 3 s from each of at most four watchers.

--- a/libroute/watchers.c
+++ b/libroute/watchers.c
@@ -8,6 +8,15 @@
 #define PAUSE_STEP_MS 450
 /* Instances that try a silent store per decision, all together. */
 #define PROBES_PER_DECISION 1.0
+/*
+ * Together with the backoff between calls, a lost answer delays the next one by
+ * less than the 3 s in which a change has to be in force.
+ */
+#define WAIT_MS 1500
+#define ANSWER_MARGIN_MS 700
+/* A watch that may find the store away waits for an answer, not for a change. */
+#define PROBE_WAIT_MS 100
+#define PROBE_MARGIN_MS 1400
 
 /* Whether this instance tries a store that answers none of the usual watchers. */
 static bool draws_probe(const watch_view_t *view, medlar_rand_t *rand)
@@ -16,6 +25,20 @@
 	       PROBES_PER_DECISION;
 }
 
+/**
+ * watchers_time_call() - decide how long the next watch may take
+ * @failures: calls that have failed since the last answer
+ *
+ * Return: wait and timeout.
+ */
+watch_timing_t watchers_time_call(unsigned failures)
+{
+	medlar_time_t wait = failures ? PROBE_WAIT_MS : WAIT_MS;
+	medlar_time_t margin = failures ? PROBE_MARGIN_MS : ANSWER_MARGIN_MS;
+
+	return (watch_timing_t){ wait, wait + margin };
+}
+
 /**
  * watchers_decide() - decide whether this instance watches the store now
  * @view: what it knows about the others
--- a/libroute/watchers.h
+++ b/libroute/watchers.h
@@ -7,6 +7,10 @@
  * falls behind. Load pattern: the store stops answering hundreds of instances at
  * the same time. If all of them called it until it returns, they would keep it
  * busy and be refused; a bounded number of them tries at random instead.
+ *
+ * A watch whose answer is lost looks like one without changes. Load pattern: the
+ * store returns from an outage, or all connections fall silent, while every
+ * instance waits for such an answer, and changes follow at once.
  */
 #ifndef LIBROUTE_WATCHERS_H
 #define LIBROUTE_WATCHERS_H
@@ -43,6 +47,17 @@
 	medlar_time_t pause;
 } watch_role_t;
 
+/**
+ * struct watch_timing - how long a watch may take
+ * @wait: time after which the store answers it even if nothing has changed, ms
+ * @timeout: time after which its answer counts as lost, ms
+ */
+typedef struct watch_timing {
+	medlar_time_t wait;
+	medlar_time_t timeout;
+} watch_timing_t;
+
+watch_timing_t watchers_time_call(unsigned failures);
 watch_role_t watchers_decide(const watch_view_t *view, medlar_rand_t *rand);
 
 #endif /* LIBROUTE_WATCHERS_H */
--- a/router/store.c
+++ b/router/store.c
@@ -1,13 +1,12 @@
 /**
  * DOC: client of the store
  */
+#include "libroute/watchers.h"
 #include "router/store.h"
 
 #define REPLY_HEAD_BYTES_MAX ((size_t)16 * 1024)
 #define REPLY_BODY_BYTES_MAX ((size_t)16 << 20)
 #define CALL_TIMEOUT_MS 1500
-/* Time after which the store answers a watch even if nothing has changed. */
-#define WATCH_WAIT_MS 3000
 /* Pause between watches until store_set_watching() sets it. */
 #define WATCH_PAUSE_INITIAL_MS 600
 #define BACKOFF_MIN_MS 100
@@ -253,14 +252,15 @@
 static void reader_send_next(store_t *store)
 {
 	store_channel_t *channel = &store->reader;
+	const watch_timing_t timing = watchers_time_call(channel->failures);
 
 	if (store->list_complete && !store->watching)
 		return;
 	medlar_buf_reset(&channel->request);
 	if (store->list_complete) {
-		store->calls->watch(store->mirror->revision, WATCH_WAIT_MS,
+		store->calls->watch(store->mirror->revision, timing.wait,
 				    &channel->request);
-		channel_send(channel, WATCH_WAIT_MS + CALL_TIMEOUT_MS);
+		channel_send(channel, timing.timeout);
 	} else {
 		store->calls->list(medlar_str_from(store->page.last_key),
 				   &channel->request);
