Take only complete reads of the store as a sign that routes are current

Cause: any answer of the store counted as contact, and 404 is answered while the last contact is recent. A renewed lease tells nothing of the routes, nor does 410, after which a list has to be read. Instances also tell each other of their contact, so one renewal vouched for all.

Change: the time of contact is that of the last watch that was answered, or of the first page of the last list that was read completely.

--- a/router/peers.h
+++ b/router/peers.h
@@ -43,8 +43,8 @@
  *	this on, ms; 0 if there was none
  * @revision: store revision up to which its mirror is complete
  * @watching: it watches the store itself
- * @store_last_contact: time of its last answer from the store, ms; 0 if none is
- *	known
+ * @store_last_contact: time up to which its mirror is known current, see
+ *	&struct store.last_contact, ms; 0 if not known
  * @contact_revision: store revision up to which its mirror was complete then
  * @store_outage_end: end of the last store outage that it saw, ms; 0 if there
  *	was none
@@ -80,7 +80,8 @@
 /**
  * struct peers_store - store status that an instance reports to its peers
  * @watching: it watches the store itself
- * @last_contact: time of the last answer of the store, ms; 0 if there was none
+ * @last_contact: time up to which the mirror is known current, ms; 0 if it never
+ *	was
  * @outage_end: end of the last outage, ms; the current time during one, 0 if
  *	there was none
  */
--- a/router/store.c
+++ b/router/store.c
@@ -42,25 +42,28 @@
 				   rand, (uint64_t)(delay / 2 + 1));
 }
 
-static void record_success(store_t *store)
+static void record_success(const store_channel_t *channel)
 {
+	store_t *store = channel->store;
 	medlar_time_t now = store->loop->now;
+	bool is_reader = channel == &store->reader;
 
 	if (store->down_since) {
 		store->recovered_at = now;
 		LOG_LINE(store->log, LOG_LEVEL_NOTICE, "store",
 			 MEDLAR_TEXT("state", MEDLAR_STR("up")),
+			 MEDLAR_TEXT("by", is_reader ? MEDLAR_STR("reader")
+						     : MEDLAR_STR("lease")),
 			 MEDLAR_NUM("down_ms", now - store->down_since));
 	}
 	store->down_since = 0;
-	store->last_contact = now;
 }
 
 /**
- * store_silence() - get the time since the last answer of the store
+ * store_silence() - get the time since the mirror was last known current
  * @store: client
  *
- * Return: time in ms; -1 if it has never answered.
+ * Return: time in ms; -1 if it never was.
  */
 medlar_time_t store_silence(const store_t *store)
 {
@@ -101,7 +104,7 @@
 	channel->call_in_flight = false;
 	if (is_store_answer(status)) {
 		channel->failures = 0;
-		record_success(store);
+		record_success(channel);
 	} else {
 		channel->failures++;
 		record_failure(store, status);
@@ -191,11 +194,14 @@
 		channel_set_timer(&store->reader, BACKOFF_MAX_MS);
 		return;
 	}
-	if (is_first_page)
+	if (is_first_page) {
 		store->list_revision = page.revision;
+		store->list_begun_at = store->loop->now;
+	}
 	store->page = page;
 	if (!page.more) {
 		mirror_list_end(store->mirror, store->list_revision);
+		store->last_contact = store->list_begun_at;
 		store->list_complete = true;
 		store->list_revision = 0;
 		store->page = (store_page_t){ 0 };
@@ -215,6 +221,7 @@
 		return;
 	}
 	mirror_advance(store->mirror, page.revision);
+	store->last_contact = store->loop->now;
 	if (page.last_key[0] && page.revision > known_revision) {
 		store->has_news = true;
 		channel_set_timer(&store->reader, store->watch_pause);
--- a/router/store.h
+++ b/router/store.h
@@ -68,6 +68,7 @@
  * @page: last page received of the list being read
  * @list_revision: store revision at the begin of the list being read; 0 if no
  *	list is being read
+ * @list_begun_at: when the first page of the last list was received, ms
  * @watching: this instance watches the store; otherwise it gets the changes
  *	from other instances
  * @watch_pause: time from a change to the next watch, in which changes gather,
@@ -81,7 +82,9 @@
  *	calls succeed
  * @recovered_at: time of the first success after the last outage, ms; 0 if
  *	there was no outage
- * @last_contact: time of the last success, ms; 0 if there was none
+ * @last_contact: time up to which the store is known to hold nothing that
+ *	@mirror lacks, ms; 0 if no list is complete. Replies that are no complete
+ *	list or watch do not count.
  */
 struct store {
 	loop_t *loop;
@@ -95,6 +98,7 @@
 	bool list_complete;
 	store_page_t page;
 	uint64_t list_revision;
+	medlar_time_t list_begun_at;
 	bool watching;
 	medlar_time_t watch_pause;
 	bool has_news;
