Answer 404 only from routes younger than the time to apply a change

Cause: "current" meant that the store had been read in the last 4 s, whatever the time in which changes have to be in force, which is 3 s on the users' older sites.

Change: the setting config_apply_ms holds that time, and a copy of the store is current for 0.2 s less after it was read. Later than that an unknown route gets 503, which callers may repeat.

Test: routes_are_not_current_beyond_the_time_to_apply_them; with the limit of 4 s in its place it fails at 3.001 s.

--- a/router/daemon.c
+++ b/router/daemon.c
@@ -25,8 +25,6 @@
 #define ADDRESS_RETENTION_FACTOR 3
 /* How long before the end of the grace period the loop stops at the latest. */
 #define STOP_MARGIN_MS 500
-/* Routes count as current if the store has answered within this time. */
-#define STORE_AGE_MAX_MS (4 * MEDLAR_SECOND)
 
 /* Set by the signal handler, read in each iteration of the loop. */
 static volatile sig_atomic_t term_signals;
@@ -55,9 +53,8 @@
 static bool routes_are_current(void *data)
 {
 	const daemon_state_t *state = data;
-	medlar_time_t contact = peers_store_last_contact(&state->peers);
 
-	return contact && state->loop.now - contact <= STORE_AGE_MAX_MS;
+	return peers_mirror_is_current(&state->peers);
 }
 
 static bool can_apply_changes(void *data)
--- a/router/peers.h
+++ b/router/peers.h
@@ -200,6 +200,7 @@
 void peers_share_conviction(peers_t *peers, uint64_t fingerprint);
 watch_view_t peers_watch_view(const peers_t *peers);
 medlar_time_t peers_store_last_contact(const peers_t *peers);
+bool peers_mirror_is_current(const peers_t *peers);
 medlar_time_t peers_store_outage_end(const peers_t *peers);
 bool peer_is_live(const peers_t *peers, const peer_instance_t *peer);
 unsigned peers_count_instances(const peers_t *peers);
--- a/router/settings.c
+++ b/router/settings.c
@@ -55,6 +55,7 @@
 	INT_FIELD(retry_window_ms, 100, MEDLAR_HOUR),
 	INT_FIELD(grace_ms, 0, MEDLAR_HOUR),
 	INT_FIELD(address_ttl_max_ms, MEDLAR_SECOND, MEDLAR_HOUR),
+	INT_FIELD(config_apply_ms, MEDLAR_SECOND, MEDLAR_HOUR),
 	INT_FIELD(connections_max, 1, CONNECTIONS_MAX),
 	{ 0 },
 };
@@ -66,6 +67,7 @@
 	.retry_window_ms = 10 * MEDLAR_SECOND,
 	.grace_ms = 6 * MEDLAR_SECOND,
 	.address_ttl_max_ms = 5 * MEDLAR_SECOND,
+	.config_apply_ms = 3 * MEDLAR_SECOND,
 	.connections_max = 4096,
 };
 
--- a/router/settings.h
+++ b/router/settings.h
@@ -29,6 +29,8 @@
  * @retry_window_ms: length of the window, ms
  * @grace_ms: time from SIGTERM to the forced end of the process, ms
  * @address_ttl_max_ms: longest lifetime of addresses given to callers, ms
+ * @config_apply_ms: time in which a change of the configuration has to be in
+ *	force, ms
  * @connections_max: most connections of callers
  *
  * Addresses are of the form host:port. Each member is named like its key in
@@ -50,6 +52,7 @@
 	int64_t retry_window_ms;
 	int64_t grace_ms;
 	int64_t address_ttl_max_ms;
+	int64_t config_apply_ms;
 	int64_t connections_max;
 } router_settings_t;
 
--- a/router/store_contact.c
+++ b/router/store_contact.c
@@ -11,6 +11,8 @@
 
 /* A watcher without an answer of the store for this long is not counted. */
 #define WATCHER_SILENCE_MAX_MS 3500
+/* What an instance passes on of its contact is older by its time on the way. */
+#define CONTACT_DELAY_MAX_MS 200
 /* Time after the start in which the others are heard from. */
 #define SETTLE_MS (2 * MEDLAR_SECOND)
 
@@ -87,6 +89,23 @@
 	return last_contact;
 }
 
+/**
+ * peers_mirror_is_current() - check whether a missing entry proves that the store
+ *	has none
+ * @peers: the other instances
+ *
+ * Return: whether every change that the mirror may lack is more recent than the
+ * time in which changes have to be in force.
+ */
+bool peers_mirror_is_current(const peers_t *peers)
+{
+	medlar_time_t last_contact = peers_store_last_contact(peers);
+	medlar_time_t age_max = peers->settings->config_apply_ms -
+				CONTACT_DELAY_MAX_MS;
+
+	return last_contact && peers->loop->now - last_contact <= age_max;
+}
+
 /**
  * peers_store_outage_end() - get the end of the last outage of the store
  * @peers: the other instances
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -420,6 +420,21 @@
 	store_finish(&store);
 }
 
+/* 404 for a route that the store may have had for longer than that is untrue. */
+static void routes_are_not_current_beyond_the_time_to_apply_them(void **state)
+{
+	fixture_t *fixture = *state;
+	medlar_time_t read_at = fixture->loop.now;
+
+	fixture->settings.config_apply_ms = 3000;
+	assert_false(peers_mirror_is_current(&fixture->peers));
+	fixture->peers.store.last_contact = read_at;
+	fixture->loop.now = read_at + 2500;
+	assert_true(peers_mirror_is_current(&fixture->peers));
+	fixture->loop.now = read_at + 3001;
+	assert_false(peers_mirror_is_current(&fixture->peers));
+}
+
 /*
  * The number of messages and fetches that a change causes at one instance must
  * not grow with the fleet.
@@ -615,6 +630,9 @@
 		cmocka_unit_test_setup_teardown(
 			an_old_contact_is_not_taken_for_a_new_one, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			routes_are_not_current_beyond_the_time_to_apply_them,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_start_is_no_contact_with_the_store, set_up,
 			tear_down),
