Tell other instances of each crash, not only of convictions

Cause: crashes were counted by each instance for itself, and others heard of the request only after one of them had seen three. Callers repeat it at any instance.

Evidence: e2e_crash_shared sends such a request to two instances in turn: five replicas crashed before it was refused by one of them, expected three.

Ruled out: conviction by two crashes, as one more instance sees one in five; the number that an instance needs must not depend on where callers go.

Change: each crash is told to all at once, and repeated in the messages of the next minute to those that missed it, with replica and age. A crash counts once, and not if the request was answered since. After its end a conviction is renewed by the first crash, at all instances.

Test: crashes-at-several-instances-convict-a-request failed before and passes; test_crash: a_crash_that_is_told_again_counts_once, a_conviction_is_renewed_by_one_crash.

--- a/cli/ctl_logs.c
+++ b/cli/ctl_logs.c
@@ -34,6 +34,7 @@
 	{ "hedge", { "id", "service", "replica", "after_ms" } },
 	{ "attempt_end", { "id", "service", "replica", "outcome" } },
 	{ "crash", { "request", "replica", "crashes", "refused" } },
+	{ "convict", { "request", "crashes", "age_ms" } },
 	{ "answer",
 	  { "id", "how", "status", "took_ms", "target_ms", "lacks" } },
 };
--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -283,12 +283,13 @@
 	cancel_part_attempts(part, exchange);
 }
 
-static void on_attempt_ok(attempt_t *attempt, const exchange_reply_t *reply)
+static void on_attempt_ok(attempt_t *attempt, const exchange_reply_t *reply,
+			  medlar_time_t now)
 {
 	exchange_t *exchange = attempt->exchange;
 
 	exchange->may_have_run = true;
-	suspects_clear(exchange->setup->suspects, exchange->fingerprint);
+	suspects_clear(exchange->setup->suspects, exchange->fingerprint, now);
 	if (exchange_is_merged(exchange))
 		store_part(attempt->part, exchange, reply);
 	else
@@ -357,7 +358,7 @@
 				   setup->data);
 	switch (reply->outcome) {
 	case OUTCOME_OK:
-		on_attempt_ok(attempt, reply);
+		on_attempt_ok(attempt, reply, now);
 		break;
 	case OUTCOME_FAILED:
 		on_attempt_failed(attempt, reply, now);
--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -30,29 +30,68 @@
 	return oldest;
 }
 
+static bool is_known_crash(const suspect_t *suspect, uint64_t replica)
+{
+	for (unsigned i = 0; i < suspect->crashes && i < SUSPECT_BREAKS; i++)
+		if (suspect->replicas[i] == replica)
+			return true;
+	return false;
+}
+
+static void add_recent(suspects_t *suspects, uint64_t fingerprint,
+		       uint64_t replica, medlar_time_t at)
+{
+	suspects->recent[suspects->recent_added++ % SUSPECTS_RECENT_MAX] =
+		(crash_report_t){ fingerprint, replica, at };
+}
+
 /**
  * suspects_add_crash() - record that a replica crashed while it ran a request
  * @suspects: table
  * @fingerprint: fingerprint of the request
  * @replica: hash that identifies the replica; repeated crashes count once
- * @now: current time, ms
+ * @at: when it crashed, ms; ignored if the request was answered since
  *
  * Return: number of replicas that the request has crashed.
  */
 unsigned suspects_add_crash(suspects_t *suspects, uint64_t fingerprint,
-			    uint64_t replica, medlar_time_t now)
+			    uint64_t replica, medlar_time_t at)
 {
 	suspect_t *suspect = find_or_replace_oldest(suspects, fingerprint);
 
-	suspect->updated_at = now;
-	for (unsigned i = 0; i < suspect->crashes && i < SUSPECT_BREAKS; i++)
-		if (suspect->replicas[i] == replica)
-			return suspect->crashes;
+	if (is_known_crash(suspect, replica) ||
+	    (suspect->answered_at && at <= suspect->answered_at))
+		return suspect->crashes;
+	add_recent(suspects, fingerprint, replica, at);
+	if (at > suspect->updated_at)
+		suspect->updated_at = at;
 	if (suspect->crashes < SUSPECT_BREAKS)
 		suspect->replicas[suspect->crashes] = replica;
 	return ++suspect->crashes;
 }
 
+/**
+ * suspects_list_recent() - list the crashes that other instances should know of
+ * @suspects: table
+ * @now: current time, ms
+ * @out: %SUSPECTS_RECENT_MAX places
+ *
+ * Return: number of crashes listed.
+ */
+size_t suspects_list_recent(const suspects_t *suspects, medlar_time_t now,
+			    crash_report_t *out)
+{
+	size_t len = 0;
+
+	for (size_t i = 0; i < SUSPECTS_RECENT_MAX; i++) {
+		const crash_report_t *report = &suspects->recent[i];
+
+		if (report->fingerprint && now - report->at < CONVICTION_MS)
+			out[len++] = *report;
+	}
+	return len;
+}
+
 /**
  * suspects_convict() - record that another instance has convicted a request
  * @suspects: table
@@ -76,13 +115,17 @@
  * suspects_clear() - clear a request that was answered
  * @suspects: table
  * @fingerprint: fingerprint of the request
+ * @now: current time, ms; earlier crashes count no more
  */
-void suspects_clear(suspects_t *suspects, uint64_t fingerprint)
+void suspects_clear(suspects_t *suspects, uint64_t fingerprint,
+		    medlar_time_t now)
 {
 	suspect_t *suspect = find_suspect(suspects, fingerprint);
 
 	if (suspect)
-		*suspect = (suspect_t){ 0 };
+		*suspect = (suspect_t){ .fingerprint = fingerprint,
+					.updated_at = now,
+					.answered_at = now };
 }
 
 /**
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -11,33 +11,62 @@
 /** Replicas that a request must crash before it is convicted and refused. */
 #define SUSPECT_BREAKS 3
 
+/** Crashes that an instance passes on to others. */
+#define SUSPECTS_RECENT_MAX 16
+
 /**
- * struct suspect - a request that crashed replicas and was never answered
+ * struct suspect - a request that crashed replicas
  * @fingerprint: hash of host, path and body; 0 if the entry is unused
- * @crashes: number of replicas that crashed while they ran it
+ * @crashes: number of replicas that crashed while they ran it, since it was last
+ *	answered
  * @replicas: hashes of the first replicas that crashed
- * @updated_at: when the last crash or conviction was recorded, ms
+ * @updated_at: time of the last crash or conviction, ms
+ * @answered_at: when it was last answered after a crash, ms; 0 if it was not
  */
 typedef struct suspect {
 	uint64_t fingerprint;
 	unsigned crashes;
 	uint64_t replicas[SUSPECT_BREAKS];
 	medlar_time_t updated_at;
+	medlar_time_t answered_at;
 } suspect_t;
 
+/**
+ * struct crash_report - a crash of a replica, seen by this or another instance
+ * @fingerprint: fingerprint of the request that it ran
+ * @replica: hash that identifies the replica and its start
+ * @at: when it crashed, ms
+ */
+typedef struct crash_report {
+	uint64_t fingerprint;
+	uint64_t replica;
+	medlar_time_t at;
+} crash_report_t;
+
 /**
  * struct suspects - table of the suspects known to an instance
  * @entries: entries in no particular order
+ * @recent: the last crashes that were new, as a ring
+ * @recent_added: number of crashes ever added to @recent
+ *
+ * Load pattern: callers send a request that crashes its replica to another
+ * instance each time. No instance sees enough of the crashes to refuse it, so
+ * all of them tell each other of each crash.
  */
 typedef struct suspects {
 	suspect_t entries[SUSPECTS_MAX];
+	crash_report_t recent[SUSPECTS_RECENT_MAX];
+	size_t recent_added;
 } suspects_t;
 
 unsigned suspects_add_crash(suspects_t *suspects, uint64_t fingerprint,
-			    uint64_t replica, medlar_time_t now);
+			    uint64_t replica, medlar_time_t at);
+size_t suspects_list_recent(const suspects_t *suspects, medlar_time_t now,
+			    crash_report_t *out);
 void suspects_convict(suspects_t *suspects, uint64_t fingerprint,
 		      medlar_time_t now);
-void suspects_clear(suspects_t *suspects, uint64_t fingerprint);
+void suspects_clear(suspects_t *suspects, uint64_t fingerprint,
+		    medlar_time_t now);
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
 			   medlar_time_t now);
 
--- a/proto/gossip.h
+++ b/proto/gossip.h
@@ -22,6 +22,7 @@
 #define GOSSIP_OBSERVATIONS_MAX 32
 #define GOSSIP_WATCHERS_MAX 4
 #define GOSSIP_LIVE_PEERS_MAX 12
+#define GOSSIP_CRASHES_MAX 16
 
 struct gossip_message {
 	char *name;
@@ -73,6 +74,21 @@
 };
 typedef struct gossip_live_peers gossip_live_peers;
 
+struct gossip_crash {
+	u_quad_t request;
+	u_quad_t replica;
+	u_int age;
+};
+typedef struct gossip_crash gossip_crash;
+
+struct gossip_crashes {
+	struct {
+		u_int list_len;
+		gossip_crash *list_val;
+	} list;
+};
+typedef struct gossip_crashes gossip_crashes;
+
 struct gossip_entry {
 	struct {
 		u_int key_len;
@@ -149,6 +165,8 @@
 extern  bool_t xdr_gossip_watchers (XDR *, gossip_watchers*);
 extern  bool_t xdr_gossip_live_peer (XDR *, gossip_live_peer*);
 extern  bool_t xdr_gossip_live_peers (XDR *, gossip_live_peers*);
+extern  bool_t xdr_gossip_crash (XDR *, gossip_crash*);
+extern  bool_t xdr_gossip_crashes (XDR *, gossip_crashes*);
 extern  bool_t xdr_gossip_entry (XDR *, gossip_entry*);
 extern  bool_t xdr_gossip_changes (XDR *, gossip_changes*);
 extern  bool_t xdr_gossip_observation (XDR *, gossip_observation*);
@@ -160,6 +178,8 @@
 extern bool_t xdr_gossip_watchers ();
 extern bool_t xdr_gossip_live_peer ();
 extern bool_t xdr_gossip_live_peers ();
+extern bool_t xdr_gossip_crash ();
+extern bool_t xdr_gossip_crashes ();
 extern bool_t xdr_gossip_entry ();
 extern bool_t xdr_gossip_changes ();
 extern bool_t xdr_gossip_observation ();
--- a/proto/gossip.x
+++ b/proto/gossip.x
@@ -1,7 +1,7 @@
 /*
  * Messages between routers. The calls have no reply and are sent in datagrams; a
- * gossip_message may be followed by a gossip_watchers and a gossip_live_peers. A
- * gossip_changes is the body of the answer to GET /changes?after=REVISION on the
+ * gossip_message may be followed by a gossip_watchers, a gossip_live_peers and a
+ * gossip_crashes. A gossip_changes is the body of the answer to GET /changes?after=REVISION on the
  * same port over TCP.
  */
 
@@ -14,6 +14,7 @@
 const GOSSIP_OBSERVATIONS_MAX = 32;
 const GOSSIP_WATCHERS_MAX = 4;
 const GOSSIP_LIVE_PEERS_MAX = 12;
+const GOSSIP_CRASHES_MAX = 16;
 
 struct gossip_message {
 	string name<GOSSIP_NAME_MAX>;
@@ -56,6 +57,17 @@
 	gossip_live_peer list<GOSSIP_LIVE_PEERS_MAX>;
 };
 
+/* A replica that crashed while it ran a request, and the time since then in ms. */
+struct gossip_crash {
+	unsigned hyper request;
+	unsigned hyper replica;
+	unsigned int age;
+};
+
+struct gossip_crashes {
+	gossip_crash list<GOSSIP_CRASHES_MAX>;
+};
+
 struct gossip_entry {
 	opaque key<GOSSIP_KEY_MAX>;
 	opaque value<GOSSIP_VALUE_MAX>;
--- a/proto/gossip_xdr.c
+++ b/proto/gossip_xdr.c
@@ -179,6 +179,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gossip_crash (XDR *xdrs, gossip_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->replica))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gossip_crashes (XDR *xdrs, gossip_crashes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->list.list_val, (u_int *) &objp->list.list_len, GOSSIP_CRASHES_MAX,
+		sizeof (gossip_crash), (xdrproc_t) xdr_gossip_crash))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gossip_entry (XDR *xdrs, gossip_entry *objp)
 {
--- a/router/forward.c
+++ b/router/forward.c
@@ -361,8 +361,8 @@
  * @fingerprint: fingerprint of the request
  * @replica: replica that crashed
  *
- * Other instances are told once the request has crashed %SUSPECT_BREAKS
- * replicas, from when on it is refused.
+ * Other instances are told at once. The request is refused from the time at which
+ * it has crashed %SUSPECT_BREAKS replicas, at whatever instances.
  */
 void forward_report_crash(forward_t *forward, uint64_t fingerprint,
 			  const replica_t *replica)
@@ -378,6 +378,8 @@
 		 MEDLAR_NUM("refused", crashes >= SUSPECT_BREAKS));
 	if (crashes == SUSPECT_BREAKS)
 		peers_share_conviction(forward->peers, fingerprint);
+	else
+		peers_broadcast(forward->peers);
 }
 
 /**
--- a/router/gossip.c
+++ b/router/gossip.c
@@ -44,18 +44,23 @@
 	return len;
 }
 
+_Static_assert(SUSPECTS_RECENT_MAX <= GOSSIP_CRASHES_MAX,
+	       "a message holds all recent crashes");
+
 /* The status of this instance, and what it knows of others. */
 typedef struct status {
 	gossip_message *message;
 	gossip_watchers watchers;
 	gossip_live_peers live;
+	gossip_crashes crashes;
 } status_t;
 
 static bool_t xdr_status(XDR *xdr, status_t *status)
 {
 	return xdr_gossip_message(xdr, status->message) &&
 	       xdr_gossip_watchers(xdr, &status->watchers) &&
-	       xdr_gossip_live_peers(xdr, &status->live);
+	       xdr_gossip_live_peers(xdr, &status->live) &&
+	       xdr_gossip_crashes(xdr, &status->crashes);
 }
 
 /* This instance is left out, as the message tells the same of it. */
@@ -92,11 +97,27 @@
 	return len;
 }
 
+static u_int list_crashes(const peers_t *peers, gossip_crash *out)
+{
+	crash_report_t recent[SUSPECTS_RECENT_MAX];
+	size_t len = suspects_list_recent(peers->suspects, peers->loop->now,
+					  recent);
+
+	for (size_t i = 0; i < len; i++)
+		out[i] = (gossip_crash){
+			.request = recent[i].fingerprint,
+			.replica = recent[i].replica,
+			.age = time_to_age(peers, recent[i].at),
+		};
+	return (u_int)len;
+}
+
 static size_t encode_status(peers_t *peers, char *bytes)
 {
 	const router_settings_t *settings = peers->settings;
 	gossip_watcher watchers[GOSSIP_WATCHERS_MAX];
 	gossip_live_peer live_peers[GOSSIP_LIVE_PEERS_MAX];
+	gossip_crash crashes[GOSSIP_CRASHES_MAX];
 	gossip_message message = {
 		.name = (char *)settings->instance,
 		.zone = (char *)settings->zone,
@@ -116,7 +137,8 @@
 	status_t status = { &message,
 			    { { list_watchers(peers, watchers), watchers } },
 			    { { list_live_peers(peers, live_peers),
-				live_peers } } };
+				live_peers } },
+			    { { list_crashes(peers, crashes), crashes } } };
 
 	return encode_call(peers, GOSSIP_TELL, (xdrproc_t)xdr_status, &status,
 			   bytes);
--- a/router/gossip_receive.c
+++ b/router/gossip_receive.c
@@ -126,12 +126,39 @@
 	}
 }
 
-/* Instances of earlier versions tell nothing of others. */
+static void apply_crash(peers_t *peers, const gossip_crash *crash)
+{
+	medlar_time_t now = peers->loop->now;
+	bool was_convicted = suspects_is_convicted(peers->suspects,
+						   crash->request, now);
+	unsigned crashes;
+
+	if (crash->request == 0)
+		return;
+	crashes = suspects_add_crash(peers->suspects, crash->request,
+				     crash->replica,
+				     age_to_time(peers, crash->age));
+	if (!was_convicted &&
+	    suspects_is_convicted(peers->suspects, crash->request, now))
+		LOG_LINE(peers->log, LOG_LEVEL_WARNING, "convict",
+			 MEDLAR_HEX("request", crash->request),
+			 MEDLAR_NUM("crashes", crashes),
+			 MEDLAR_NUM("age_ms", crash->age));
+}
+
+static void apply_crashes(peers_t *peers, const gossip_crashes *crashes)
+{
+	for (u_int i = 0; i < crashes->list.list_len; i++)
+		apply_crash(peers, &crashes->list.list_val[i]);
+}
+
+/* Instances of earlier versions tell less of others, or nothing. */
 static void decode_status(peers_t *peers, XDR *xdr)
 {
 	gossip_message message = { 0 };
 	gossip_watchers watchers = { 0 };
 	gossip_live_peers live = { 0 };
+	gossip_crashes crashes = { 0 };
 
 	if (xdr_gossip_message(xdr, &message)) {
 		peers->stats->counts[STAT_GOSSIP_RECEIVED]++;
@@ -140,10 +167,13 @@
 			apply_watchers(peers, &watchers);
 		if (xdr_gossip_live_peers(xdr, &live))
 			apply_live_peers(peers, &live);
+		if (xdr_gossip_crashes(xdr, &crashes))
+			apply_crashes(peers, &crashes);
 	}
 	xdr_free((xdrproc_t)xdr_gossip_message, (char *)&message);
 	xdr_free((xdrproc_t)xdr_gossip_watchers, (char *)&watchers);
 	xdr_free((xdrproc_t)xdr_gossip_live_peers, (char *)&live);
+	xdr_free((xdrproc_t)xdr_gossip_crashes, (char *)&crashes);
 }
 
 static void decode_report(peers_t *peers, XDR *xdr, uint32_t reporter)
--- a/tests/e2e_crash_shared.sh
+++ b/tests/e2e_crash_shared.sh
@@ -43,6 +43,13 @@
 		grep -c '"poison-'
 }
 
+heard_of_each_other() {
+	grep -q 'event=peer name=router-2 state=live' "$dir/router-1.log" &&
+		grep -q 'event=peer name=router-1 state=live' \
+			"$dir/router-2.log"
+}
+check instances-hear-of-each-other eventually heard_of_each_other
+
 for n in 1 2 3
 do
 	router=$site_router1
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -76,7 +76,7 @@
 	assert_true(suspects_is_convicted(&suspects, 7, 14));
 	assert_false(suspects_is_convicted(&suspects, 8, 14));
 	assert_false(suspects_is_convicted(&suspects, 7, 13 + 61 * 1000));
-	suspects_clear(&suspects, 7);
+	suspects_clear(&suspects, 7, 14);
 	assert_false(suspects_is_convicted(&suspects, 7, 15));
 	suspects_convict(&suspects, 9, 20);
 	assert_true(suspects_is_convicted(&suspects, 9, 21));
@@ -84,6 +84,41 @@
 	assert_false(suspects_is_convicted(&suspects, 9, 70 * MEDLAR_SECOND));
 }
 
+/* Each crash is heard of again and again, also after the request was answered. */
+static void a_crash_that_is_told_again_counts_once(void **state)
+{
+	static suspects_t suspects;
+	crash_report_t recent[SUSPECTS_RECENT_MAX];
+
+	(void)state;
+	assert_int_equal(suspects_add_crash(&suspects, 7, 1, 10), 1);
+	assert_int_equal(suspects_add_crash(&suspects, 7, 2, 12), 2);
+	assert_int_equal(suspects_add_crash(&suspects, 7, 1, 10), 2);
+	assert_int_equal(suspects_list_recent(&suspects, 20, recent), 2);
+	suspects_clear(&suspects, 7, 20);
+	assert_int_equal(suspects_add_crash(&suspects, 7, 3, 19), 0);
+	assert_int_equal(suspects_add_crash(&suspects, 7, 3, 21), 1);
+	assert_int_equal(suspects_list_recent(&suspects, 30, recent), 3);
+	assert_int_equal(recent[2].replica, 3);
+	assert_int_equal(recent[2].at, 21);
+	assert_int_equal(
+		suspects_list_recent(&suspects, 2 * MEDLAR_MINUTE, recent), 0);
+}
+
+/* The first crash after the end of a conviction is enough to renew it. */
+static void a_conviction_is_renewed_by_one_crash(void **state)
+{
+	static suspects_t suspects;
+	medlar_time_t later = 2 * MEDLAR_MINUTE;
+
+	(void)state;
+	for (unsigned i = 1; i <= SUSPECT_BREAKS; i++)
+		(void)suspects_add_crash(&suspects, 7, i, 10 + i);
+	assert_false(suspects_is_convicted(&suspects, 7, later));
+	(void)suspects_add_crash(&suspects, 7, 9, later);
+	assert_true(suspects_is_convicted(&suspects, 7, later + 1));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -94,6 +129,8 @@
 			an_accept_by_an_exiting_replica_rules_out_nothing),
 		cmocka_unit_test(an_old_break_is_not_blamed),
 		cmocka_unit_test(three_crashes_convict_and_an_answer_clears),
+		cmocka_unit_test(a_crash_that_is_told_again_counts_once),
+		cmocka_unit_test(a_conviction_is_renewed_by_one_crash),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
