Answer what is in flight at the end of a planned stop, and refuse what may outlast it

Another operator's report: requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated. It could happen here: e2e_stop_grace, two requests in flight at SIGTERM and an order sent 0.5 s after it, replicas that take 9 s: all three were passed on, and their connections closed without a byte.

Cause: the grace period bounded the process, not the requests.

Change: from SIGTERM on no answer is due later than 0.3 s before the process ends; what is not complete then gets the parts that are in, 503 if it has not run, or 504. A request that may run once and may take longer than that is refused at once with 503: the other instances can take it.

--- a/cli/ctl_logs.c
+++ b/cli/ctl_logs.c
@@ -190,6 +190,9 @@
 		{ "no_route_total",
 		  "no route of the current configuration matches this host "
 		  "and path" },
+		{ "leaving_total", "the instance was shutting down and the "
+				   "request might have outlasted it; callers "
+				   "may send it to another at once" },
 		{ "not_ready_total", "the instance had no configuration yet; "
 				     "see event=store" },
 		{ "overload_total",
--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -217,6 +217,21 @@
 	(void)medlar_timer_set(exchange->setup->client, &exchange->timer, due);
 }
 
+/**
+ * exchange_limit_deadline() - answer an exchange by a given time at the latest
+ * @exchange: initialised exchange that was not answered
+ * @until: latest time of the answer, ms; a deadline before it is kept
+ * @now: current time, ms
+ */
+void exchange_limit_deadline(exchange_t *exchange, medlar_time_t until,
+			     medlar_time_t now)
+{
+	if (until >= exchange->deadline)
+		return;
+	exchange->deadline = until;
+	set_timer(exchange, now);
+}
+
 /**
  * exchange_defer_part() - answer without a part unless it is needed
  * @exchange: an initialised exchange that has not been started
--- a/libroute/exchange.h
+++ b/libroute/exchange.h
@@ -201,6 +201,8 @@
 void exchange_end_attempt(attempt_t *attempt, const exchange_reply_t *reply,
 			  medlar_time_t now);
 void exchange_cancel(exchange_t *exchange);
+void exchange_limit_deadline(exchange_t *exchange, medlar_time_t until,
+			     medlar_time_t now);
 void exchange_finish(exchange_t *exchange);
 
 #endif /* LIBROUTE_EXCHANGE_H */
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -25,6 +25,8 @@
 #define ADDRESS_RETENTION_FACTOR 3
 /* How long before the end of the grace period the loop stops at the latest. */
 #define STOP_MARGIN_MS 500
+/* Time for the last answers to leave before the loop stops. */
+#define LAST_ANSWERS_MS 300
 
 /* Set by the signal handler, read in each iteration of the loop. */
 static volatile sig_atomic_t term_signals;
@@ -143,7 +145,8 @@
 	state->exit_earliest_at = now + (drain_time < time_max ? drain_time
 							       : time_max);
 	state->exit_forced_at = now + time_max;
-	state->forward.server.closing = true;
+	forward_begin_shutdown(&state->forward,
+			       state->exit_forced_at - LAST_ANSWERS_MS);
 	state->peers.ready = false;
 	state->peers.leaving = true;
 	peers_broadcast(&state->peers);
--- a/router/forward.c
+++ b/router/forward.c
@@ -26,6 +26,8 @@
 					       RETRY_NOT_READY };
 static const refusal_t refusal_not_ready = { 503, STAT_NOT_READY, true,
 					     RETRY_NOT_READY };
+static const refusal_t refusal_leaving = { 503, STAT_LEAVING, true,
+					   RETRY_NOT_RUN };
 static const refusal_t refusal_convicted = { 503, STAT_CONVICTED, true,
 					     RETRY_OVERLOADED };
 static const refusal_t refusal_overload = { 503, STAT_OVERLOAD, true,
@@ -238,12 +240,29 @@
 		refuse_prepared(request, &refusal_memory, head);
 		return;
 	}
+	if (forward->stop_at)
+		exchange_limit_deadline(&request->exchange, forward->stop_at,
+					now);
 	request->exchange.fingerprint = fingerprint;
 	request->exchange.owner = request;
 	conn->handler_data = request;
 	exchange_start(&request->exchange, now);
 }
 
+/*
+ * A request that may run once must not be left without its result. Callers may
+ * send it to another instance at once.
+ */
+static bool may_outlast_shutdown(const forward_t *forward, const route_t *route,
+				 medlar_time_t timeout)
+{
+	medlar_time_t time_max = timeout < route->timeout ? timeout
+							  : route->timeout;
+
+	return forward->stop_at && !route->idempotent &&
+	       forward->loop->now + time_max > forward->stop_at;
+}
+
 static void on_request(h1_conn_t *conn, void *data)
 {
 	forward_t *forward = data;
@@ -281,6 +300,10 @@
 		return;
 	}
 	head.timeout = head.timeout ? head.timeout : route->timeout;
+	if (may_outlast_shutdown(forward, route, head.timeout)) {
+		refuse_request(forward, conn, &refusal_leaving, &head);
+		return;
+	}
 	if (!admission_allows(&forward->admission, route,
 			      iteration_elapsed(forward), head.timeout)) {
 		refuse_request(forward, conn, &refusal_overload, &head);
@@ -355,6 +378,29 @@
 			      &caller_handler, forward);
 }
 
+/**
+ * forward_begin_shutdown() - answer all requests before the process ends
+ * @forward: service
+ * @stop_at: when the last answers have to leave, ms
+ *
+ * What is not complete by then is answered with the parts that are in, or with
+ * what is known of the request: not run, or unknown.
+ */
+void forward_begin_shutdown(forward_t *forward, medlar_time_t stop_at)
+{
+	h1_conn_t *conn;
+
+	forward->stop_at = stop_at;
+	forward->server.closing = true;
+	TAILQ_FOREACH(conn, &forward->server.conns, link) {
+		forward_request_t *request = conn->handler_data;
+
+		if (request)
+			exchange_limit_deadline(&request->exchange, stop_at,
+						forward->loop->now);
+	}
+}
+
 /**
  * forward_report_crash() - record that a replica crashed while it ran a request
  * @forward: service
--- a/router/forward.h
+++ b/router/forward.h
@@ -29,6 +29,8 @@
  * @routes: configuration version in force; NULL before the first one
  * @routes_are_current: checks whether @routes is known to be current
  * @data: passed to @routes_are_current
+ * @stop_at: when the last answers have to leave in a graceful shutdown, ms; 0 if
+ *	none is in progress
  * @finished: requests to be freed at the end of the loop iteration
  * @log_tokens: token bucket that limits the log: lines that may be written now
  * @log_refilled_at: time at which @log_tokens was last refilled, ms
@@ -47,6 +49,7 @@
 	routes_t *routes;
 	bool (*routes_are_current)(void *data);
 	void *data;
+	medlar_time_t stop_at;
 	struct forward_list finished;
 	double log_tokens;
 	medlar_time_t log_refilled_at;
@@ -57,6 +60,7 @@
 		 peers_t *peers, const router_settings_t *settings,
 		 bool (*routes_are_current)(void *), void *data);
 void forward_finish(forward_t *forward);
+void forward_begin_shutdown(forward_t *forward, medlar_time_t stop_at);
 void forward_end_iteration(void *data);
 void forward_report_crash(forward_t *forward, uint64_t fingerprint,
 			  const replica_t *replica);
--- a/router/stats.c
+++ b/router/stats.c
@@ -12,6 +12,7 @@
 	[STAT_NO_ROUTE] = "no_route_total",
 	[STAT_CONVICTED] = "convicted_total",
 	[STAT_NOT_READY] = "not_ready_total",
+	[STAT_LEAVING] = "leaving_total",
 	[STAT_OVERLOAD] = "overload_total",
 	[STAT_REPLICAS_BUSY] = "replicas_busy_total",
 	[STAT_NO_MEMORY] = "no_memory_total",
--- a/router/stats.h
+++ b/router/stats.h
@@ -18,6 +18,8 @@
  * @STAT_NO_ROUTE: requests refused because no route matches
  * @STAT_CONVICTED: requests refused because they have crashed replicas
  * @STAT_NOT_READY: requests refused because no configuration is in force
+ * @STAT_LEAVING: requests refused because they may outlast this instance, which
+ *	is shutting down
  * @STAT_OVERLOAD: requests refused because this process is overloaded
  * @STAT_REPLICAS_BUSY: requests refused because replicas are overloaded
  * @STAT_NO_MEMORY: requests refused for lack of memory
@@ -44,6 +46,7 @@
 	STAT_NO_ROUTE,
 	STAT_CONVICTED,
 	STAT_NOT_READY,
+	STAT_LEAVING,
 	STAT_OVERLOAD,
 	STAT_REPLICAS_BUSY,
 	STAT_NO_MEMORY,
