--- a/tests/e2e_hazards.sh
+++ b/tests/e2e_hazards.sh
@@ -80,6 +80,54 @@
 	check memory-stays-bounded test "$peak_kb" -lt 100000 ;;
 esac
 
+# Replicas that close within the head of an answer, all of its headers sent.
+control 'replica?replica=all&mode=cut-head' >/dev/null
+for target in order search
+do
+	check "a-cut-head-is-no-answer-to-$target" \
+		status_is "$site_router1" "cut-$target" "/$target/x" 502
+done
+control 'replica?replica=all&mode=ok' >/dev/null
+check others-are-served-after-cut-heads \
+	eventually status_is "$site_router1" cut-after /order/x 200
+
+# Odd entries of another writer beside those of the replicas.
+nested=$(printf '%20000s' '' | tr ' ' '[')
+put_item servers/odd-1 "$nested"
+put_item servers/odd-2 "{\"service\":\"ledger\",\"address\":$nested"
+put_item servers/odd-3 '{"service":"ledger","zone":"a","state":"ready",
+"address":"127.0.0.1:70000","slots":1}'
+put_item servers/odd-4 '{"service":"ledger","zone":"a","state":"ready",
+"address":"127.0.0.1:-1","slots":1}'
+put_item servers/odd-5 '{"service":"ledger","zone":"a","state":"ready",
+"address":"127.0.0.1:99999999999999999999","slots":1e400}'
+put_item servers/odd-6 '{"service":"ledger","zone":"a","state":"ready",
+"address":"127.0.0.1:99999","slots":99999999999999999999999,
+"warmupLeftMs":-1e308,"born":NaN}'
+put_item medlar/instances/odd-7 "$nested"
+put_item op/config "{\"version\":99999999999999999999,\"routes\":$nested"
+put_item op/config '{"version":3,"routes":[{"name":"order","hostname":
+"site.example","pathPrefix":"/order/","type":"non_idempotent","timeoutMs":2000,
+"targetLatencyMs":500,"service":"ledger","maxAttempts":1},{"name":"search",
+"hostname":"site.example","pathPrefix":"/search/","type":"idempotent",
+"timeoutMs":2000,"targetLatencyMs":500,"gather":["shard-0","shard-1","shard-2",
+"shard-3"],"maxAttempts":2,"topK":5,"minCoverage":0.5}],"services":[],
+"limits":{}}'
+is_followed() {
+	grep -q 'event=config version=3' "$dir/router-1.log" &&
+		grep -q 'event=config version=3' "$dir/router-2.log"
+}
+check odd-entries-do-not-stop-what-comes-after-them eventually is_followed
+n=0 bad=0
+while test "$n" -lt 9
+do
+	n=$((n + 1))
+	status_is "$site_router1" "odd-$n" /order/x 200 || bad=$((bad + 1))
+done
+check odd-entries-name-no-replica-to-use test "$bad" -eq 0
+check odd-entries-end-no-process test "$(grep -h 'event=start ' \
+	"$dir"/router-?.log | wc -l)" -eq 2
+
 # Withdrawn while router 2 stands still and router 1 starts again.
 kill -STOP "$(cat "$dir/router-2.pid")"
 put_item servers/shard-2-0
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -41,14 +41,15 @@
 	BEHAVIOUR_STRAY, /* executes and answers, after a stray answer */
 	BEHAVIOUR_HANG, /* executes and never answers */
 	BEHAVIOUR_FAIL, /* executes and answers 500 */
+	BEHAVIOUR_CUT_HEAD, /* executes and closes within the head of the answer */
 	BEHAVIOUR_ENDLESS_HEAD, /* executes and sends headers without end */
 	BEHAVIOUR_ENDLESS_BODY, /* executes and sends a body without end */
 } behaviour_t;
 
-static const char *const behaviour_names[] = { "ok",	       "shed",
-					       "reset",	       "stray",
-					       "hang",	       "fail",
-					       "endless-head", "endless-body" };
+static const char *const behaviour_names[] = {
+	"ok",	"shed",	    "reset",	    "stray",	   "hang",
+	"fail", "cut-head", "endless-head", "endless-body"
+};
 
 /* Pause between two chunks of an endless reply. */
 #define ENDLESS_PAUSE_MS 2
@@ -606,6 +607,7 @@
 	unsigned status = job->replica->behaviour == BEHAVIOUR_FAIL ? 500 : 200;
 	bool send_stray = job->replica->behaviour == BEHAVIOUR_STRAY;
 	bool close_only = job->replica->behaviour == BEHAVIOUR_RESET;
+	bool cuts_head = job->replica->behaviour == BEHAVIOUR_CUT_HEAD;
 	medlar_buf_t headers;
 	medlar_buf_t body;
 
@@ -624,6 +626,13 @@
 	write_headers(job, &headers);
 	write_body(job, &body);
 	finish_job(job);
+	if (cuts_head) {
+		medlar_buf_printf(&conn->out, "HTTP/1.1 200 OK\r\n");
+		medlar_buf_add(&conn->out, medlar_buf_str(&headers));
+		(void)send(conn->fd, conn->out.ptr, conn->out.len,
+			   MSG_DONTWAIT | MSG_NOSIGNAL);
+		close_only = true;
+	}
 	if (close_only) {
 		conn->busy = false;
 		h1_conn_close(conn);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -150,6 +150,52 @@
 			fail_msg("case %zu was accepted", i);
 }
 
+/* The id is sent to the replica in a header, so it must not end the line. */
+static void an_id_that_is_no_token_is_rejected(void **state)
+{
+	static const char *const ids[] = { "",	  "a b",  "a\r\nX-Evil: 1",
+					   "a\n", "\x7f", "\xc3\xa9" };
+	replica_info_t info;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(ids) / sizeof(ids[0]); i++)
+		if (entries_parse_replica(
+			    medlar_str_from(ids[i]),
+			    MEDLAR_STR("{\"service\":\"s\",\"address\":"
+				       "\"10.0.0.1:1\",\"state\":\"ready\"}"),
+			    copy_info, &info) != MEDLAR_ERR_FIELD)
+			fail_msg("case %zu was accepted", i);
+}
+
+/* Numbers out of range give the default, on any kind of processor. */
+static void numbers_out_of_range_are_not_used(void **state)
+{
+	static const char *const numbers[] = {
+		"1e400", "-1e400",   "NaN",
+		"-1",	 "Infinity", "99999999999999999999"
+	};
+	char text[256];
+	replica_info_t info;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		const char *number = numbers[i];
+
+		(void)snprintf(text, sizeof(text),
+			       "{\"service\":\"s\",\"address\":"
+			       "\"10.0.0.1:1\",\"state\":\"ready\","
+			       "\"slots\":%s,\"warmupLeftMs\":%s}",
+			       number, number);
+		if (entries_parse_replica(MEDLAR_STR("i"),
+					  medlar_str_from(text), copy_info,
+					  &info))
+			continue;
+		if (info.slots != 1 || info.warmup_left != 0)
+			fail_msg("%s gave %u slots and %d ms", number,
+				 info.slots, (int)info.warmup_left);
+	}
+}
+
 /* Parsing mutated valid documents must not crash, whatever the result. */
 static void mutated_entries_do_not_crash(void **state)
 {
@@ -491,6 +537,8 @@
 		cmocka_unit_test(an_invalid_configuration_is_rejected),
 		cmocka_unit_test(a_replica_entry_is_parsed),
 		cmocka_unit_test(an_invalid_replica_entry_is_rejected),
+		cmocka_unit_test(an_id_that_is_no_token_is_rejected),
+		cmocka_unit_test(numbers_out_of_range_are_not_used),
 		cmocka_unit_test(mutated_entries_do_not_crash),
 		cmocka_unit_test(mutated_replies_do_not_crash),
 		cmocka_unit_test(an_answer_says_which_parts_are_missing),
