Ask another instance for changes after one did not answer

An instance whose messages arrive while its connections hang (or that has no connection left) was asked for changes each second, and nobody else was.

Change: an instance that failed to send its changes comes last among the sources for 5 s.

Test: a_source_that_does_not_answer_is_not_asked_again_at_once failed before. Two tests of the choice now forget the fetches that fail in them, as nobody listens at their addresses; their assertions are unchanged.

--- a/router/changes.c
+++ b/router/changes.c
@@ -17,6 +17,8 @@
 #define BEHIND_MAX_LEADER_MS 600
 #define BEHIND_MAX_MS 0
 #define FETCH_TIMEOUT_MS MEDLAR_SECOND
+/* One that did not answer is asked again after this time if there are others. */
+#define SOURCE_RETRY_MS (5 * MEDLAR_SECOND)
 #define CHANGES_BYTES_MAX ((size_t)32 << 20)
 #define HEAD_BYTES_MAX ((size_t)4096)
 /* Bounds the memory for answers; who is refused asks another instance. */
@@ -94,6 +96,11 @@
 /* Cancels the fetch in progress, if there is one. */
 static void end_fetch(peers_t *peers)
 {
+	peer_instance_t *source = peers_find_by_hash(peers, peers->source_hash);
+
+	if (peers->fetching && source)
+		source->fetch_failed_at = peers->loop->now;
+	peers->source_hash = 0;
 	medlar_timer_clear(peers->loop->client, &peers->fetch_timer);
 	if (peers->fetching)
 		h1_client_finish(&peers->changes_client);
@@ -167,9 +174,11 @@
 {
 	peers_t *peers = data;
 
-	if (end == H1_END_REPLY && client->parser.message.status == 200)
+	if (end == H1_END_REPLY && client->parser.message.status == 200) {
+		peers->source_hash = 0;
 		decode_changes(peers,
 			       medlar_buf_str(&client->parser.message.body));
+	}
 	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
 			       peers->loop->now);
 }
@@ -188,6 +197,14 @@
 	end_fetch(data);
 }
 
+/* An instance that is ahead, and has not just failed to send its changes. */
+static bool is_sound_source(const peers_t *peers, const peer_instance_t *peer)
+{
+	return peer->revision > peers->mirror->revision &&
+	       (!peer->fetch_failed_at ||
+		peers->loop->now - peer->fetch_failed_at > SOURCE_RETRY_MS);
+}
+
 static bool is_near_source(const peers_t *peers, const peer_instance_t *peer)
 {
 	return peer->revision > peers->mirror->revision &&
@@ -198,6 +215,8 @@
 static bool is_better_source(const peers_t *peers, const peer_instance_t *peer,
 			     const peer_instance_t *best)
 {
+	if (is_sound_source(peers, peer) != is_sound_source(peers, best))
+		return is_sound_source(peers, peer);
 	if (is_near_source(peers, peer) != is_near_source(peers, best))
 		return is_near_source(peers, peer);
 	if (peer->revision != best->revision)
@@ -213,7 +232,8 @@
  * Instances in the own availability zone come first if they are ahead, even of one
  * that is further: at a start of everything all would fetch from that one. Those
  * with the same revision are ranked by a hash that differs between the instances
- * that choose, so that the fetches are spread over them.
+ * that choose, so that the fetches are spread over them. One that has just failed to
+ * answer comes last, as its messages may arrive while its connections do not.
  *
  * Return: a live instance, or NULL if no other instance is live.
  */
@@ -253,6 +273,7 @@
 		peers->behind_since = now;
 	if (peers->fetching || now - peers->behind_since < behind_max)
 		return;
+	peers->source_hash = source->hash;
 	peers->fetching = true;
 	(void)medlar_timer_set(peers->loop->client, &peers->fetch_timer,
 			       now + FETCH_TIMEOUT_MS);
--- a/router/peers.h
+++ b/router/peers.h
@@ -49,6 +49,8 @@
  * @store_outage_end: end of the last store outage that it saw, ms; 0 if there
  *	was none
  * @registered: the store holds its entry
+ * @fetch_failed_at: when it last failed to send the changes that it was asked for,
+ *	ms; 0 if it never did
  */
 typedef struct peer_instance {
 	TAILQ_ENTRY(peer_instance) link;
@@ -69,6 +71,7 @@
 	uint64_t contact_revision;
 	medlar_time_t store_outage_end;
 	bool registered;
+	medlar_time_t fetch_failed_at;
 } peer_instance_t;
 
 TAILQ_HEAD(peer_instance_list, peer_instance);
@@ -138,6 +141,8 @@
  *	wait for changes of peers
  * @behind_since: time since which a peer has been ahead of @mirror, ms; 0 if
  *	none is
+ * @source_hash: &struct peer_instance.hash of the instance that is being asked for
+ *	changes; 0 if it has answered, or none is asked
  * @convicted: fingerprints of requests that this instance found to crash
  *	replicas, latest last
  * @convicted_len: number of fingerprints in @convicted
@@ -176,6 +181,7 @@
 	peers_store_t store;
 	bool leads_watchers;
 	medlar_time_t behind_since;
+	uint64_t source_hash;
 	uint64_t convicted[GOSSIP_CONVICTED_MAX];
 	unsigned convicted_len;
 	uint64_t own_hash;
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -259,6 +259,15 @@
 	assert_int_equal(fixture->peers.len, PEERS_MAX);
 }
 
+/* Nobody listens at the addresses of the instances, so all fetches have failed. */
+static void forget_failed_fetches(fixture_t *fixture)
+{
+	peer_instance_t *peer;
+
+	TAILQ_FOREACH(peer, &fixture->peers.list, link)
+		peer->fetch_failed_at = 0;
+}
+
 /*
  * Guards against one instance serving the changes to all others. That happened
  * in a deployment of 300 machines, where all chose the same source.
@@ -277,6 +286,7 @@
 		message.revision = 7;
 		deliver_message(fixture, &message);
 	}
+	forget_failed_fetches(fixture);
 	for (unsigned i = 0; i < 300; i++) {
 		const peer_instance_t *source;
 
@@ -321,6 +331,7 @@
 	message.zone = (char *)"y";
 	message.revision = 9;
 	deliver_message(fixture, &message);
+	forget_failed_fetches(fixture);
 	assert_string_equal(changes_source(&fixture->peers)->name, "other");
 	mirror_advance(&fixture->mirror, 8);
 	assert_string_equal(changes_source(&fixture->peers)->name, "far");
@@ -508,6 +519,38 @@
 	assert_in_range(fixture->loop.now - far->last_heard, 199, 60000);
 }
 
+/*
+ * An instance whose messages arrive while its connections hang was asked again and
+ * again, and nobody else.
+ */
+static void
+a_source_that_does_not_answer_is_not_asked_again_at_once(void **state)
+{
+	fixture_t *fixture = *state;
+	peer_instance_t *peer;
+	const peer_instance_t *first;
+	medlar_time_t now = fixture->loop.now;
+
+	peers_register(&fixture->peers, MEDLAR_STR("one"),
+		       MEDLAR_STR("127.0.0.1:10 127.0.0.1:11"));
+	peers_register(&fixture->peers, MEDLAR_STR("two"),
+		       MEDLAR_STR("127.0.0.1:10 127.0.0.1:11"));
+	TAILQ_FOREACH(peer, &fixture->peers.list, link) {
+		peer->last_heard = now;
+		peer->revision = 50;
+	}
+	first = changes_source(&fixture->peers);
+	changes_catch_up(&fixture->peers);
+	assert_true(fixture->peers.fetching);
+	medlar_client_run(&fixture->client, now + 1000);
+	assert_false(fixture->peers.fetching);
+	assert_ptr_not_equal(changes_source(&fixture->peers), first);
+	TAILQ_FIRST(&fixture->peers.list)->revision = 0;
+	TAILQ_NEXT(TAILQ_FIRST(&fixture->peers.list), link)->revision = 0;
+	((peer_instance_t *)(uintptr_t)first)->revision = 51;
+	assert_ptr_equal(changes_source(&fixture->peers), first);
+}
+
 /* Makes this instance a peer of itself, which receives what it sends. */
 static const peer_instance_t *add_self(fixture_t *fixture)
 {
@@ -633,6 +676,9 @@
 		cmocka_unit_test_setup_teardown(
 			routes_are_not_current_beyond_the_time_to_apply_them,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_source_that_does_not_answer_is_not_asked_again_at_once,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_start_is_no_contact_with_the_store, set_up,
 			tear_down),
