--- a/tests/e2e_availability.sh
+++ b/tests/e2e_availability.sh
@@ -2,43 +2,14 @@
 # Replicas that say in their replies that they are leaving, or that they want no
 # requests for some time.
 cd "$(dirname "$0")/.." || exit 1
-# shellcheck source=scripts/site.sh
-. scripts/site.sh
-# shellcheck source=tests/report.sh
-. tests/report.sh
-build=$1
-dir=$build/e2e/availability
-rm -rf "$dir"
-
-finish() {
-	status=$?
-	site_stop
-	check no-sanitizer-reports no_reports
-	test "$failed" -eq 0 || status=1
-	echo "1..$count"
-	exit "$status"
-}
-
-trap 'finish' EXIT
-port=$((23000 - 1000 * ${FLEET_PORT_SHIFT:-0}))
-site_start "$1" "$dir" "$port" || exit 1
-
-control() {
-	curl -s -m 5 "http://$site_store/control/$1"
-}
+# shellcheck source=tests/site_test.sh
+. tests/site_test.sh
+site_test "$1" availability
 
 arrivals() {
 	control "arrivals?replica=$1"
 }
 
-# usage: request ID TARGET
-# Prints the status; 000 if there was no answer. The answer is in $dir/answer.
-request() {
-	curl -s -i -o "$dir/answer" -w '%{http_code}' -m 10 \
-		-H 'Host: site.example' -H "X-Request-Id: $1" \
-		-H 'X-Deadline-Ms: 2000' "http://$site_router1$2"
-}
-
 # usage: send_some NAME TARGET COUNT
 # Sets $bad to the number of answers other than 200.
 send_some() {
@@ -46,7 +17,7 @@
 	while test "$n" -lt "$3"
 	do
 		n=$((n + 1))
-		test "$(request "$1-$n" "$2")" = 200 || bad=$((bad + 1))
+		status_is "$site_router1" "$1-$n" "$2" 200 || bad=$((bad + 1))
 	done
 }
 
@@ -95,18 +66,16 @@
 do
 	control "replica?replica=ledger-$n&mode=hold" >/dev/null
 done
-request held-order /order/x >/dev/null
+request "$site_router1" held-order /order/x >/dev/null
 order_at=$(arrivals ledger-1)$(arrivals ledger-2)
 check a-request-for-held-replicas-is-refused \
-	test "$(request refused-order /order/x)" = 503
+	status_is "$site_router1" refused-order /order/x 503
 check it-gets-the-time-of-the-first-return \
-	grep -q '^Retry-After: [23]\.' "$dir/answer"
+	grep -q '^Retry-After: [23]\.' "$dir/answer.refused-order"
 check refused-requests-reach-nobody \
 	test "$(arrivals ledger-1)$(arrivals ledger-2)" = "$order_at"
 control 'replica?replica=all&mode=ok' >/dev/null
-serves_orders() {
-	test "$(request returned-order /order/x)" = 200
-}
-check held-replicas-return eventually serves_orders
+check held-replicas-return \
+	eventually status_is "$site_router1" returned-order /order/x 200
 check log-lines-are-as-documented "$build/medlarctl" logs check \
 	"$dir/router-1.log"
--- a/tests/e2e_hazards.sh
+++ b/tests/e2e_hazards.sh
@@ -3,31 +3,9 @@
 # a stop under load, a reload and a second signal during it; what was withdrawn
 # while an instance stood still; replies without end.
 cd "$(dirname "$0")/.." || exit 1
-# shellcheck source=scripts/site.sh
-. scripts/site.sh
-# shellcheck source=tests/report.sh
-. tests/report.sh
-build=$1
-dir=$build/e2e/hazards
-rm -rf "$dir"
-
-finish() {
-	status=$?
-	: >"$dir/stop"
-	site_stop
-	check no-sanitizer-reports no_reports
-	test "$failed" -eq 0 || status=1
-	echo "1..$count"
-	exit "$status"
-}
-
-trap 'finish' EXIT
-port=$((23000 - 1000 * ${FLEET_PORT_SHIFT:-0}))
-site_start "$1" "$dir" "$port" || exit 1
-
-control() {
-	curl -s -m 5 "http://$site_store/control/$1"
-}
+# shellcheck source=tests/site_test.sh
+. tests/site_test.sh
+site_test "$1" hazards
 
 # Sets or, without a value, deletes an item of the store.
 put_item() {
@@ -35,21 +13,6 @@
 		"http://$site_store/control/item?key=$1"
 }
 
-# usage: request ROUTER ID TARGET
-# Prints the status; 000 if there was no answer.
-request() {
-	curl -s -o "$dir/answer.$2" -w '%{http_code}' -m 10 \
-		-H 'Host: site.example' -H "X-Request-Id: $2" \
-		-H 'X-Deadline-Ms: 2000' "http://$1$3"
-}
-
-status_is() {
-	got=$(request "$1" "$2" "$3")
-	test "$got" = "$4" && return 0
-	echo "# $3 at $1: $got, expected $4"
-	return 1
-}
-
 # Replies without end: one replica, then all of a service.
 for mode in endless-head endless-body
 do
--- a/tests/e2e_router.sh
+++ b/tests/e2e_router.sh
@@ -1,23 +1,9 @@
 #!/bin/sh
 # Two router processes between callers and a simulated platform.
 cd "$(dirname "$0")/.." || exit 1
-# shellcheck source=scripts/site.sh
-. scripts/site.sh
-# shellcheck source=tests/report.sh
-. tests/report.sh
+# shellcheck source=tests/site_test.sh
+. tests/site_test.sh
 id=1000
-build=$1
-dir=$build/e2e/router
-rm -rf "$dir"
-
-finish() {
-	status=$?
-	site_stop
-	check no-sanitizer-reports no_reports
-	test "$failed" -eq 0 || status=1
-	echo "1..$count"
-	exit "$status"
-}
 
 # usage: explanation_has TEXT
 # Succeeds if "medlarctl explain" derives a cause that matches TEXT for the
@@ -31,9 +17,7 @@
 	return 1
 }
 
-trap 'finish' EXIT
-port=$((23000 - 1000 * ${FLEET_PORT_SHIFT:-0}))
-site_start "$1" "$dir" "$port" || exit 1
+site_test "$1" router
 
 # usage: send_request TARGET [CURL OPTION...]
 # Stores the answer with its headers in $answer and the request id in $id.
@@ -46,10 +30,6 @@
 		"http://$site_router1$target" | tr -d '\r')
 }
 
-control() {
-	curl -s -m 5 "http://$site_store/control/$1"
-}
-
 answer_has() {
 	printf '%s\n' "$answer" | grep -q -- "$1" && return 0
 	echo "# no $1 in: $(printf '%s' "$answer" | head -n 5 | tr '\n' '|')"
--- a/tests/e2e_stop_grace.sh
+++ b/tests/e2e_stop_grace.sh
@@ -1,30 +1,10 @@
 #!/bin/sh
 # A planned stop, in calm, with requests that take longer than the grace period.
 cd "$(dirname "$0")/.." || exit 1
-# shellcheck source=scripts/site.sh
-. scripts/site.sh
-# shellcheck source=tests/report.sh
-. tests/report.sh
-build=$1
-dir=$build/e2e/stop-grace
-rm -rf "$dir"
-
-finish() {
-	status=$?
-	site_stop
-	check no-sanitizer-reports no_reports
-	test "$failed" -eq 0 || status=1
-	echo "1..$count"
-	exit "$status"
-}
-
-trap 'finish' EXIT
-port=$((23000 - 1000 * ${FLEET_PORT_SHIFT:-0}))
-site_start "$1" "$dir" "$port" || exit 1
-
-control() {
-	curl -s -m 5 "http://$site_store/control/$1"
-}
+# shellcheck source=tests/site_test.sh
+. tests/site_test.sh
+site_test "$1" stop-grace
+request_timeout=20000
 
 # Two routes to one service: the first may be repeated, the second may not.
 curl -s -m 5 --data-binary '{"version":5,"routes":[{"name":"look","hostname":
@@ -40,24 +20,22 @@
 check the-configuration-is-in-force eventually is_in_force
 control 'replica?replica=all&work=9000' >/dev/null
 
-# usage: request NAME TARGET
+# usage: send NAME ROUTE
 # Stores the status, 000 if there was none, and the exit status of curl.
-request() {
-	code=$(curl -s -o /dev/null -w '%{http_code}' -m 15 \
-		-H 'Host: site.example' -H "X-Request-Id: $1" \
-		-H 'X-Deadline-Ms: 20000' "http://$site_router1/$2/x")
+send() {
+	code=$(request "$site_router1" "$1" "/$2/x")
 	echo "$code $?" >"$dir/$1.txt"
 }
 
-request early-look look &
+send early-look look &
 early_look=$!
-request early-order order &
+send early-order order &
 early_order=$!
 sleep 0.3
 router1=$(cat "$dir/router-1.pid")
 kill -TERM "$router1"
 sleep 0.5
-request late-order order &
+send late-order order &
 late_order=$!
 sleep 0.3
 check what-cannot-end-in-time-is-refused-at-once \
