Spread news of crashes in steps, many in one message

Read through: since each crash is told, an instance that saw dozens of them within milliseconds (a rack that loses power) sent each of them to all others: at 118 instances thousands of datagrams from each at once, more on larger fleets.

Change: at the end of an iteration of the loop, at most once in 20 ms, one message tells eight others of all that is new, and they tell theirs.

--- a/router/daemon.c
+++ b/router/daemon.c
@@ -234,6 +234,7 @@
 		peers_spread_news(&state->peers);
 		state->store.has_news = false;
 	}
+	peers_spread_crashes(&state->peers);
 }
 
 static int add_loop_hooks(daemon_state_t *state)
--- a/router/forward.c
+++ b/router/forward.c
@@ -416,8 +416,9 @@
  * @fingerprint: fingerprint of the request
  * @replica: replica that crashed
  *
- * Other instances are told at once. The request is refused from the time at which
- * it has crashed %SUSPECT_BREAKS replicas, at whatever instances.
+ * Other instances are told at the end of the iteration of the loop. The request is
+ * refused from the time at which it has crashed %SUSPECT_BREAKS replicas, at
+ * whatever instances.
  */
 void forward_report_crash(forward_t *forward, uint64_t fingerprint,
 			  const replica_t *replica)
@@ -433,8 +434,6 @@
 		 MEDLAR_NUM("refused", crashes >= SUSPECT_BREAKS));
 	if (crashes == SUSPECT_BREAKS)
 		peers_share_conviction(forward->peers, fingerprint);
-	else
-		peers_broadcast(forward->peers);
 }
 
 /**
--- a/router/peers.c
+++ b/router/peers.c
@@ -10,6 +10,8 @@
 #include "router/peers_internal.h"
 
 #define GOSSIP_INTERVAL_MS 220
+/* Least time between two messages that tell of crashes. */
+#define CRASHES_INTERVAL_MS 20
 /* Gossip rounds without a message after which an instance counts as down. */
 #define MISSED_ROUNDS_MAX 3
 /* An instance without an entry in the store is removed after this silence. */
@@ -197,6 +199,25 @@
 	gossip_send(peers);
 }
 
+/**
+ * peers_spread_crashes() - tell some instances of the crashes that are new here
+ * @peers: the other instances
+ *
+ * Each of them tells others. To be called in each iteration of the loop; when many
+ * replicas crash at once, one message tells of all of them.
+ */
+void peers_spread_crashes(peers_t *peers)
+{
+	size_t known = peers->suspects->recent_added;
+
+	if (known == peers->crashes_told ||
+	    peers->loop->now - peers->crashes_told_at < CRASHES_INTERVAL_MS)
+		return;
+	peers->crashes_told = known;
+	peers->crashes_told_at = peers->loop->now;
+	gossip_send(peers);
+}
+
 static void remove_silent_peers(peers_t *peers)
 {
 	peer_instance_t *peer = TAILQ_FIRST(&peers->list);
--- a/router/peers.h
+++ b/router/peers.h
@@ -143,6 +143,8 @@
  *	none is
  * @source_hash: &struct peer_instance.hash of the instance that is being asked for
  *	changes; 0 if it has answered, or none is asked
+ * @crashes_told: &struct suspects.recent_added when crashes were last told
+ * @crashes_told_at: when they were, ms
  * @convicted: fingerprints of requests that this instance found to crash
  *	replicas, latest last
  * @convicted_len: number of fingerprints in @convicted
@@ -182,6 +184,8 @@
 	bool leads_watchers;
 	medlar_time_t behind_since;
 	uint64_t source_hash;
+	size_t crashes_told;
+	medlar_time_t crashes_told_at;
 	uint64_t convicted[GOSSIP_CONVICTED_MAX];
 	unsigned convicted_len;
 	uint64_t own_hash;
@@ -203,6 +207,7 @@
 		       const replica_report_t *report);
 void peers_send_announcements(peers_t *peers,
 			      const announcements_t *announcements);
+void peers_spread_crashes(peers_t *peers);
 void peers_share_conviction(peers_t *peers, uint64_t fingerprint);
 watch_view_t peers_watch_view(const peers_t *peers);
 medlar_time_t peers_store_last_contact(const peers_t *peers);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -519,6 +519,33 @@
 	assert_in_range(fixture->loop.now - far->last_heard, 199, 60000);
 }
 
+/* An instance told all others at once of each of hundreds of crashes. */
+static void many_crashes_are_told_in_few_messages(void **state)
+{
+	fixture_t *fixture = *state;
+	const uint64_t *sent = &fixture->stats.counts[STAT_GOSSIP_SENT];
+	uint64_t sent_before;
+	char name[32];
+
+	for (unsigned i = 0; i < 100; i++) {
+		(void)snprintf(name, sizeof(name), "o-%u", i);
+		peers_register(&fixture->peers, medlar_str_from(name),
+			       MEDLAR_STR("127.0.0.1:10 127.0.0.1:11"));
+	}
+	sent_before = *sent;
+	peers_spread_crashes(&fixture->peers);
+	assert_int_equal(*sent, sent_before);
+	for (uint64_t i = 1; i <= 300; i++) {
+		(void)suspects_add_crash(&fixture->suspects, i, i,
+					 fixture->loop.now);
+		peers_spread_crashes(&fixture->peers);
+	}
+	assert_in_range(*sent - sent_before, 1, PEERS_FANOUT);
+	fixture->loop.now += 20;
+	peers_spread_crashes(&fixture->peers);
+	assert_in_range(*sent - sent_before, 2, 2 * PEERS_FANOUT);
+}
+
 /*
  * An instance whose messages arrive while its connections hang was asked again and
  * again, and nobody else.
@@ -676,6 +703,9 @@
 		cmocka_unit_test_setup_teardown(
 			routes_are_not_current_beyond_the_time_to_apply_them,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			many_crashes_are_told_in_few_messages, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_source_that_does_not_answer_is_not_asked_again_at_once,
 			set_up, tear_down),
