Order calls in a mailbox before the flag that wakes its receiver

Read for the weaker memory order of arm64: Concurrency Kit's swap is no barrier there. The sender puts a call into the ring and then swaps the flag; the receiver clears the flag and then reads the ring. Without a fence between the two on each side the receiver may miss the call while the sender takes it for awake, and the call waits until another is posted. On x86-64 the swap is a barrier.

Not shown by a run: 2,000,000 calls one by one on arm64 lost none before. The test a_receiver_that_falls_asleep_gets_the_call sends 20,000 calls in that way; it passed before as well.

--- a/medlard/mailbox.c
+++ b/medlard/mailbox.c
@@ -94,8 +94,13 @@
 	(void)events;
 	if (read(mailbox->wakeup, &count, sizeof(count)) < 0)
 		count = 0;
-	/* A call posted after this store writes to the eventfd again. */
+	/*
+	 * A call posted after this store writes to the eventfd again, and one
+	 * posted before it is seen below. Weakly ordered processors need the
+	 * fence for that.
+	 */
 	ck_pr_fas_32(&mailbox->signalled, 0);
+	ck_pr_fence_memory();
 	(void)mailbox_run(mailbox);
 }
 
@@ -149,6 +154,7 @@
 	*call = (mailbox_call_t){ fn, data };
 	while (!enqueue_call(mailbox, call))
 		sched_yield();
+	ck_pr_fence_memory();
 	if (ck_pr_fas_32(&mailbox->signalled, 1))
 		return;
 	if (write(mailbox->wakeup, &one, sizeof(one)) < 0)
--- a/tests/test_mailbox.c
+++ b/tests/test_mailbox.c
@@ -151,9 +151,67 @@
 	free_receiver(receiver);
 }
 
+#define BOUNCES 20000
+
+/** struct bounce - a call that goes to and fro between two loops */
+typedef struct bounce {
+	mailbox_call_t call;
+	receiver_t *receivers[2];
+	unsigned count;
+} bounce_t;
+
+static void stop_receiver(mailbox_call_t *call, void *data)
+{
+	receiver_t *receiver = data;
+
+	(void)call;
+	loop_stop(&receiver->loop);
+}
+
+static void bounce_back(mailbox_call_t *call, void *data)
+{
+	bounce_t *bounce = data;
+	unsigned to = ++bounce->count % 2;
+
+	mailbox_post(&bounce->receivers[to]->inbox, call,
+		     bounce->count < BOUNCES ? bounce_back : stop_receiver,
+		     bounce->count < BOUNCES ? data : bounce->receivers[to]);
+	if (bounce->count == BOUNCES)
+		loop_stop(&bounce->receivers[1 - to]->loop);
+}
+
+static void *run_loop(void *data)
+{
+	receiver_t *receiver = data;
+
+	loop_run(&receiver->loop);
+	return NULL;
+}
+
+/* Each call is posted while its receiver is about to wait for events. */
+static void a_receiver_that_falls_asleep_gets_the_call(void **state)
+{
+	bounce_t bounce = { .receivers = { new_receiver(0), new_receiver(0) } };
+	pthread_t threads[2];
+
+	(void)state;
+	mailbox_post(&bounce.receivers[0]->inbox, &bounce.call, bounce_back,
+		     &bounce);
+	for (int i = 0; i < 2; i++)
+		assert_int_equal(pthread_create(&threads[i], NULL, run_loop,
+						bounce.receivers[i]),
+				 0);
+	for (int i = 0; i < 2; i++)
+		pthread_join(threads[i], NULL);
+	assert_int_equal(bounce.count, BOUNCES);
+	for (int i = 0; i < 2; i++)
+		free_receiver(bounce.receivers[i]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_receiver_that_falls_asleep_gets_the_call),
 		cmocka_unit_test(calls_of_each_sender_arrive_in_order),
 		cmocka_unit_test(a_call_posted_before_the_loop_runs_arrives),
 		cmocka_unit_test(
