--- a/tests/e2e_availability.sh
+++ b/tests/e2e_availability.sh
@@ -77,5 +77,48 @@
 control 'replica?replica=all&mode=ok' >/dev/null
 check held-replicas-return \
 	eventually status_is "$site_router1" returned-order /order/x 200
+
+# All replicas of one shard hold, and all but one of another leave, under load; the
+# router stands still meanwhile.
+send_load() {
+	n=0
+	while test ! -e "$dir/stop"
+	do
+		n=$((n + 1))
+		request "$site_router1" "$1-$n" /search/x >/dev/null
+	done
+}
+for worker in 1 2 3 4 5 6
+do
+	send_load "load$worker" &
+done
+sleep 0.3
+for n in 0 1 2
+do
+	control "replica?replica=shard-2-$n&mode=hold" >/dev/null
+done
+for n in 1 2
+do
+	control "replica?replica=shard-3-$n&mode=leaving" >/dev/null
+done
+sleep 0.6
+held=$(arrivals shard-2-0)$(arrivals shard-2-1)$(arrivals shard-2-2)
+left=$(arrivals shard-3-1)$(arrivals shard-3-2)
+kill -STOP "$(cat "$dir/router-1.pid")"
+sleep 0.7
+kill -CONT "$(cat "$dir/router-1.pid")"
+sleep 0.5
+check held-replicas-get-nothing-under-load-and-after-a-freeze test "$held" = \
+	"$(arrivals shard-2-0)$(arrivals shard-2-1)$(arrivals shard-2-2)"
+check those-that-left-get-nothing-under-load-and-after-a-freeze test "$left" = \
+	"$(arrivals shard-3-1)$(arrivals shard-3-2)"
+: >"$dir/stop"
+control 'replica?replica=all&mode=ok' >/dev/null
+all_parts_are_in() {
+	status_is "$site_router1" all-parts /search/x 200 &&
+		tr -d '\r' <"$dir/answer.all-parts" |
+		grep -q '^X-Missing-Parts: 0$'
+}
+check all-parts-are-in-after-the-holds eventually all_parts_are_in
 check log-lines-are-as-documented "$build/medlarctl" logs check \
 	"$dir/router-1.log"
