--- a/tests/test_mailbox.c
+++ b/tests/test_mailbox.c
@@ -168,16 +168,20 @@
 	loop_stop(&receiver->loop);
 }
 
+/* Once the call is posted, the other thread owns it. */
 static void bounce_back(mailbox_call_t *call, void *data)
 {
 	bounce_t *bounce = data;
-	unsigned to = ++bounce->count % 2;
+	unsigned count = ++bounce->count;
+	receiver_t *from = bounce->receivers[(count + 1) % 2];
+	receiver_t *to = bounce->receivers[count % 2];
 
-	mailbox_post(&bounce->receivers[to]->inbox, call,
-		     bounce->count < BOUNCES ? bounce_back : stop_receiver,
-		     bounce->count < BOUNCES ? data : bounce->receivers[to]);
-	if (bounce->count == BOUNCES)
-		loop_stop(&bounce->receivers[1 - to]->loop);
+	if (count < BOUNCES) {
+		mailbox_post(&to->inbox, call, bounce_back, data);
+		return;
+	}
+	mailbox_post(&to->inbox, call, stop_receiver, to);
+	loop_stop(&from->loop);
 }
 
 static void *run_loop(void *data)
