Revert "Take requests on a connection in use for first attempts"

Tried: requests on a connection that has carried one count as first attempts, whatever their timeout, so that callers with a shorter timeout than others are not taken for late.

Cause of the revert: callers have spent time before such requests as well, and answers left too late for their target.

Conclusion: the timeout stays the only sign.

--- a/libroute/answer_time.c
+++ b/libroute/answer_time.c
@@ -93,27 +93,6 @@
 	return known->initial > timeout ? known->initial - timeout : 0;
 }
 
-/**
- * timeouts_elapsed() - record the timeout of a request on a connection
- * @timeouts: timeouts by route, initially zero
- * @route: route of the request
- * @timeout: how long the caller waits, ms
- * @reused: the connection has carried a request before
- *
- * Callers repeat requests on new connections, so one on a connection that was in
- * use is a first attempt, also if others on its route wait longer.
- *
- * Return: time from the first attempt of the caller to this one, ms; 0 if it is
- * unknown.
- */
-medlar_time_t timeouts_elapsed(timeouts_t *timeouts, const route_t *route,
-			       medlar_time_t timeout, bool reused)
-{
-	medlar_time_t elapsed = timeouts_add(timeouts, route, timeout);
-
-	return reused ? 0 : elapsed;
-}
-
 /**
  * delay_add() - add a delay to the estimate
  * @estimate: estimate
--- a/libroute/answer_time.h
+++ b/libroute/answer_time.h
@@ -66,8 +66,6 @@
 
 medlar_time_t timeouts_add(timeouts_t *timeouts, const route_t *route,
 			   medlar_time_t timeout);
-medlar_time_t timeouts_elapsed(timeouts_t *timeouts, const route_t *route,
-			       medlar_time_t timeout, bool reused);
 void delay_add(delay_estimate_t *estimate, medlar_time_t delay);
 medlar_time_t delay_bound(const delay_estimate_t *estimate);
 medlar_time_t answer_time_for_target(const caller_timing_t *timing,
--- a/medlard/h1_server.c
+++ b/medlard/h1_server.c
@@ -186,7 +186,6 @@
 	bool method_is_head = method && strcmp(method, "HEAD") == 0;
 
 	conn->busy = false;
-	conn->reused = true;
 	conn->handler_data = NULL;
 	if (server->closing || !conn->parser.message.keep_alive)
 		conn->closing = true;
--- a/medlard/h1_server.h
+++ b/medlard/h1_server.h
@@ -65,7 +65,6 @@
  * @request_began: when the first byte of the request was received, ms
  * @timer: timeout of an idle connection or a slow request
  * @watched_events: epoll events that are being watched
- * @reused: a request on it was answered before
  * @busy: the handler has a request that it has not answered
  * @closing: close the connection once the answer is sent
  * @parsing: parse_bytes() is running; it frees a connection that is closed
@@ -84,7 +83,6 @@
 	medlar_time_t request_began;
 	medlar_timer_t timer;
 	uint32_t watched_events;
-	bool reused;
 	bool busy;
 	bool closing;
 	bool parsing;
--- a/router/forward.c
+++ b/router/forward.c
@@ -214,8 +214,7 @@
 	caller_timing_t timing = { .timeout = head->timeout };
 
 	timing.round_trip = round_trip < 0 ? ROUND_TRIP_DEFAULT_MS : round_trip;
-	timing.elapsed = timeouts_elapsed(&forward->timeouts, route,
-					  head->timeout, conn->reused);
+	timing.elapsed = timeouts_add(&forward->timeouts, route, head->timeout);
 	return timing;
 }
 
