Pass on the crashes of others with the next message, and for five seconds

Cause: every instance that heard of a crash told eight others at once, and all of them for a minute.

Change: only those who saw a crash tell it at once; messages tell of it for 5 s, which is more than twenty of them.

--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -5,6 +5,8 @@
 
 /* A conviction ends after this time without a further crash. */
 #define CONVICTION_MS (60 * MEDLAR_SECOND)
+/* Time for which each message tells of a crash; most instances need one of them. */
+#define TELL_MS (5 * MEDLAR_SECOND)
 
 static suspect_t *find_suspect(suspects_t *suspects, uint64_t fingerprint)
 {
@@ -86,7 +88,7 @@
 	for (size_t i = 0; i < SUSPECTS_RECENT_MAX; i++) {
 		const crash_report_t *report = &suspects->recent[i];
 
-		if (report->fingerprint && now - report->at < CONVICTION_MS)
+		if (report->fingerprint && now - report->at < TELL_MS)
 			out[len++] = *report;
 	}
 	return len;
--- a/router/gossip_receive.c
+++ b/router/gossip_receive.c
@@ -146,10 +146,14 @@
 			 MEDLAR_NUM("age_ms", crash->age));
 }
 
+/* What others have seen is passed on with the next message, not at once. */
 static void apply_crashes(peers_t *peers, const gossip_crashes *crashes)
 {
+	size_t known = peers->suspects->recent_added;
+
 	for (u_int i = 0; i < crashes->list.list_len; i++)
 		apply_crash(peers, &crashes->list.list_val[i]);
+	peers->crashes_told += peers->suspects->recent_added - known;
 }
 
 /* Instances of earlier versions tell less of others, or nothing. */
--- a/router/peers.h
+++ b/router/peers.h
@@ -143,7 +143,7 @@
  *	none is
  * @source_hash: &struct peer_instance.hash of the instance that is being asked for
  *	changes; 0 if it has answered, or none is asked
- * @crashes_told: &struct suspects.recent_added when crashes were last told
+ * @crashes_told: &struct suspects.recent_added less the own crashes not yet told
  * @crashes_told_at: when they were, ms
  * @convicted: fingerprints of requests that this instance found to crash
  *	replicas, latest last
