Review case 5: a request that crashes replicas is tried again after a minute

A conviction ends 60 s after the last crash, at all routers, though the request keeps coming and is refused. The next four sends of its client, at the same moment at four of 24 routers, pass and crash all seven replicas of the service.

The stand-ins: two requests that crash the same replica at once start it once, and the client can send on connections that are open already.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# A request that crashes replicas comes again and again for over a minute; see
+# claim.txt.
+cd "$(dirname "$0")/../.." || exit 2
+# shellcheck source=review/run-case.sh
+. review/run-case.sh
+run_case 5
--- a/review/stand-in/site.c
+++ b/review/stand-in/site.c
@@ -36,6 +36,7 @@
 replica_t replicas[REPLICAS_MAX];
 int replicas_len;
 bool trouble = true;
+int retry_slack = 56;
 
 static const char *binary;
 static const char *dir;
@@ -893,6 +894,19 @@
 	return NULL;
 }
 
+/* Several requests may crash the same start of a replica; it crashes once. */
+static void begin_crash(replica_t *replica, unsigned start)
+{
+	bool is_first;
+
+	pthread_mutex_lock(&replica->lock);
+	is_first = replica->starts == start && !replica->crashing;
+	replica->crashing = true;
+	pthread_mutex_unlock(&replica->lock);
+	if (is_first)
+		start_thread(crash_and_return, replica);
+}
+
 typedef struct served_conn {
 	replica_t *replica;
 	unsigned start;
@@ -929,7 +943,7 @@
 		replica->on_run(replica, request);
 	if (replica->faults.crash_on &&
 	    strstr(request->path, replica->faults.crash_on)) {
-		start_thread(crash_and_return, replica);
+		begin_crash(replica, conn->start);
 		return false;
 	}
 	pause_ms(replica->work_ms);
@@ -1068,6 +1082,7 @@
 	replica->born = wall_ms();
 	replica->running = 0;
 	replica->leaving = false;
+	replica->crashing = false;
 	snprintf(replica->id, sizeof(replica->id), "i-%02d%04u",
 		 (int)(replica - replicas), replica->starts);
 	replica->up = true;
@@ -1191,12 +1206,12 @@
 	fprintf(file,
 		"\t\"seeds\": \"%s:%d,%s:%d,%s:%d\",\n\t\"store\": \"%s\",\n"
 		"\t\"log_level\": \"info\",\n\t\"retry_ratio\": 0.2,\n"
-		"\t\"retry_slack\": 56,\n\t\"retry_window_ms\": 10000,\n"
+		"\t\"retry_slack\": %d,\n\t\"retry_window_ms\": 10000,\n"
 		"\t\"grace_ms\": 6000,\n\t\"config_apply_ms\": 3000,\n"
 		"\t\"address_ttl_max_ms\": 5000\n}\n",
 		routers[0].ip, base_port + 5, routers[1].ip, base_port + 5,
 		routers[2].ip, base_port + 5,
-		router->store[0] ? router->store : store.address);
+		router->store[0] ? router->store : store.address, retry_slack);
 	fclose(file);
 }
 
@@ -1281,25 +1296,19 @@
 		 (unsigned)(draw() * 4294967295.0));
 }
 
-/**
- * ask() - send a request on a new connection and wait for the answer
- * @router: router that is asked
- * @deadline: how long the client waits, ms
- *
- * Return: the answer; status 0 if there was none in time.
- */
-answer_t ask(int router, const char *method, const char *path, const char *id,
-	     long deadline, const char *body)
+/** client_connect() - open a connection to a router; -1 if it is refused */
+int client_connect(int router)
+{
+	return connect_to(routers[router].ip, base_port, 1000);
+}
+
+/** client_send() - send a request on an open connection */
+bool client_send(int fd, const char *method, const char *path, const char *id,
+		 long deadline, const char *body)
 {
-	double began = now_ms();
-	answer_t answer = { 0 };
 	text_t request = { 0 };
-	reader_t reader;
-	int fd = connect_to(routers[router].ip, base_port, 1000);
+	bool sent;
 
-	if (fd < 0)
-		return answer;
-	reader_init(&reader, fd);
 	add_text(&request,
 		 "%s %s HTTP/1.1\r\nHost: " HOST "\r\nX-Request-Id: %s\r\n"
 		 "X-Deadline-Ms: %ld\r\n",
@@ -1307,8 +1316,19 @@
 	if (body)
 		add_text(&request, "Content-Length: %zu\r\n", strlen(body));
 	add_text(&request, "\r\n%s", body ? body : "");
-	if (send_all(fd, request.bytes, request.len) &&
-	    read_message(&reader, (int)deadline) &&
+	sent = send_all(fd, request.bytes, request.len);
+	free(request.bytes);
+	return sent;
+}
+
+/** client_receive() - wait for the answer and close the connection */
+answer_t client_receive(int fd, long deadline)
+{
+	answer_t answer = { 0 };
+	reader_t reader;
+
+	reader_init(&reader, fd);
+	if (read_message(&reader, (int)deadline) &&
 	    sscanf(reader.bytes, "HTTP/1.1 %d", &answer.status) == 1) {
 		size_t len = reader.head_len < sizeof(answer.headers)
 				     ? reader.head_len
@@ -1316,14 +1336,29 @@
 
 		memcpy(answer.headers, reader.bytes, len);
 		answer.headers[len] = '\0';
-		answer.body_len = reader.used - reader.head_len;
 	}
-	answer.took = now_ms() - began;
-	free(request.bytes);
 	reader_finish(&reader);
 	return answer;
 }
 
+/**
+ * ask() - send a request on a new connection and wait for the answer
+ * @router: router that is asked
+ * @deadline: how long the client waits, ms
+ *
+ * Return: the answer; status 0 if there was none in time.
+ */
+answer_t ask(int router, const char *method, const char *path, const char *id,
+	     long deadline, const char *body)
+{
+	int fd = client_connect(router);
+
+	if (fd < 0)
+		return (answer_t){ 0 };
+	(void)client_send(fd, method, path, id, deadline, body);
+	return client_receive(fd, deadline);
+}
+
 /* What became of each client attempt. */
 
 #define ATTEMPTS_MAX 262144
@@ -1408,7 +1443,7 @@
  */
 void site_init(int argc, char **argv)
 {
-	static const char *const zones[] = { "a", "b", "c", "a" };
+	static const char *const zones[] = { "a", "b", "c" };
 	const char *text = getenv("TROUBLE");
 
 	clock_gettime(CLOCK_MONOTONIC, &started);
@@ -1434,7 +1469,7 @@
 		snprintf(routers[i].name, sizeof(routers[i].name), "front-%d",
 			 i + 1);
 		snprintf(routers[i].zone, sizeof(routers[i].zone), "%s",
-			 zones[i]);
+			 zones[i % 3]);
 		snprintf(routers[i].ip, sizeof(routers[i].ip), "127.0.1.%d",
 			 i + 1);
 	}
--- a/review/stand-in/site.h
+++ b/review/stand-in/site.h
@@ -14,7 +14,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define ROUTERS_MAX 4
+#define ROUTERS_MAX 24
 #define REPLICAS_MAX 16
 #define CONNS_MAX 256
 #define NAME_MAX_LEN 64
@@ -63,6 +63,7 @@
 	unsigned starts;
 	unsigned seq;
 	bool up;
+	bool crashing;
 	bool leaving;
 	bool beats;
 	int retry_after;
@@ -104,8 +105,6 @@
 typedef struct answer {
 	int status;
 	char headers[4096];
-	size_t body_len;
-	double took;
 } answer_t;
 
 /** struct attempt - what became of a client attempt */
@@ -121,6 +120,7 @@
 extern replica_t replicas[REPLICAS_MAX];
 extern int replicas_len;
 extern bool trouble;
+extern int retry_slack; /* bound of the deployment, for all routers */
 
 double now_ms(void);
 void wait_until(double at);
@@ -155,6 +155,10 @@
 answer_t ask(int router, const char *method, const char *path, const char *id,
 	     long deadline, const char *body);
 void new_id(char *out);
+int client_connect(int router);
+bool client_send(int fd, const char *method, const char *path, const char *id,
+		 long deadline, const char *body);
+answer_t client_receive(int fd, long deadline);
 
 attempt_t *attempt_of(const char *id);
 void attempts_begin(void);
