--- a/review/3/case.c
+++ b/review/3/case.c
@@ -46,7 +46,8 @@
 	if (!strstr(request->path, CRASH_PATH))
 		return;
 	attempts_begin();
-	is_late = trouble && third_crash_at > 0 && now > third_crash_at + CONTACT_MS &&
+	is_late = trouble && third_crash_at > 0 &&
+		  now > third_crash_at + CONTACT_MS &&
 		  attempt_of(request->id)->sent;
 	crashes += trouble;
 	if (crashes == CRASHES_BEFORE)
--- a/review/stand-in/site.c
+++ b/review/stand-in/site.c
@@ -348,8 +348,9 @@
 
 static char *encode_base64(const char *text)
 {
-	static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnop"
-				     "qrstuvwxyz0123456789+/";
+	static const char digits[] =
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnop"
+		"qrstuvwxyz0123456789+/";
 	size_t len = strlen(text);
 	char *out = malloc(4 * ((len + 2) / 3) + 1);
 	char *at = out;
@@ -460,7 +461,8 @@
 			     at++) {
 				unsigned byte;
 
-				if (*at == '%' && sscanf(at + 1, "%2x", &byte)) {
+				if (*at == '%' &&
+				    sscanf(at + 1, "%2x", &byte)) {
 					out[used++] = (char)byte;
 					at += 2;
 				} else {
@@ -705,9 +707,8 @@
 		int status;
 
 		reader.bytes[reader.used] = '\0';
-		status = answer_store_call(reader.bytes,
-					   reader.bytes + reader.head_len,
-					   &body);
+		status = answer_store_call(
+			reader.bytes, reader.bytes + reader.head_len, &body);
 		reader.bytes[reader.used] = after;
 		pause_ms(STORE_LATENCY_MS);
 		add_text(&answer,
@@ -847,7 +848,11 @@
 	add_text(out, "Content-Length: %zu\r\n\r\n%s", strlen(body), body);
 }
 
-typedef enum entry { ENTRY_RUNS, ENTRY_FULL, ENTRY_ENDED } entry_t;
+typedef enum entry {
+	ENTRY_RUNS,
+	ENTRY_FULL,
+	ENTRY_ENDED
+} entry_t;
 
 /* Takes a slot, or waits for one if the queue has room. */
 static entry_t enter(replica_t *replica, unsigned start)
@@ -984,8 +989,8 @@
 		parse_request(reader.bytes, &request);
 		/* The extra answer comes where the next one is expected. */
 		if (extra.len) {
-			record("%s extra answer, before that to %s", replica->id,
-			       request.id);
+			record("%s extra answer, before that to %s",
+			       replica->id, request.id);
 			send_all(conn->fd, extra.bytes, extra.len);
 			extra.len = 0;
 		}
@@ -1449,7 +1454,8 @@
 	clock_gettime(CLOCK_MONOTONIC, &started);
 	signal(SIGPIPE, SIG_IGN);
 	if (argc < 4) {
-		fprintf(stderr, "usage: %s ROUTER DIR RECORD [SEED]\n", argv[0]);
+		fprintf(stderr, "usage: %s ROUTER DIR RECORD [SEED]\n",
+			argv[0]);
 		exit(2);
 	}
 	binary = argv[1];
--- a/review/stand-in/site.h
+++ b/review/stand-in/site.h
@@ -91,7 +91,7 @@
 	double started_at;
 } router_t;
 
-/** struct link - a proxy between a router and the store, which can be cut */
+/** struct link_proxy - a proxy between a router and the store, which can be cut */
 typedef struct link_proxy {
 	char ip[32];
 	int port;
