--- a/review/3/case.c
+++ b/review/3/case.c
@@ -14,10 +14,14 @@
 #define TIMEOUT_MS 1500
 #define STEADY_GAP_MS 800
 #define SETTLE_MS 6000
-/* The request comes this often; the last visits repeat it at once. */
+/*
+ * The request comes this often. While clients retry too often, for 5.5 s, it is
+ * repeated at once.
+ */
 #define VISIT_GAP_MS 7000
 #define RUN_MS 84000
-#define REPEATS_FROM_MS 50000
+#define REPEATS_FROM_MS 67000
+#define REPEATS_FOR_MS 5500
 #define REPEATS 3
 #define CRASHES_BEFORE 3
 #define RETRIES_MAX 3
@@ -165,7 +169,10 @@
 	while (now_ms() < began_at + RUN_MS) {
 		double next = now_ms() + VISIT_GAP_MS;
 
-		visit(now_ms() > began_at + REPEATS_FROM_MS);
+		double passed = now_ms() - began_at;
+
+		visit(passed > REPEATS_FROM_MS &&
+		      passed < REPEATS_FROM_MS + REPEATS_FOR_MS);
 		wait_until(next);
 	}
 	stopped = true;
