Bound what saved-up retries add to the budget of a window

Cause: each instance saves up to 12 attempts a service and spends them besides what the requests of the window earn. 24 instances can spend 288 + 0.8 of the slack + 0.19 of the requests; the rule compares with the requests of the window only.

Change: the budget counts requests and paid attempts in tenths of the window. An attempt is paid from earnings only while all paid so in the window is below what the requests of the window earned. The oldest tenth counts with its attempts and without its requests, so that no sliding window exceeds it.

Why it works: what one instance pays in any window is below its share of the requests in it, so the sum is as well, however many instances there are.

--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -257,7 +257,7 @@
 		exchange_part_t *part = &exchange->parts[i];
 
 		retry_budget_deposit(&part->service->retry_budget,
-				     &fleet->retry_limits);
+				     &fleet->retry_limits, now);
 		exchange_send_if_idle(part, exchange, now);
 	}
 	exchange_recall_deferred(exchange, now);
--- a/libroute/retry_budget.c
+++ b/libroute/retry_budget.c
@@ -1,6 +1,8 @@
 /**
  * DOC: budget for retries and hedges to a service
  */
+#include <math.h>
+
 #include "libroute/retry_budget.h"
 
 /*
@@ -33,16 +35,60 @@
 				    .refilled_at = now };
 }
 
+/* Returns the period of @now, and forgets those that left the window. */
+static retry_period_t *current_period(retry_budget_t *budget,
+				      const retry_limits_t *limits,
+				      medlar_time_t now)
+{
+	medlar_time_t period = now * RETRY_PERIODS / limits->window;
+	medlar_time_t passed = period - budget->period;
+
+	for (medlar_time_t i = 0; i < passed && i <= RETRY_PERIODS; i++)
+		budget->periods[(period - i) % (RETRY_PERIODS + 1)] =
+			(retry_period_t){ 0 };
+	if (passed > 0)
+		budget->period = period;
+	return &budget->periods[budget->period % (RETRY_PERIODS + 1)];
+}
+
+/*
+ * The oldest period lies in the window only in part: its requests do not count, and
+ * what was spent in it does.
+ */
+static double earned_in_window(const retry_budget_t *budget,
+			       const retry_limits_t *limits)
+{
+	size_t oldest = (size_t)(budget->period + 1) % (RETRY_PERIODS + 1);
+	unsigned requests = 0;
+	double spent = 0;
+
+	for (size_t i = 0; i <= RETRY_PERIODS; i++) {
+		requests += i == oldest ? 0 : budget->periods[i].requests;
+		spent += budget->periods[i].spent;
+	}
+	return fmax(0, limits->ratio * EARNED_SHARE * requests - spent);
+}
+
+/* Attempts that what requests have earned pays for. */
+static double earned_left(retry_budget_t *budget, const retry_limits_t *limits,
+			  medlar_time_t now)
+{
+	(void)current_period(budget, limits, now);
+	return fmin(budget->earned, earned_in_window(budget, limits));
+}
+
 /**
  * retry_budget_deposit() - credit the budget for a request to the service
  * @budget: budget
  * @limits: limits for all instances together
+ * @now: current time, ms
  */
-void retry_budget_deposit(retry_budget_t *budget, const retry_limits_t *limits)
+void retry_budget_deposit(retry_budget_t *budget, const retry_limits_t *limits,
+			  medlar_time_t now)
 {
-	budget->earned += limits->ratio * EARNED_SHARE;
-	if (budget->earned > EARNED_MAX)
-		budget->earned = EARNED_MAX;
+	current_period(budget, limits, now)->requests++;
+	budget->earned = fmin(EARNED_MAX,
+			      budget->earned + limits->ratio * EARNED_SHARE);
 }
 
 /**
@@ -82,7 +128,7 @@
 			 double share, medlar_time_t now)
 {
 	refill_slack(budget, limits, share, now);
-	return budget->earned + budget->slack >= 1;
+	return earned_left(budget, limits, now) + budget->slack >= 1;
 }
 
 /**
@@ -98,13 +144,14 @@
 bool retry_budget_withdraw(retry_budget_t *budget, const retry_limits_t *limits,
 			   double share, double reserve, medlar_time_t now)
 {
+	double earned = earned_left(budget, limits, now);
+	double paid = fmin(1, earned);
+
 	refill_slack(budget, limits, share, now);
-	if (budget->earned + budget->slack < 1 + reserve)
+	if (earned + budget->slack < 1 + reserve)
 		return false;
-	budget->earned -= 1;
-	if (budget->earned < 0) {
-		budget->slack += budget->earned;
-		budget->earned = 0;
-	}
+	budget->earned -= paid;
+	budget->slack -= 1 - paid;
+	current_period(budget, limits, now)->spent += paid;
 	return true;
 }
