Send no two attempts of a request on one connection

Cause: replies are told apart by the request id, which is the same for all attempts of a request. A replica refuses an order; it is sent to the same replica again on the same connection, the first of the pool; a late second copy of the refusal is taken for the reply, while the replica runs the order. It is then sent a third time, or told as not run.

Change: an attempt notes its connection, and no connection that carried an attempt of a part carries another of it. A new connection takes the place of an idle one, so that the limit of the replica holds.

Why it works: a copy can arrive only where the first attempt was sent, and there only other requests wait, whose ids differ.

e2e_hazards: a-late-copy-of-a-refusal-runs-no-request-twice fails before this change, and passes now.

--- a/libroute/exchange.h
+++ b/libroute/exchange.h
@@ -27,6 +27,8 @@
  * @replica: replica that it is sent to
  * @transport: private data of the &exchange_events callbacks; NULL unless in
  *	flight
+ * @connection: identifies the connection that it was sent on, also after its end;
+ *	0 if nothing was sent. Set by the &exchange_events callbacks.
  * @is_extra: it is a retry or a hedge, charged to the retry budget
  * @refused: the replica did not run it and may be asked again
  */
@@ -35,6 +37,7 @@
 	exchange_part_t *part;
 	replica_t *replica;
 	void *transport;
+	uint64_t connection;
 	bool is_extra;
 	bool refused;
 };
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -37,6 +37,7 @@
 struct upstream_conn {
 	TAILQ_ENTRY(upstream_conn) link; /* among open or closed connections */
 	TAILQ_ENTRY(upstream_conn) pool_link; /* in pool_t.idle */
+	uint64_t number; /* differs from that of any other connection */
 	h1_client_t client;
 	upstream_t *upstream;
 	replica_t *replica;
@@ -364,6 +365,7 @@
 
 	if (give_back_unsent(conn))
 		return;
+	attempt->connection = conn->number;
 	conn->fingerprint = exchange->fingerprint;
 	conn->request_id_len = request->id.len < sizeof(conn->request_id)
 				       ? request->id.len
@@ -467,6 +469,7 @@
 		free(conn);
 		return MEDLAR_ERR_IO;
 	}
+	conn->number = ++upstream->conns_opened;
 	conn->upstream = upstream;
 	conn->replica = replica;
 	conn->attempt = attempt;
@@ -482,11 +485,38 @@
 				upstream->loop->now + CONNECT_TIMEOUT_MS);
 }
 
-static upstream_conn_t *
-take_idle_conn(replica_t *replica, bool is_non_idempotent, medlar_time_t now)
+/*
+ * A reply is told from those to other requests by the id that it repeats. A second
+ * copy of the reply to an earlier attempt bears the same id, so no connection
+ * carries two attempts of a request.
+ */
+static bool has_carried_request(const upstream_conn_t *conn,
+				const exchange_part_t *part)
 {
-	pool_t *pool = replica->pool;
-	upstream_conn_t *conn = TAILQ_FIRST(&pool->idle);
+	for (unsigned i = 0; i < part->attempts_len; i++)
+		if (part->attempts[i].connection == conn->number)
+			return true;
+	return false;
+}
+
+/* Returns the last used idle connection that may carry an attempt, or NULL. */
+static upstream_conn_t *find_idle_conn(const pool_t *pool,
+				       const attempt_t *attempt)
+{
+	upstream_conn_t *conn;
+
+	TAILQ_FOREACH(conn, &pool->idle, pool_link)
+		if (!has_carried_request(conn, attempt->part))
+			return conn;
+	return NULL;
+}
+
+static upstream_conn_t *take_idle_conn(const attempt_t *attempt,
+				       medlar_time_t now)
+{
+	replica_t *replica = attempt->replica;
+	bool is_non_idempotent = !attempt->exchange->route->idempotent;
+	upstream_conn_t *conn = find_idle_conn(replica->pool, attempt);
 	medlar_time_t idle;
 
 	if (!conn)
@@ -504,6 +534,18 @@
 	return conn;
 }
 
+/*
+ * Idle connections that cannot carry an attempt count towards the limit of the
+ * replica, so a new one takes the place of one of them.
+ */
+static void close_oldest_idle_conn(replica_t *replica)
+{
+	pool_t *pool = replica->pool;
+
+	if (!TAILQ_EMPTY(&pool->idle))
+		close_conn(TAILQ_LAST(&pool->idle, upstream_conn_list));
+}
+
 /**
  * upstream_send_attempt() - send an attempt to its replica
  * @upstream: connections
@@ -518,14 +560,15 @@
 {
 	replica_t *replica = attempt->replica;
 	medlar_time_t now = upstream->loop->now;
-	bool is_non_idempotent = !attempt->exchange->route->idempotent;
 	upstream_conn_t *conn;
 
 	if (!find_or_create_pool(replica))
 		return MEDLAR_ERR_NOMEM;
-	conn = take_idle_conn(replica, is_non_idempotent, now);
-	if (!conn)
+	conn = take_idle_conn(attempt, now);
+	if (!conn) {
+		close_oldest_idle_conn(replica);
 		return open_conn(upstream, replica, attempt);
+	}
 	conn->attempt = attempt;
 	attempt->transport = conn;
 	inflight_begin(&conn->inflight, replica, now);
--- a/router/upstream.h
+++ b/router/upstream.h
@@ -38,6 +38,7 @@
  * @stats: counters
  * @on_crash: called with the fingerprint of a request that crashed a replica
  * @data: passed to @on_crash
+ * @conns_opened: number of connections ever opened
  * @open_conns: open connections
  * @closed_conns: closed connections, freed at the end of the loop iteration
  * @body_max: most bytes of the body of a reply
@@ -49,6 +50,7 @@
 	void (*on_crash)(uint64_t fingerprint, const replica_t *replica,
 			 void *data);
 	void *data;
+	uint64_t conns_opened;
 	struct upstream_conn_list open_conns;
 	struct upstream_conn_list closed_conns;
 	size_t body_max;
--- a/tests/e2e_hazards.sh
+++ b/tests/e2e_hazards.sh
@@ -54,6 +54,24 @@
 check others-are-served-after-cut-heads \
 	eventually status_is "$site_router1" cut-after /order/x 200
 
+# A copy of a refusal that arrives when the request comes again and is run.
+control 'replica?replica=all&mode=shed-again&work=60' >/dev/null
+n=0 twice=0 untrue=0 served=0
+while test "$n" -lt 8
+do
+	n=$((n + 1))
+	status=$(request "$site_router1" "again-$n" /order/x)
+	sleep 0.1
+	runs=$(control "runs?id=again-$n")
+	test "$runs" -le 1 || twice=$((twice + 1))
+	test "$status" != 503 || test "$runs" -eq 0 || untrue=$((untrue + 1))
+	test "$status" != 200 || served=$((served + 1))
+done
+check a-late-copy-of-a-refusal-runs-no-request-twice test "$twice" -eq 0
+check a-late-copy-of-a-refusal-makes-no-untrue-refusal test "$untrue" -eq 0
+check refused-requests-are-served-later test "$served" -eq 8
+control 'replica?replica=all&mode=ok&work=5' >/dev/null
+
 # Odd entries of another writer beside those of the replicas.
 nested=$(printf '%20000s' '' | tr ' ' '[')
 put_item servers/odd-1 "$nested"
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -43,14 +43,16 @@
 	BEHAVIOUR_FAIL, /* executes and answers 500 */
 	BEHAVIOUR_LEAVING, /* says in its answers that it is leaving */
 	BEHAVIOUR_HOLD, /* refuses, and wants no requests for HOLD_S */
+	BEHAVIOUR_SHED_AGAIN, /* refuses once; later repeats the refusal, and runs */
 	BEHAVIOUR_CUT_HEAD, /* executes and closes within the head of the answer */
 	BEHAVIOUR_ENDLESS_HEAD, /* executes and sends headers without end */
 	BEHAVIOUR_ENDLESS_BODY, /* executes and sends a body without end */
 } behaviour_t;
 
 static const char *const behaviour_names[] = {
-	"ok",	   "shed", "reset",    "stray",	       "hang",	      "fail",
-	"leaving", "hold", "cut-head", "endless-head", "endless-body"
+	"ok",	      "shed",	  "reset",	  "stray",
+	"hang",	      "fail",	  "leaving",	  "hold",
+	"shed-again", "cut-head", "endless-head", "endless-body"
 };
 
 /* Time for which a replica wants no requests, s. */
@@ -68,6 +70,9 @@
 	behaviour_t behaviour;
 	medlar_time_t service_time;
 	unsigned arrivals; /* requests, also refused ones */
+	char refused_id
+		[TEXT_MAX]; /* last one refused, if it repeats refusals */
+	in_port_t refused_port; /* port of the caller that was refused */
 	medlar_timer_t restart_timer;
 	bool down;
 } replica_stub_t;
@@ -689,6 +694,52 @@
 	run->replica = replica;
 }
 
+static in_port_t caller_port(const h1_conn_t *conn)
+{
+	struct sockaddr_in address = { 0 };
+	socklen_t len = sizeof(address);
+
+	(void)getpeername(conn->fd, (struct sockaddr *)&address, &len);
+	return address.sin_port;
+}
+
+/*
+ * Refuses a request the first time. The second time a copy of that refusal
+ * arrives late, if it comes on the same connection, and the request is run.
+ *
+ * Return: whether it was refused.
+ */
+static bool shed_again(replica_stub_t *replica, h1_conn_t *conn)
+{
+	medlar_str_t id = h1_message_find_header(&conn->parser.message,
+						 MEDLAR_STR("x-request-id"));
+	bool is_known = medlar_str_equal(id,
+					 medlar_str_from(replica->refused_id));
+	medlar_buf_t out;
+
+	medlar_buf_init(&out);
+	medlar_buf_printf(&out, "X-Not-Executed: 1\r\nX-Request-Id: %.*s\r\n",
+			  (int)id.len, id.ptr);
+	if (!is_known) {
+		(void)snprintf(replica->refused_id, sizeof(replica->refused_id),
+			       "%.*s", (int)id.len, id.ptr);
+		replica->refused_port = caller_port(conn);
+		h1_conn_answer(conn, 503, medlar_buf_str(&out),
+			       (medlar_str_t){ 0 });
+	} else if (replica->refused_port == caller_port(conn)) {
+		medlar_buf_reset(&out);
+		medlar_buf_printf(&out,
+				  "HTTP/1.1 503 Service Unavailable\r\n"
+				  "X-Not-Executed: 1\r\nX-Request-Id: %.*s\r\n"
+				  "Content-Length: 0\r\n\r\n",
+				  (int)id.len, id.ptr);
+		(void)send(conn->fd, out.ptr, out.len,
+			   MSG_DONTWAIT | MSG_NOSIGNAL);
+	}
+	medlar_buf_finish(&out);
+	return !is_known;
+}
+
 static void on_replica_request(h1_conn_t *conn, void *data)
 {
 	replica_stub_t *replica = data;
@@ -717,6 +768,9 @@
 			       (medlar_str_t){ 0 });
 		return;
 	}
+	if (replica->behaviour == BEHAVIOUR_SHED_AGAIN &&
+	    shed_again(replica, conn))
+		return;
 	record_execution(site, replica, message);
 	if (memmem(target.ptr, target.len, "crash", 5)) {
 		crash_replica(replica);
