Store client: move the connections to a file of their own

The functions that send a call, time it out and back off move to store_channel.c without a change in behaviour; test_store and test_peers pass as before.

--- a/router/store.c
+++ b/router/store.c
@@ -2,63 +2,18 @@
  * DOC: client of the store
  */
 #include "libroute/watchers.h"
-#include "router/store.h"
+#include "router/store_internal.h"
 
-#define REPLY_HEAD_BYTES_MAX ((size_t)16 * 1024)
-#define REPLY_BODY_BYTES_MAX ((size_t)16 << 20)
-#define CALL_TIMEOUT_MS 1500
 /* Pause between watches until store_set_watching() sets it. */
 #define WATCH_PAUSE_INITIAL_MS 600
-#define BACKOFF_MIN_MS 100
-#define BACKOFF_MAX_MS 1000
 #define LEASE_TTL_MS (20 * MEDLAR_SECOND)
 #define LEASE_RENEW_INTERVAL_MS (7 * MEDLAR_SECOND)
-#define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_GONE 410
 
 static void reader_send_next(store_t *store);
 static void keeper_send_next(store_t *store);
 
-static void channel_set_timer(store_channel_t *channel, medlar_time_t after)
-{
-	loop_t *loop = channel->store->loop;
-
-	(void)medlar_timer_set(loop->client, &channel->timer,
-			       loop->now + after);
-}
-
-static medlar_time_t backoff_delay(const store_channel_t *channel)
-{
-	medlar_time_t delay = BACKOFF_MIN_MS;
-	medlar_rand_t *rand = &channel->store->loop->client->rand;
-
-	for (unsigned i = 1; i < channel->failures && delay < BACKOFF_MAX_MS;
-	     i++)
-		delay *= 2;
-	if (delay > BACKOFF_MAX_MS)
-		delay = BACKOFF_MAX_MS;
-	return delay / 2 + (medlar_time_t)medlar_rand_below(
-				   rand, (uint64_t)(delay / 2 + 1));
-}
-
-static void record_success(const store_channel_t *channel)
-{
-	store_t *store = channel->store;
-	medlar_time_t now = store->loop->now;
-	bool is_reader = channel == &store->reader;
-
-	if (store->down_since) {
-		store->recovered_at = now;
-		LOG_LINE(store->log, LOG_LEVEL_NOTICE, "store",
-			 MEDLAR_TEXT("state", MEDLAR_STR("up")),
-			 MEDLAR_TEXT("by", is_reader ? MEDLAR_STR("reader")
-						     : MEDLAR_STR("lease")),
-			 MEDLAR_NUM("down_ms", now - store->down_since));
-	}
-	store->down_since = 0;
-}
-
 /**
  * store_silence() - get the time since the mirror was last known current
  * @store: client
@@ -71,109 +26,6 @@
 				   : -1;
 }
 
-static void record_failure(store_t *store, unsigned status)
-{
-	store->stats->counts[STAT_STORE_FAILURES]++;
-	if (store->down_since)
-		return;
-	store->down_since = store->loop->now;
-	LOG_LINE(store->log, LOG_LEVEL_NOTICE, "store",
-		 MEDLAR_TEXT("state", MEDLAR_STR("down")),
-		 MEDLAR_NUM("status", status),
-		 MEDLAR_NUM("heard_ms", store_silence(store)));
-}
-
-static void channel_disconnect(store_channel_t *channel)
-{
-	if (channel->open)
-		h1_client_finish(&channel->client);
-	channel->open = false;
-}
-
-/* Statuses below 200 (0: no reply), 429 and those from 500 mean an outage. */
-static bool is_store_answer(unsigned status)
-{
-	return status >= STATUS_OK && status < 500 && status != 429;
-}
-
-static void channel_end_call(store_channel_t *channel, unsigned status,
-			     medlar_str_t body)
-{
-	store_t *store = channel->store;
-
-	channel->call_in_flight = false;
-	if (is_store_answer(status)) {
-		channel->failures = 0;
-		record_success(channel);
-	} else {
-		channel->failures++;
-		record_failure(store, status);
-	}
-	channel->on_reply(store, status, body);
-}
-
-static void channel_on_ready(h1_client_t *client, void *data)
-{
-	store_channel_t *channel = data;
-
-	h1_client_send(client, medlar_buf_str(&channel->request),
-		       (medlar_str_t){ 0 }, false);
-}
-
-static void channel_on_done(h1_client_t *client, h1_end_t end, void *data)
-{
-	store_channel_t *channel = data;
-	const h1_message_t *reply = &client->parser.message;
-
-	if (end == H1_END_REPLY)
-		channel_end_call(channel, reply->status,
-				 medlar_buf_str(&reply->body));
-	else
-		channel_end_call(channel, 0, (medlar_str_t){ 0 });
-}
-
-static const h1_client_events_t channel_events = {
-	.ready = channel_on_ready,
-	.done = channel_on_done,
-};
-
-/* Sends the request in channel->call, connecting first if necessary. */
-static void channel_send(store_channel_t *channel, medlar_time_t timeout)
-{
-	static const h1_limits_t limits = { REPLY_HEAD_BYTES_MAX,
-					    REPLY_BODY_BYTES_MAX, NULL };
-	store_t *store = channel->store;
-
-	store->stats->counts[STAT_STORE_CALLS]++;
-	channel->call_in_flight = true;
-	channel_set_timer(channel, timeout);
-	if (channel->open && channel->client.state == H1_IDLE) {
-		channel_on_ready(&channel->client, channel);
-		return;
-	}
-	channel_disconnect(channel);
-	channel->open = true;
-	if (h1_client_open(&channel->client, store->loop, &store->address,
-			   limits, &channel_events, channel))
-		channel_end_call(channel, 0, (medlar_str_t){ 0 });
-}
-
-static void channel_on_timer(medlar_client_t *client, medlar_timer_t *timer,
-			     medlar_time_t now, void *data)
-{
-	store_channel_t *channel = data;
-
-	(void)client;
-	(void)timer;
-	(void)now;
-	if (!channel->call_in_flight) {
-		channel->send_next(channel->store);
-		return;
-	}
-	channel_disconnect(channel);
-	channel_end_call(channel, 0, (medlar_str_t){ 0 });
-}
-
 static void apply_item(const store_item_t *item, void *data)
 {
 	store_t *store = data;
@@ -189,9 +41,9 @@
 	if (is_first_page)
 		mirror_list_begin(store->mirror);
 	if (store->calls->read_items(body, apply_item, store, &page)) {
-		record_failure(store, STATUS_OK);
+		store_record_failure(store, STORE_STATUS_OK);
 		store->list_revision = 0;
-		channel_set_timer(&store->reader, BACKOFF_MAX_MS);
+		store_channel_set_timer(&store->reader, STORE_BACKOFF_MAX_MS);
 		return;
 	}
 	if (is_first_page) {
@@ -215,16 +67,16 @@
 	store_page_t page;
 
 	if (store->calls->read_items(body, apply_item, store, &page)) {
-		record_failure(store, STATUS_OK);
+		store_record_failure(store, STORE_STATUS_OK);
 		store->list_complete = false;
-		channel_set_timer(&store->reader, BACKOFF_MAX_MS);
+		store_channel_set_timer(&store->reader, STORE_BACKOFF_MAX_MS);
 		return;
 	}
 	mirror_advance(store->mirror, page.revision);
 	store->last_contact = store->loop->now;
 	if (page.last_key[0] && page.revision > known_revision) {
 		store->has_news = true;
-		channel_set_timer(&store->reader, store->watch_pause);
+		store_channel_set_timer(&store->reader, store->watch_pause);
 	} else {
 		reader_send_next(store);
 	}
@@ -244,11 +96,11 @@
 			 MEDLAR_NUM("revision", store->mirror->revision));
 		relist(store);
 		reader_send_next(store);
-	} else if (status != STATUS_OK) {
+	} else if (status != STORE_STATUS_OK) {
 		if (!store->list_complete)
 			relist(store);
-		channel_set_timer(&store->reader,
-				  backoff_delay(&store->reader));
+		store_channel_set_timer(&store->reader,
+					store_channel_backoff(&store->reader));
 	} else if (store->list_complete) {
 		apply_watch_reply(store, body);
 	} else {
@@ -267,11 +119,11 @@
 	if (store->list_complete) {
 		store->calls->watch(store->mirror->revision, timing.wait,
 				    &channel->request);
-		channel_send(channel, timing.timeout);
+		store_channel_send(channel, timing.timeout);
 	} else {
 		store->calls->list(medlar_str_from(store->page.last_key),
 				   &channel->request);
-		channel_send(channel, CALL_TIMEOUT_MS);
+		store_channel_send(channel, STORE_CALL_TIMEOUT_MS);
 	}
 }
 
@@ -283,16 +135,17 @@
 		return;
 	if (status == STATUS_NOT_FOUND) {
 		store->entry_state = STORE_ENTRY_NO_LEASE;
-		channel_set_timer(channel, BACKOFF_MIN_MS);
+		store_channel_set_timer(channel, STORE_BACKOFF_MIN_MS);
 		return;
 	}
-	if (status != STATUS_OK) {
-		channel_set_timer(channel, backoff_delay(channel));
+	if (status != STORE_STATUS_OK) {
+		store_channel_set_timer(channel,
+					store_channel_backoff(channel));
 		return;
 	}
 	if (store->entry_state == STORE_ENTRY_NO_LEASE) {
 		if (store->calls->read_lease(body, &store->lease)) {
-			channel_set_timer(channel, BACKOFF_MAX_MS);
+			store_channel_set_timer(channel, STORE_BACKOFF_MAX_MS);
 			return;
 		}
 		store->entry_state = STORE_ENTRY_UNWRITTEN;
@@ -300,7 +153,7 @@
 		return;
 	}
 	store->entry_state = STORE_ENTRY_WRITTEN;
-	channel_set_timer(channel, LEASE_RENEW_INTERVAL_MS);
+	store_channel_set_timer(channel, LEASE_RENEW_INTERVAL_MS);
 }
 
 static void keeper_send_next(store_t *store)
@@ -318,18 +171,7 @@
 				  &channel->request);
 	else
 		store->calls->renew_lease(store->lease, &channel->request);
-	channel_send(channel, CALL_TIMEOUT_MS);
-}
-
-static void channel_init(store_channel_t *channel, store_t *store,
-			 void (*next)(store_t *),
-			 void (*done)(store_t *, unsigned, medlar_str_t))
-{
-	*channel = (store_channel_t){ .store = store,
-				      .send_next = next,
-				      .on_reply = done };
-	medlar_buf_init(&channel->request);
-	medlar_timer_init(&channel->timer, channel_on_timer, channel);
+	store_channel_send(channel, STORE_CALL_TIMEOUT_MS);
 }
 
 /**
@@ -355,9 +197,10 @@
 			    .watch_pause = WATCH_PAUSE_INITIAL_MS };
 	medlar_buf_init(&store->key);
 	medlar_buf_init(&store->value);
-	channel_init(&store->reader, store, reader_send_next, reader_on_reply);
-	channel_init(&store->lease_keeper, store, keeper_send_next,
-		     keeper_on_reply);
+	store_channel_init(&store->reader, store, reader_send_next,
+			   reader_on_reply);
+	store_channel_init(&store->lease_keeper, store, keeper_send_next,
+			   keeper_on_reply);
 }
 
 /**
@@ -371,7 +214,7 @@
 	medlar_buf_add(&store->key, key);
 	medlar_buf_add(&store->value, value);
 	reader_send_next(store);
-	channel_set_timer(&store->lease_keeper, BACKOFF_MIN_MS);
+	store_channel_set_timer(&store->lease_keeper, STORE_BACKOFF_MIN_MS);
 }
 
 /**
@@ -404,7 +247,7 @@
 	    store->lease_keeper.call_in_flight)
 		return;
 	store->entry_state = STORE_ENTRY_NO_LEASE;
-	channel_set_timer(&store->lease_keeper, BACKOFF_MIN_MS);
+	store_channel_set_timer(&store->lease_keeper, STORE_BACKOFF_MIN_MS);
 }
 
 /**
@@ -426,14 +269,7 @@
 		return;
 	medlar_buf_reset(&store->lease_keeper.request);
 	store->calls->revoke_lease(store->lease, &store->lease_keeper.request);
-	channel_send(&store->lease_keeper, CALL_TIMEOUT_MS);
-}
-
-static void channel_finish(store_channel_t *channel)
-{
-	medlar_timer_clear(channel->store->loop->client, &channel->timer);
-	channel_disconnect(channel);
-	medlar_buf_finish(&channel->request);
+	store_channel_send(&store->lease_keeper, STORE_CALL_TIMEOUT_MS);
 }
 
 /**
@@ -442,8 +278,8 @@
  */
 void store_finish(store_t *store)
 {
-	channel_finish(&store->reader);
-	channel_finish(&store->lease_keeper);
+	store_channel_finish(&store->reader);
+	store_channel_finish(&store->lease_keeper);
 	medlar_buf_finish(&store->key);
 	medlar_buf_finish(&store->value);
 }
