Keep convictions of requests in the store beyond a kill of all instances

Cause: crashes and convictions are in the memory of instances only. They tell each other, which covers the loss of some of them but not of all; one that starts later than 5 s after a crash is told only if another one itself saw the third.

Change: a convicted request becomes an entry of the store, under a lease of its own that ends with the conviction and is never renewed. Instances that start read it with the first list, before they have a route, or get it with the changes of another instance.

Why it works: the store outlives the instances, and nothing is forwarded before the entries have been read. Weighed: an entry for each crash; a shard that goes down would write one for each request in flight.

Two calls to the store for each convicted request.

e2e_crash_shared: a-request-that-crashes-replicas-is-known-after-a-kill-of-all fails before this change, and passes now.

--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -3,10 +3,10 @@
  */
 #include "libroute/suspects.h"
 
-/* A conviction ends after this time without a further crash. */
-#define CONVICTION_MS (60 * MEDLAR_SECOND)
 /* Time for which each message tells of a crash; most instances need one of them. */
 #define TELL_MS (5 * MEDLAR_SECOND)
+/* A conviction is stored anew if it is prolonged by this time or more. */
+#define STORE_AGAIN_MS (SUSPECT_CONVICTION_MS / 2)
 
 static suspect_t *find_suspect(suspects_t *suspects, uint64_t fingerprint)
 {
@@ -67,6 +67,8 @@
 	add_recent(suspects, fingerprint, replica, at);
 	if (at > suspect->updated_at)
 		suspect->updated_at = at;
+	if (at - suspect->stored_at >= STORE_AGAIN_MS)
+		suspect->stored_at = 0;
 	if (suspect->crashes < SUSPECT_BREAKS)
 		suspect->replicas[suspect->crashes] = replica;
 	return ++suspect->crashes;
@@ -113,6 +115,48 @@
 	suspect->crashes = SUSPECT_BREAKS;
 }
 
+static bool is_convicted(const suspect_t *suspect, medlar_time_t now)
+{
+	return suspect->crashes >= SUSPECT_BREAKS &&
+	       now - suspect->updated_at < SUSPECT_CONVICTION_MS;
+}
+
+/**
+ * suspects_add_stored() - record that the store holds a conviction
+ * @suspects: table
+ * @fingerprint: fingerprint of the request
+ * @now: current time, ms
+ *
+ * Convicts the request if this instance did not know of it.
+ */
+void suspects_add_stored(suspects_t *suspects, uint64_t fingerprint,
+			 medlar_time_t now)
+{
+	suspects_convict(suspects, fingerprint, now);
+	find_suspect(suspects, fingerprint)->stored_at = now;
+}
+
+/**
+ * suspects_next_unstored() - find a conviction that the store should hold
+ * @suspects: table
+ * @position: where to go on in the table, initially 0; moved on
+ * @now: current time, ms
+ *
+ * Return: a convicted request, or NULL if there are no more.
+ */
+const suspect_t *suspects_next_unstored(const suspects_t *suspects,
+					size_t *position, medlar_time_t now)
+{
+	while (*position < SUSPECTS_MAX) {
+		const suspect_t *suspect = &suspects->entries[(*position)++];
+
+		if (suspect->fingerprint && !suspect->stored_at &&
+		    is_convicted(suspect, now))
+			return suspect;
+	}
+	return NULL;
+}
+
 /**
  * suspects_clear() - clear a request that was answered
  * @suspects: table
@@ -141,12 +185,8 @@
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
 			   medlar_time_t now)
 {
-	for (size_t i = 0; i < SUSPECTS_MAX; i++) {
-		const suspect_t *suspect = &suspects->entries[i];
-
-		if (suspect->fingerprint == fingerprint)
-			return suspect->crashes >= SUSPECT_BREAKS &&
-			       now - suspect->updated_at < CONVICTION_MS;
-	}
+	for (size_t i = 0; i < SUSPECTS_MAX; i++)
+		if (suspects->entries[i].fingerprint == fingerprint)
+			return is_convicted(&suspects->entries[i], now);
 	return false;
 }
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -11,6 +11,9 @@
 /** Replicas that a request must crash before it is convicted and refused. */
 #define SUSPECT_BREAKS 3
 
+/** A conviction ends after this time without a further crash. */
+#define SUSPECT_CONVICTION_MS (60 * MEDLAR_SECOND)
+
 /** Crashes that an instance passes on to others. */
 #define SUSPECTS_RECENT_MAX 16
 
@@ -22,6 +25,8 @@
  * @replicas: hashes of the first replicas that crashed
  * @updated_at: time of the last crash or conviction, ms
  * @answered_at: when it was last answered after a crash, ms; 0 if it was not
+ * @stored_at: when the store was first seen to hold its conviction, ms; 0 if it
+ *	was not, or if the conviction was prolonged much since
  */
 typedef struct suspect {
 	uint64_t fingerprint;
@@ -29,6 +34,7 @@
 	uint64_t replicas[SUSPECT_BREAKS];
 	medlar_time_t updated_at;
 	medlar_time_t answered_at;
+	medlar_time_t stored_at;
 } suspect_t;
 
 /**
@@ -51,7 +57,8 @@
  *
  * Load pattern: callers send a request that crashes its replica to another
  * instance each time. No instance sees enough of the crashes to refuse it, so
- * all of them tell each other of each crash.
+ * all of them tell each other of each crash. All instances are killed meanwhile: the
+ * store holds the convictions, and those that start read them there.
  */
 typedef struct suspects {
 	suspect_t entries[SUSPECTS_MAX];
@@ -65,6 +72,10 @@
 			    crash_report_t *out);
 void suspects_convict(suspects_t *suspects, uint64_t fingerprint,
 		      medlar_time_t now);
+void suspects_add_stored(suspects_t *suspects, uint64_t fingerprint,
+			 medlar_time_t now);
+const suspect_t *suspects_next_unstored(const suspects_t *suspects,
+					size_t *position, medlar_time_t now);
 void suspects_clear(suspects_t *suspects, uint64_t fingerprint,
 		    medlar_time_t now);
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
--- /dev/null
+++ b/router/convictions.c
@@ -0,0 +1,76 @@
+/**
+ * DOC: requests that crash replicas, as the store holds them
+ */
+#include "platform/entries.h"
+#include "router/convictions.h"
+
+/*
+ * The instance that is chosen for a request writes its conviction. Others write it
+ * if the store lacks it after this time, and a part of the next that differs from
+ * instance to instance.
+ */
+#define OTHERS_AFTER_MS 2000
+#define OTHERS_SPREAD_MS 10000
+
+/**
+ * convictions_apply() - take a conviction that the store holds
+ * @convictions: exchange
+ * @item: entry of the store; the deletion of one says nothing
+ * @name: name of the entry
+ */
+void convictions_apply(convictions_t *convictions, const store_item_t *item,
+		       medlar_str_t name)
+{
+	uint64_t fingerprint = entries_parse_fingerprint(name);
+	medlar_time_t now = convictions->loop->now;
+
+	if (item->deleted || !fingerprint)
+		return;
+	if (!suspects_is_convicted(convictions->suspects, fingerprint, now))
+		LOG_LINE(convictions->log, LOG_LEVEL_WARNING, "convict",
+			 MEDLAR_HEX("request", fingerprint),
+			 MEDLAR_TEXT("source", MEDLAR_STR("store")),
+			 MEDLAR_TEXT("by", item->value),
+			 MEDLAR_NUM("revision", item->revision));
+	suspects_add_stored(convictions->suspects, fingerprint, now);
+}
+
+/* Time after the last crash from which this instance writes the conviction, ms. */
+static medlar_time_t write_delay(const convictions_t *convictions,
+				 uint64_t fingerprint)
+{
+	uint64_t hash = medlar_str_hash(convictions->instance, fingerprint);
+
+	if (!peers_observer_of(convictions->peers, fingerprint))
+		return 0;
+	return OTHERS_AFTER_MS + (medlar_time_t)(hash % OTHERS_SPREAD_MS);
+}
+
+static void write_conviction(convictions_t *convictions, uint64_t fingerprint)
+{
+	medlar_buf_t key;
+
+	medlar_buf_init(&key);
+	entries_conviction_key(fingerprint, &key);
+	/* If this fails, a later tick tries again. */
+	(void)store_put_expiring(convictions->store, medlar_buf_str(&key),
+				 convictions->instance, SUSPECT_CONVICTION_MS);
+	medlar_buf_finish(&key);
+}
+
+/**
+ * convictions_tick() - write what the store lacks
+ * @convictions: exchange
+ */
+void convictions_tick(convictions_t *convictions)
+{
+	medlar_time_t now = convictions->loop->now;
+	const suspect_t *suspect;
+	size_t position = 0;
+
+	while ((suspect = suspects_next_unstored(convictions->suspects,
+						 &position, now)))
+		if (now - suspect->updated_at >=
+		    write_delay(convictions, suspect->fingerprint))
+			write_conviction(convictions, suspect->fingerprint);
+}
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -214,6 +214,7 @@
 	observations_tick(&state->observations);
 	update_watching(state);
 	daemon_update_store_status(state);
+	convictions_tick(&state->convictions);
 	check_shutdown(state);
 	(void)medlar_timer_set(client, timer, now + TICK_INTERVAL_MS);
 }
@@ -289,6 +290,14 @@
 	observations_init(&state->observations, &state->loop,
 			  &state->replica_log, &state->stats, &state->fleet,
 			  &state->peers);
+	state->convictions = (convictions_t){
+		.loop = &state->loop,
+		.log = &state->log,
+		.suspects = &state->forward.suspects,
+		.peers = &state->peers,
+		.store = &state->store,
+		.instance = medlar_str_from(settings->instance),
+	};
 	error = peers_init(&state->peers, &state->loop, &state->log,
 			   &state->stats, settings, &state->mirror,
 			   &state->forward.suspects, &peers_events, state);
--- a/router/daemon_entries.c
+++ b/router/daemon_entries.c
@@ -198,6 +198,9 @@
 	case ENTRY_INSTANCE:
 		apply_instance_entry(state, item, name);
 		break;
+	case ENTRY_CONVICTION:
+		convictions_apply(&state->convictions, item, name);
+		break;
 	default:
 		break;
 	}
--- a/router/daemon_internal.h
+++ b/router/daemon_internal.h
@@ -5,6 +5,7 @@
 #define ROUTER_DAEMON_INTERNAL_H
 
 #include "libroute/fleet.h"
+#include "router/convictions.h"
 #include "router/forward.h"
 #include "router/log_batch.h"
 #include "router/observations.h"
@@ -25,6 +26,7 @@
  * @store: client of the store
  * @peers: other instances
  * @observations: exchange of measurements of replicas
+ * @convictions: requests that crash replicas, as the store holds them
  * @forward: service that forwards the requests of callers
  * @readiness: listener for readiness checks
  * @directory: listener that gives callers the addresses of instances
@@ -49,6 +51,7 @@
 	store_t store;
 	peers_t peers;
 	observations_t observations;
+	convictions_t convictions;
 	forward_t forward;
 	h1_server_t readiness;
 	h1_server_t directory;
--- a/router/store.c
+++ b/router/store.c
@@ -201,6 +201,7 @@
 			   reader_on_reply);
 	store_channel_init(&store->lease_keeper, store, keeper_send_next,
 			   keeper_on_reply);
+	store_writer_init(store);
 }
 
 /**
@@ -280,6 +281,7 @@
 {
 	store_channel_finish(&store->reader);
 	store_channel_finish(&store->lease_keeper);
+	store_writer_finish(store);
 	medlar_buf_finish(&store->key);
 	medlar_buf_finish(&store->value);
 }
--- a/router/store.h
+++ b/router/store.h
@@ -3,7 +3,8 @@
  *
  * One connection lists the store and then watches it for changes. Another one
  * writes the entry of this instance under a lease and renews the lease. Both
- * retry with exponential backoff while calls fail.
+ * retry with exponential backoff while calls fail. A third one writes entries that
+ * outlive the instance and expire by themselves.
  */
 #ifndef ROUTER_STORE_H
 #define ROUTER_STORE_H
@@ -54,6 +55,34 @@
 	STORE_ENTRY_LEAVING,
 } store_entry_state_t;
 
+/**
+ * enum store_writer_state - what the writer of expiring entries waits for
+ * @STORE_WRITER_IDLE: an entry to write
+ * @STORE_WRITER_LEASE: a lease for the entry
+ * @STORE_WRITER_PUT: the reply to the write
+ */
+typedef enum store_writer_state {
+	STORE_WRITER_IDLE,
+	STORE_WRITER_LEASE,
+	STORE_WRITER_PUT,
+} store_writer_state_t;
+
+/**
+ * struct store_writer - writes entries that expire by themselves, one at a time
+ * @channel: channel for the calls
+ * @state: what it waits for
+ * @key: key of the entry being written
+ * @value: value of the entry being written
+ * @retry_at: earliest time of the next write after a failed one, ms
+ */
+typedef struct store_writer {
+	store_channel_t channel;
+	store_writer_state_t state;
+	medlar_buf_t key;
+	medlar_buf_t value;
+	medlar_time_t retry_at;
+} store_writer_t;
+
 /**
  * struct store - client of the store
  * @loop: event loop
@@ -64,6 +93,7 @@
  * @mirror: copy of the store, updated by lists and watches
  * @reader: channel for lists and watches
  * @lease_keeper: channel for the lease and the entry of this instance
+ * @writer: writer of expiring entries
  * @list_complete: a list is complete; watch from the revision of @mirror
  * @page: last page received of the list being read
  * @list_revision: store revision at the begin of the list being read; 0 if no
@@ -95,6 +125,7 @@
 	mirror_t *mirror;
 	store_channel_t reader;
 	store_channel_t lease_keeper;
+	store_writer_t writer;
 	bool list_complete;
 	store_page_t page;
 	uint64_t list_revision;
@@ -119,6 +150,8 @@
 void store_entry_lost(store_t *store);
 medlar_time_t store_silence(const store_t *store);
 void store_withdraw_entry(store_t *store);
+int store_put_expiring(store_t *store, medlar_str_t key, medlar_str_t value,
+		       medlar_time_t ttl);
 void store_finish(store_t *store);
 
 #endif /* ROUTER_STORE_H */
--- a/router/store_internal.h
+++ b/router/store_internal.h
@@ -23,4 +23,8 @@
 void store_channel_finish(store_channel_t *channel);
 void store_record_failure(store_t *store, unsigned status);
 
+/* store_writer.c */
+void store_writer_init(store_t *store);
+void store_writer_finish(store_t *store);
+
 #endif /* ROUTER_STORE_INTERNAL_H */
--- a/tests/e2e_crash_shared.sh
+++ b/tests/e2e_crash_shared.sh
@@ -37,3 +37,39 @@
 	test "$(count_crashes)" -eq 3
 sleep 2
 check others-are-served eventually status_is "$site_router2" good /order/x 200
+
+# All instances are killed at once; what they knew of the request is in the store.
+kill_and_restart_all() {
+	for n in 1 2
+	do
+		kill -KILL "$(cat "$dir/router-$n.pid")"
+	done
+	for n in 1 2
+	do
+		wait "$(cat "$dir/router-$n.pid")" 2>/dev/null
+	done
+	for n in 1 2
+	do
+		site_start_router "$n" "$((port + 490 + 10 * n))"
+	done
+	for n in 1 2
+	do
+		fleet_wait "http://127.0.0.1:$((port + 491 + 10 * n))/api/ready"
+	done
+}
+for round in 1 2
+do
+	kill_and_restart_all
+	for n in 1 2
+	do
+		request "$site_router1" "poison-$round-1$n" /order/crash \
+			>/dev/null
+		request "$site_router2" "poison-$round-2$n" /order/crash \
+			>/dev/null
+		sleep 0.4
+	done
+done
+check a-request-that-crashes-replicas-is-known-after-a-kill-of-all \
+	test "$(count_crashes)" -eq 3
+check others-are-served-after-the-kill \
+	eventually status_is "$site_router1" after-kill /order/x 200
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -119,6 +119,46 @@
 	assert_true(suspects_is_convicted(&suspects, 7, later + 1));
 }
 
+/* Guards against BUDGET: a kill of all instances made them forget what crashes. */
+static void a_conviction_read_from_the_store_holds(void **state)
+{
+	static suspects_t suspects;
+	size_t position = 0;
+
+	(void)state;
+	suspects_add_stored(&suspects, 7, 10);
+	assert_true(suspects_is_convicted(&suspects, 7, 11));
+	assert_null(suspects_next_unstored(&suspects, &position, 11));
+	assert_false(suspects_is_convicted(&suspects, 7,
+					   10 + SUSPECT_CONVICTION_MS));
+}
+
+static void a_conviction_is_stored_once_and_again_when_prolonged(void **state)
+{
+	static suspects_t suspects;
+	medlar_time_t later = SUSPECT_CONVICTION_MS - 1;
+	size_t position = 0;
+	const suspect_t *found;
+
+	(void)state;
+	for (unsigned i = 1; i < SUSPECT_BREAKS; i++)
+		(void)suspects_add_crash(&suspects, 7, i, 10 + i);
+	assert_null(suspects_next_unstored(&suspects, &position, 20));
+	(void)suspects_add_crash(&suspects, 7, SUSPECT_BREAKS, 20);
+	position = 0;
+	found = suspects_next_unstored(&suspects, &position, 20);
+	assert_non_null(found);
+	assert_int_equal(found->fingerprint, 7);
+	assert_null(suspects_next_unstored(&suspects, &position, 20));
+	suspects_add_stored(&suspects, 7, 25);
+	(void)suspects_add_crash(&suspects, 7, 8, 30);
+	position = 0;
+	assert_null(suspects_next_unstored(&suspects, &position, 30));
+	(void)suspects_add_crash(&suspects, 7, 9, later);
+	position = 0;
+	assert_non_null(suspects_next_unstored(&suspects, &position, later));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -131,6 +171,9 @@
 		cmocka_unit_test(three_crashes_convict_and_an_answer_clears),
 		cmocka_unit_test(a_crash_that_is_told_again_counts_once),
 		cmocka_unit_test(a_conviction_is_renewed_by_one_crash),
+		cmocka_unit_test(a_conviction_read_from_the_store_holds),
+		cmocka_unit_test(
+			a_conviction_is_stored_once_and_again_when_prolonged),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -327,6 +327,15 @@
 	assert_int_equal(entries_key_kind(medlar_buf_str(&key), &name),
 			 ENTRY_INSTANCE);
 	assert_true(medlar_str_equal(name, MEDLAR_STR("front-1")));
+	medlar_buf_reset(&key);
+	entries_conviction_key(UINT64_C(0xfe0000000000001a), &key);
+	assert_int_equal(entries_key_kind(medlar_buf_str(&key), &name),
+			 ENTRY_CONVICTION);
+	assert_true(entries_parse_fingerprint(name) ==
+		    UINT64_C(0xfe0000000000001a));
+	assert_true(entries_parse_fingerprint(MEDLAR_STR("1a")) == 0);
+	assert_true(entries_parse_fingerprint(MEDLAR_STR("-e0000000000001a")) ==
+		    0);
 	medlar_buf_finish(&key);
 }
 
