Ignore items of the store that were deleted since

Cause: an answer to a watch is held back by a one-way cut. Meanwhile another router tells that the replica's entry was deleted, and the mirror goes on to that revision. The cut ends; the old answer names the entry; the mirror, which holds none to compare with, adds it, and the next watch begins after the deletion.

Change: the mirror is complete up to its revision, so an item of that revision or an older one that it does not hold was deleted since, and is ignored. The deletion of an entry that the mirror never held leaves a tombstone, so that instances that did hold it and fetch changes from this one learn of it.

Why it works: the rule needs no list of deletions and holds for watches, pages of lists and the changes of other instances.

test_mirror: an_entry_deleted_since_is_not_added_again, a_late_list_adds_no_entry_deleted_since and the_deletion_of_an_unknown_entry_is_passed_on fail before this change, and pass now.

--- a/router/mirror.c
+++ b/router/mirror.c
@@ -111,8 +111,8 @@
  * mirror_apply() - apply an entry or a deletion
  * @mirror: mirror
  * @item: item of a list, of a watch, or of the changes of a peer; ignored if
- *	the mirror holds the same or a newer revision of the entry, or if memory
- *	is short
+ *	the mirror holds the same or a newer revision of the entry, or knows that
+ *	it was deleted since, or if memory is short
  */
 void mirror_apply(mirror_t *mirror, const store_item_t *item)
 {
@@ -123,9 +123,14 @@
 		entry->list_number = mirror->list_number;
 		return;
 	}
+	/* The mirror would hold it, had it not been deleted since. */
+	if (!entry && item->revision <= mirror->revision)
+		return;
 	if (item->deleted) {
 		if (entry)
 			remove_entry(mirror, entry, item->revision);
+		else
+			add_tombstone(mirror, item->key, item->revision);
 		return;
 	}
 	if (!entry)
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -154,6 +154,77 @@
 	mirror_finish(&mirror);
 }
 
+/*
+ * Guards against DRAIN: a reply of the store that a cut held back brought a replica
+ * back that had left, as other instances had told meanwhile.
+ */
+static void an_entry_deleted_since_is_not_added_again(void **state)
+{
+	change_log_t change_log = { 0 };
+	static mirror_t mirror;
+
+	(void)state;
+	mirror_init(&mirror, record_change, &change_log);
+	apply_entry(&mirror, "a", "ready", 5);
+	mirror_advance(&mirror, 5);
+	apply_entry(&mirror, "a", NULL, 8);
+	mirror_advance(&mirror, 8);
+	apply_entry(&mirror, "a", "held", 6);
+	apply_entry(&mirror, "b", "held", 7);
+	assert_int_equal(mirror.len, 0);
+	assert_int_equal(change_log.changes, 2);
+	apply_entry(&mirror, "a", "again", 9);
+	assert_int_equal(mirror.len, 1);
+	assert_string_equal(change_log.last_value, "again");
+	mirror_finish(&mirror);
+}
+
+/* A list that was held back names entries that were deleted since. */
+static void a_late_list_adds_no_entry_deleted_since(void **state)
+{
+	change_log_t change_log = { 0 };
+	static mirror_t mirror;
+
+	(void)state;
+	mirror_init(&mirror, record_change, &change_log);
+	apply_entry(&mirror, "b", "1", 4);
+	mirror_advance(&mirror, 8);
+	mirror_list_begin(&mirror);
+	apply_entry(&mirror, "a", "held", 5);
+	apply_entry(&mirror, "b", "1", 4);
+	mirror_list_end(&mirror, 6);
+	assert_int_equal(mirror.len, 1);
+	assert_int_equal(mirror.revision, 8);
+	assert_int_equal(change_log.changes, 1);
+	mirror_finish(&mirror);
+}
+
+/*
+ * An instance that never saw an entry must pass on its deletion to one that did.
+ */
+static void the_deletion_of_an_unknown_entry_is_passed_on(void **state)
+{
+	change_log_t change_log = { 0 };
+	static mirror_t first;
+	static mirror_t second;
+
+	(void)state;
+	mirror_init(&first, record_change, &change_log);
+	mirror_init(&second, record_change, &change_log);
+	mirror_advance(&first, 5);
+	mirror_advance(&second, 5);
+	apply_entry(&second, "a", "ready", 6);
+	mirror_advance(&second, 6);
+	apply_entry(&first, "a", NULL, 8);
+	mirror_advance(&first, 8);
+	assert_true(first.complete_after <= 6);
+	(void)mirror_visit_changes(&first, second.revision, apply_to_mirror,
+				   &second);
+	assert_int_equal(second.len, 0);
+	mirror_finish(&first);
+	mirror_finish(&second);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -162,6 +233,9 @@
 		cmocka_unit_test(changes_keep_another_mirror_equal),
 		cmocka_unit_test(deletions_before_a_list_are_unknown),
 		cmocka_unit_test(overwritten_tombstones_raise_complete_after),
+		cmocka_unit_test(an_entry_deleted_since_is_not_added_again),
+		cmocka_unit_test(a_late_list_adds_no_entry_deleted_since),
+		cmocka_unit_test(the_deletion_of_an_unknown_entry_is_passed_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
