medlard: give up heads without end, and bound the bodies of all replies together

What was reported by others: a faulty replica sends bytes without end in a head or a body; its caller keeps them all and runs out of memory.

Cause: libcurl keeps each header line of a call and bounds single lines only, so a head without end was read until the deadline of the call.

Change: a head is given up beyond 64 KB with its interim replies and trailers; the bodies of a thread share 64 MB, beyond which only replies up to 64 KB are received; large buffers are freed with their call. The router had these bounds; five more forms are tested there and pass unchanged.

test_http: heads_without_end_are_given_up (more than 24 MB read) and bodies_without_end_share_a_bound fail before this change, and pass now.

--- a/medlard/http_client.c
+++ b/medlard/http_client.c
@@ -15,21 +15,48 @@
 #define CONNECT_TIMEOUT_MAX (2 * MEDLAR_SECOND)
 
 #define RECEIVE_BUFFER_BYTES 4096L
+#define HEAD_BYTES_MAX ((size_t)64 * 1024)
+/* Replicas that send without end must not use up the memory of the process. */
+#define REPLY_MEMORY_BYTES_MAX ((size_t)64 << 20)
+/* A reply up to this size is received even if others have used up the memory. */
+#define REPLY_BYTES_KEPT ((size_t)64 * 1024)
 
 static void finish_call(http_call_t *call, http_end_t end);
 
+static bool exceeds_memory(const http_call_t *call, size_t len)
+{
+	const h1_memory_t *memory = &call->pool->http->reply_memory;
+
+	return memory->used + len > memory->max &&
+	       call->reply.len + len > REPLY_BYTES_KEPT;
+}
+
 static size_t on_body(char *bytes, size_t size, size_t count, void *data)
 {
 	http_call_t *call = data;
 	size_t len = size * count;
 
 	call->last_byte_at = call->pool->http->loop->now;
-	if (call->reply.len + len > call->reply_max) {
+	if (call->reply.len + len > call->reply_max ||
+	    exceeds_memory(call, len)) {
 		call->reply_too_long = true;
 		return 0;
 	}
 	medlar_buf_add(&call->reply, (medlar_str_t){ bytes, len });
-	return call->reply.error ? 0 : len;
+	if (call->reply.error)
+		return 0;
+	call->pool->http->reply_memory.used += len;
+	return len;
+}
+
+static void release_reply(http_call_t *call)
+{
+	call->pool->http->reply_memory.used -= call->reply.len;
+	if (call->reply.len > REPLY_BYTES_KEPT) {
+		medlar_buf_finish(&call->reply);
+		medlar_buf_init(&call->reply);
+	}
+	medlar_buf_reset(&call->reply);
 }
 
 static medlar_str_t trim(medlar_str_t text)
@@ -52,6 +79,11 @@
 	medlar_str_t value;
 
 	call->last_byte_at = call->pool->http->loop->now;
+	call->head_len += len;
+	if (call->head_len > HEAD_BYTES_MAX) {
+		call->reply_too_long = true;
+		return 0;
+	}
 	if (!colon || !call->on_header)
 		return len;
 	name = (medlar_str_t){ bytes, (size_t)(colon - bytes) };
@@ -234,7 +266,6 @@
 	if (len < 0 || (size_t)len >= sizeof(url))
 		return MEDLAR_ERR_TOO_LARGE;
 	medlar_buf_reset(&call->body);
-	medlar_buf_reset(&call->reply);
 	medlar_buf_add(&call->body, request->body);
 	if (call->body.error || add_headers(call, request))
 		return MEDLAR_ERR_NOMEM;
@@ -272,6 +303,7 @@
 	call->deadline = request->deadline;
 	call->silence = request->silence;
 	call->reply_max = request->reply_max;
+	call->head_len = 0;
 	call->on_header = request->on_header;
 	call->done = request->done;
 	call->data = request->data;
@@ -319,6 +351,7 @@
 	if (call->sent)
 		reply.duration = http->loop->now - call->sent_at;
 	call->done(call, &reply, call->data);
+	release_reply(call);
 	recycle_call(call);
 	http_pool_start_waiting(pool);
 	http_conns_trim(pool);
@@ -406,7 +439,10 @@
  */
 int http_client_init(http_client_t *http, loop_t *loop, metrics_t *metrics)
 {
-	*http = (http_client_t){ .loop = loop, .metrics = metrics };
+	*http = (http_client_t){ .loop = loop,
+				 .metrics = metrics,
+				 .reply_memory = {
+					 .max = REPLY_MEMORY_BYTES_MAX } };
 	http->multi = curl_multi_init();
 	if (!http->multi)
 		return MEDLAR_ERR_NOMEM;
--- a/medlard/http_client.h
+++ b/medlard/http_client.h
@@ -11,6 +11,7 @@
 
 #include <curl/curl.h>
 
+#include "medlard/h1.h"
 #include "medlard/loop.h"
 #include "medlard/metrics.h"
 
@@ -132,6 +133,7 @@
  * @pools: list of all pools
  * @free_calls: list of calls available for reuse
  * @calls: list of all calls, newest first
+ * @reply_memory: bytes of the bodies of all replies being received
  */
 struct http_client {
 	loop_t *loop;
@@ -144,6 +146,7 @@
 	http_pool_t *pools;
 	http_call_t *free_calls;
 	http_call_t *calls;
+	h1_memory_t reply_memory;
 };
 
 int http_client_init(http_client_t *http, loop_t *loop, metrics_t *metrics);
--- a/medlard/http_client_internal.h
+++ b/medlard/http_client_internal.h
@@ -45,6 +45,7 @@
  * @sent_at: when sending began, ms
  * @last_byte_at: when sending began or the last byte was received, ms
  * @reply_max: largest accepted body of the reply, bytes
+ * @head_len: bytes of the head received, with interim replies and trailers
  * @on_header: see &struct http_request
  * @done: see &struct http_request
  * @data: see &struct http_request
@@ -69,6 +70,7 @@
 	medlar_time_t sent_at;
 	medlar_time_t last_byte_at;
 	size_t reply_max;
+	size_t head_len;
 	http_header_fn_t on_header;
 	http_done_fn_t done;
 	void *data;
--- a/tests/test_h1_endless.c
+++ b/tests/test_h1_endless.c
@@ -186,6 +186,40 @@
 		  "aaaaaaaa", &plain_events, NULL);
 }
 
+static void trailers_without_end(void **state)
+{
+	(void)state;
+	run_flood("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		  "A: b\r\n", &plain_events, NULL);
+}
+
+static void a_trailer_line_without_end(void **state)
+{
+	(void)state;
+	run_flood(
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+		"aaaaaaaa", &plain_events, NULL);
+}
+
+static void a_chunk_size_without_end(void **state)
+{
+	(void)state;
+	run_flood("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  "00000000", &plain_events, NULL);
+}
+
+static void a_status_line_without_end(void **state)
+{
+	(void)state;
+	run_flood("HTTP/1.1 200 ", "aaaaaaaa", &plain_events, NULL);
+}
+
+static void bytes_that_are_no_reply_without_end(void **state)
+{
+	(void)state;
+	run_flood("", "aaaaaaaa", &plain_events, NULL);
+}
+
 static void interim_replies_without_end(void **state)
 {
 	(void)state;
@@ -243,6 +277,11 @@
 		cmocka_unit_test(a_body_without_length_or_end),
 		cmocka_unit_test(chunks_without_end),
 		cmocka_unit_test(a_chunk_extension_without_end),
+		cmocka_unit_test(trailers_without_end),
+		cmocka_unit_test(a_trailer_line_without_end),
+		cmocka_unit_test(a_chunk_size_without_end),
+		cmocka_unit_test(a_status_line_without_end),
+		cmocka_unit_test(bytes_that_are_no_reply_without_end),
 		cmocka_unit_test(interim_replies_without_end),
 		cmocka_unit_test(replies_to_other_requests_without_end),
 		cmocka_unit_test(bodies_share_a_bound),
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -22,6 +22,10 @@
 #define SILENCE ((medlar_time_t)100)
 #define UNTIL (10 * MEDLAR_SECOND)
 #define REQUEST_BYTES 4096
+/* Bytes after which a server gives up, and those that sockets may hold. */
+#define FLOOD_BYTES_MAX ((size_t)128 << 20)
+#define FLOOD_BYTES_BOUND ((size_t)24 << 20)
+#define FLOODED_CALLS 4
 
 /**
  * struct server - a server that handles one connection at a time
@@ -29,6 +33,8 @@
  * @port: TCP port of @fd
  * @thread: its thread
  * @reply: sent after each request; NULL for none
+ * @flood: sent after @reply again and again until the client closes; or NULL
+ * @flooded: bytes sent so
  * @serve: number of requests answered per connection if @close is set
  * @close: close the connection on the request after these
  * @requests: number of requests read
@@ -39,6 +45,8 @@
 	uint16_t port;
 	pthread_t thread;
 	const char *reply;
+	const char *flood;
+	size_t flooded;
 	unsigned serve;
 	bool close;
 	unsigned requests;
@@ -63,6 +71,20 @@
 	bool sent;
 } fixture_t;
 
+static void send_flood(server_t *server, int fd)
+{
+	char bytes[REQUEST_BYTES];
+	size_t unit = strlen(server->flood);
+	size_t len = 0;
+	ssize_t done = 0;
+
+	for (; len + unit <= sizeof(bytes); len += unit)
+		memcpy(bytes + len, server->flood, unit);
+	for (; done >= 0 && server->flooded < FLOOD_BYTES_MAX;
+	     done = send(fd, bytes, len, MSG_NOSIGNAL))
+		server->flooded += (size_t)done;
+}
+
 static void serve_connection(server_t *server, int fd)
 {
 	char request[REQUEST_BYTES];
@@ -78,6 +100,10 @@
 		    send(fd, server->reply, strlen(server->reply),
 			 MSG_NOSIGNAL) < 0)
 			return;
+		if (server->flood) {
+			send_flood(server, fd);
+			return;
+		}
 	}
 }
 
@@ -288,6 +314,92 @@
 	assert_int_equal(server.accepted, 1);
 }
 
+/* Guards against running out of memory: replies without end in a head. */
+static void heads_without_end_are_given_up(void **state)
+{
+	static const server_t servers[] = {
+		{ .reply = "HTTP/1.1 200 OK\r\n", .flood = "A: b\r\n" },
+		{ .reply = "HTTP/1.1 200 OK\r\nX: ", .flood = "aaaaaaaa" },
+		{ .reply = "HTTP/1.1 100 Continue\r\n\r\n",
+		  .flood = "HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" },
+		{ .reply = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			   "\r\n0\r\n",
+		  .flood = "A: b\r\n" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(servers) / sizeof(servers[0]); i++) {
+		server_t server = servers[i];
+		fixture_t fixture;
+
+		server_start(&server);
+		fixture_init(&fixture);
+		assert_int_not_equal(
+			call_once(&fixture, new_peer(&fixture, server.port, 4)),
+			HTTP_REPLY);
+		fixture_finish(&fixture);
+		server_stop(&server);
+		assert_true(server.flooded < FLOOD_BYTES_BOUND);
+	}
+}
+
+/* Stops the loop when the last of several calls has ended. */
+typedef struct countdown {
+	loop_t *loop;
+	unsigned left;
+} countdown_t;
+
+static void count_down(http_call_t *call, const http_reply_t *reply, void *data)
+{
+	countdown_t *countdown = data;
+
+	(void)call;
+	(void)reply;
+	if (--countdown->left == 0)
+		loop_stop(countdown->loop);
+}
+
+/* Many replicas flood at once: what one may use depends on all others. */
+static void bodies_without_end_share_a_bound(void **state)
+{
+	server_t servers[FLOODED_CALLS];
+	countdown_t countdown = { .left = FLOODED_CALLS };
+	size_t flooded = 0;
+	fixture_t fixture;
+
+	(void)state;
+	fixture_init(&fixture);
+	countdown.loop = &fixture.loop;
+	fixture.http.reply_memory.max = (size_t)2 << 20;
+	for (size_t i = 0; i < FLOODED_CALLS; i++) {
+		const http_request_t request = {
+			.method = "GET",
+			.path = "/x",
+			.deadline = fixture.loop.now + UNTIL,
+			.silence = SILENCE,
+			.reply_max = FLOOD_BYTES_MAX,
+			.done = count_down,
+			.data = &countdown,
+		};
+
+		servers[i] = (server_t){ .reply = "HTTP/1.1 200 OK\r\n\r\n",
+					 .flood = "x" };
+		server_start(&servers[i]);
+		assert_int_equal(
+			http_call_start(new_peer(&fixture, servers[i].port, 4),
+					&request, NULL),
+			MEDLAR_OK);
+	}
+	loop_run(&fixture.loop);
+	assert_int_equal(fixture.http.reply_memory.used, 0);
+	fixture_finish(&fixture);
+	for (size_t i = 0; i < FLOODED_CALLS; i++) {
+		server_stop(&servers[i]);
+		flooded += servers[i].flooded;
+	}
+	assert_true(flooded < FLOODED_CALLS * FLOOD_BYTES_BOUND);
+}
+
 static void a_lost_reply_to_a_write_has_an_unknown_outcome(void **state)
 {
 	static const struct {
@@ -327,6 +439,8 @@
 		cmocka_unit_test(without_a_connection_nothing_is_sent),
 		cmocka_unit_test(a_request_is_never_sent_twice),
 		cmocka_unit_test(a_connection_is_used_again),
+		cmocka_unit_test(heads_without_end_are_given_up),
+		cmocka_unit_test(bodies_without_end_share_a_bound),
 		cmocka_unit_test(
 			a_lost_reply_to_a_write_has_an_unknown_outcome),
 	};
