--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -26,6 +26,9 @@
 /* Time in which a change has to be in force, ms. */
 #define CHANGE_BOUND_MS 3000
 #define PHASE_STEP_MS 500
+#define OUTAGE_MS 3300
+/* Longest time for which a call to the store may last. */
+#define CALL_MAX_MS 2200
 
 /* A watch that waits for a change. */
 typedef struct waiting_watch {
@@ -344,6 +347,44 @@
 	}
 }
 
+/*
+ * Guards against CONFIG: calls made in the last moments of a silent outage are never
+ * answered, and changes that follow its end were waited for behind them.
+ */
+static void calls_of_the_last_moments_of_an_outage_delay_no_change(void **state)
+{
+	static const medlar_time_t pauses[] = { 0, 700, 1900, 3700 };
+	fixture_t *fixture = *state;
+
+	run_for(fixture, 2 * MEDLAR_SECOND);
+	for (medlar_time_t phase = 0; phase < CALL_MAX_MS; phase += 50) {
+		run_for(fixture, phase);
+		fall_silent(fixture);
+		run_for(fixture, OUTAGE_MS - phase % 700);
+		fixture->silent = false;
+		run_for(fixture, pauses[phase / 50 % 4]);
+		change_store(fixture);
+		if (!is_current_within(fixture, CHANGE_BOUND_MS))
+			fail_msg("no change 3 s after an outage, phase %d ms",
+				 (int)phase);
+		run_for(fixture, 5 * MEDLAR_SECOND);
+	}
+}
+
+/* The same for an instance that starts in the outage: its first list is lost. */
+static void
+a_start_in_the_last_moments_of_an_outage_is_not_delayed(void **state)
+{
+	fixture_t *fixture = *state;
+
+	fall_silent(fixture);
+	run_for(fixture, OUTAGE_MS);
+	fixture->silent = false;
+	assert_true(is_current_within(fixture, CHANGE_BOUND_MS));
+	run_for(fixture, CHANGE_BOUND_MS);
+	assert_int_equal(fixture->store.entry_state, STORE_ENTRY_WRITTEN);
+}
+
 /* A renewed lease does not show that the copy of the store is current. */
 static void a_renewed_lease_does_not_make_the_copy_current(void **state)
 {
@@ -389,6 +430,12 @@
 		cmocka_unit_test_setup_teardown(
 			changes_arrive_in_time_after_an_outage_of_any_length,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			calls_of_the_last_moments_of_an_outage_delay_no_change,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_start_in_the_last_moments_of_an_outage_is_not_delayed,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_renewed_lease_does_not_make_the_copy_current, set_up,
 			tear_down),
