Do not blame a popular request for an outage of its service

Cause: a replica that goes down while it runs a request is taken to have been crashed by it. A popular request is in flight at all replicas, so an outage of three counts as three crashes. An answer would clear it, but it is refused.

Change: an instance remembers the requests that it answered. Crashes of one that was answered in the 10 s before, within 2 s of each other, count as one, and convictions by others or in the store are not taken. Messages name only convictions that still hold: they made others convict anew what had been cleared.

Why it works: a request that crashes replicas is not answered. One that begins to do so crashes them again after each return, and the third time convicts it.

e2e_crash_shared: a-popular-request-is-not-blamed-for-an-outage-by-router-1 and -2 fail before this change (503), and pass now.

--- a/libroute/exchange.c
+++ b/libroute/exchange.c
@@ -304,7 +304,8 @@
 	exchange_t *exchange = attempt->exchange;
 
 	exchange->may_have_run = true;
-	suspects_clear(exchange->setup->suspects, exchange->fingerprint, now);
+	suspects_add_answer(exchange->setup->suspects, exchange->fingerprint,
+			    now);
 	if (exchange_is_merged(exchange))
 		store_part(attempt->part, exchange, reply);
 	else
--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -5,6 +5,10 @@
 
 /* Time for which each message tells of a crash; most instances need one of them. */
 #define TELL_MS (5 * MEDLAR_SECOND)
+/* A request that was answered this recently is no likely cause of crashes. */
+#define ANSWER_COUNTS_MS (10 * MEDLAR_SECOND)
+/* Crashes within this time of each other have one cause, if it is an outage. */
+#define OUTAGE_SPREAD_MS (2 * MEDLAR_SECOND)
 /* A conviction is stored anew if it is prolonged by this time or more. */
 #define STORE_AGAIN_MS (SUSPECT_CONVICTION_MS / 2)
 
@@ -40,6 +44,25 @@
 	return false;
 }
 
+static bool was_answered_lately(const suspects_t *suspects,
+				uint64_t fingerprint, medlar_time_t at)
+{
+	const answered_request_t *answered =
+		&suspects->answered[fingerprint % SUSPECTS_ANSWERS];
+
+	return answered->fingerprint == fingerprint &&
+	       at - answered->at < ANSWER_COUNTS_MS;
+}
+
+/* Whether an outage, of which one crash was counted, may explain this one too. */
+static bool is_same_outage(const suspects_t *suspects, const suspect_t *suspect,
+			   medlar_time_t at)
+{
+	return suspect->crashes > 0 &&
+	       at - suspect->updated_at < OUTAGE_SPREAD_MS &&
+	       was_answered_lately(suspects, suspect->fingerprint, at);
+}
+
 static void add_recent(suspects_t *suspects, uint64_t fingerprint,
 		       uint64_t replica, medlar_time_t at)
 {
@@ -62,7 +85,8 @@
 	suspect_t *suspect = find_or_replace_oldest(suspects, fingerprint);
 
 	if (is_known_crash(suspect, replica) ||
-	    (suspect->answered_at && at <= suspect->answered_at))
+	    (suspect->answered_at && at <= suspect->answered_at) ||
+	    is_same_outage(suspects, suspect, at))
 		return suspect->crashes;
 	add_recent(suspects, fingerprint, replica, at);
 	if (at > suspect->updated_at)
@@ -102,13 +126,17 @@
  * @fingerprint: fingerprint of the request
  * @now: current time, ms
  *
- * Does not prolong a conviction that is already recorded.
+ * Does not prolong a conviction that is already recorded. Ignored if the request
+ * was answered here lately; others tell of a conviction more than once.
  */
 void suspects_convict(suspects_t *suspects, uint64_t fingerprint,
 		      medlar_time_t now)
 {
-	suspect_t *suspect = find_or_replace_oldest(suspects, fingerprint);
+	suspect_t *suspect;
 
+	if (was_answered_lately(suspects, fingerprint, now))
+		return;
+	suspect = find_or_replace_oldest(suspects, fingerprint);
 	if (suspect->crashes >= SUSPECT_BREAKS)
 		return;
 	suspect->updated_at = now;
@@ -132,8 +160,12 @@
 void suspects_add_stored(suspects_t *suspects, uint64_t fingerprint,
 			 medlar_time_t now)
 {
+	suspect_t *suspect;
+
 	suspects_convict(suspects, fingerprint, now);
-	find_suspect(suspects, fingerprint)->stored_at = now;
+	suspect = find_suspect(suspects, fingerprint);
+	if (suspect)
+		suspect->stored_at = now;
 }
 
 /**
@@ -158,16 +190,18 @@
 }
 
 /**
- * suspects_clear() - clear a request that was answered
+ * suspects_add_answer() - record that a request was answered
  * @suspects: table
  * @fingerprint: fingerprint of the request
  * @now: current time, ms; earlier crashes count no more
  */
-void suspects_clear(suspects_t *suspects, uint64_t fingerprint,
-		    medlar_time_t now)
+void suspects_add_answer(suspects_t *suspects, uint64_t fingerprint,
+			 medlar_time_t now)
 {
 	suspect_t *suspect = find_suspect(suspects, fingerprint);
 
+	suspects->answered[fingerprint % SUSPECTS_ANSWERS] =
+		(answered_request_t){ fingerprint, now };
 	if (suspect)
 		*suspect = (suspect_t){ .fingerprint = fingerprint,
 					.updated_at = now,
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -14,6 +14,9 @@
 /** A conviction ends after this time without a further crash. */
 #define SUSPECT_CONVICTION_MS (60 * MEDLAR_SECOND)
 
+/** Answered requests that an instance remembers; a later one takes a place. */
+#define SUSPECTS_ANSWERS 1024
+
 /** Crashes that an instance passes on to others. */
 #define SUSPECTS_RECENT_MAX 16
 
@@ -21,7 +24,7 @@
  * struct suspect - a request that crashed replicas
  * @fingerprint: hash of host, path and body; 0 if the entry is unused
  * @crashes: number of replicas that crashed while they ran it, since it was last
- *	answered
+ *	answered; less those that an outage explains
  * @replicas: hashes of the first replicas that crashed
  * @updated_at: time of the last crash or conviction, ms
  * @answered_at: when it was last answered after a crash, ms; 0 if it was not
@@ -49,19 +52,33 @@
 	medlar_time_t at;
 } crash_report_t;
 
+/**
+ * struct answered_request - a request that was answered
+ * @fingerprint: fingerprint of the request; 0 if the place is free
+ * @at: when it was last answered, ms
+ */
+typedef struct answered_request {
+	uint64_t fingerprint;
+	medlar_time_t at;
+} answered_request_t;
+
 /**
  * struct suspects - table of the suspects known to an instance
  * @entries: entries in no particular order
+ * @answered: requests that were answered, by fingerprint
  * @recent: the last crashes that were new, as a ring
  * @recent_added: number of crashes ever added to @recent
  *
  * Load pattern: callers send a request that crashes its replica to another
  * instance each time. No instance sees enough of the crashes to refuse it, so
  * all of them tell each other of each crash. All instances are killed meanwhile: the
- * store holds the convictions, and those that start read them there.
+ * store holds the convictions, and those that start read them there. Or all replicas
+ * of a service go down at once while they run the same popular request: as it has
+ * just been answered, they count as one crash.
  */
 typedef struct suspects {
 	suspect_t entries[SUSPECTS_MAX];
+	answered_request_t answered[SUSPECTS_ANSWERS];
 	crash_report_t recent[SUSPECTS_RECENT_MAX];
 	size_t recent_added;
 } suspects_t;
@@ -76,8 +93,8 @@
 			 medlar_time_t now);
 const suspect_t *suspects_next_unstored(const suspects_t *suspects,
 					size_t *position, medlar_time_t now);
-void suspects_clear(suspects_t *suspects, uint64_t fingerprint,
-		    medlar_time_t now);
+void suspects_add_answer(suspects_t *suspects, uint64_t fingerprint,
+			 medlar_time_t now);
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
 			   medlar_time_t now);
 
--- a/router/gossip.c
+++ b/router/gossip.c
@@ -112,12 +112,25 @@
 	return (u_int)len;
 }
 
+/* Convictions by this instance that still hold. */
+static u_int list_convicted(const peers_t *peers, uint64_t *out)
+{
+	u_int len = 0;
+
+	for (unsigned i = 0; i < peers->convicted_len; i++)
+		if (suspects_is_convicted(peers->suspects, peers->convicted[i],
+					  peers->loop->now))
+			out[len++] = peers->convicted[i];
+	return len;
+}
+
 static size_t encode_status(peers_t *peers, char *bytes)
 {
 	const router_settings_t *settings = peers->settings;
 	gossip_watcher watchers[GOSSIP_WATCHERS_MAX];
 	gossip_live_peer live_peers[GOSSIP_LIVE_PEERS_MAX];
 	gossip_crash crashes[GOSSIP_CRASHES_MAX];
+	uint64_t convicted[GOSSIP_CONVICTED_MAX];
 	gossip_message message = {
 		.name = (char *)settings->instance,
 		.zone = (char *)settings->zone,
@@ -132,7 +145,7 @@
 		.watching = peers->store.watching,
 		.store_age = time_to_age(peers, peers->store.last_contact),
 		.outage_age = time_to_age(peers, peers->store.outage_end),
-		.convicted = { peers->convicted_len, peers->convicted },
+		.convicted = { list_convicted(peers, convicted), convicted },
 	};
 	status_t status = { &message,
 			    { { list_watchers(peers, watchers), watchers } },
--- a/tests/e2e_crash_shared.sh
+++ b/tests/e2e_crash_shared.sh
@@ -38,6 +38,34 @@
 sleep 2
 check others-are-served eventually status_is "$site_router2" good /order/x 200
 
+# All replicas of a service go down at once while they run the same popular request.
+send_popular() {
+	n=0
+	while test ! -e "$dir/stop"
+	do
+		n=$((n + 1))
+		request "$1" "$2-$n" /order/popular >/dev/null
+	done
+}
+control 'replica?replica=all&work=60' >/dev/null
+for worker in 1 2 3 4 5 6
+do
+	send_popular "$site_router1" "popular-1-$worker" &
+	send_popular "$site_router2" "popular-2-$worker" &
+done
+sleep 1
+control 'replica?replica=ledger&crash=1' >/dev/null
+sleep 3
+: >"$dir/stop"
+control 'replica?replica=all&work=5' >/dev/null
+for n in 1 2
+do
+	check "a-popular-request-is-not-blamed-for-an-outage-by-router-$n" \
+		status_is "127.0.0.1:$((port + 490 + 10 * n))" "after-$n" \
+		/order/popular 200
+done
+sleep 1
+
 # All instances are killed at once; what they knew of the request is in the store.
 kill_and_restart_all() {
 	for n in 1 2
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -350,14 +350,6 @@
 			put_item(site, site->items[i].key, NULL, 0);
 }
 
-static replica_stub_t *find_replica(site_t *site, const char *id)
-{
-	for (size_t i = 0; i < site->replicas_len; i++)
-		if (strcmp(site->replicas[i].id, id) == 0)
-			return &site->replicas[i];
-	return NULL;
-}
-
 static void register_replica(site_t *site, const replica_stub_t *replica,
 			     const char *state)
 {
@@ -375,6 +367,30 @@
 	put_item(site, key, value, 0);
 }
 
+static int listen_replica(replica_stub_t *replica);
+
+static void on_restart_timer(medlar_client_t *client, medlar_timer_t *timer,
+			     medlar_time_t now, void *data)
+{
+	replica_stub_t *replica = data;
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	replica->down = listen_replica(replica) != MEDLAR_OK;
+}
+
+/* Closes all connections and refuses new ones for CRASH_DOWN_MS. */
+static void crash_replica(replica_stub_t *replica)
+{
+	site_t *site = replica->site;
+
+	replica->down = true;
+	h1_server_finish(&replica->server);
+	(void)medlar_timer_set(site->loop.client, &replica->restart_timer,
+			       site->loop.now + CRASH_DOWN_MS);
+}
+
 static void control_replica(site_t *site, h1_conn_t *conn)
 {
 	char text[TEXT_MAX];
@@ -384,7 +400,8 @@
 	for (size_t i = 0; i < site->replicas_len; i++) {
 		replica = &site->replicas[i];
 		if (strcmp(text, "all") != 0 &&
-		    find_replica(site, text) != replica)
+		    strcmp(text, replica->id) != 0 &&
+		    strcmp(text, replica->service) != 0)
 			continue;
 		get_query_arg(conn, "state", text, sizeof(text));
 		if (text[0])
@@ -392,6 +409,9 @@
 		get_query_arg(conn, "work", text, sizeof(text));
 		if (text[0])
 			replica->service_time = atoi(text);
+		get_query_arg(conn, "crash", text, sizeof(text));
+		if (text[0] && !replica->down)
+			crash_replica(replica);
 		get_query_arg(conn, "mode", text, sizeof(text));
 		for (size_t j = 0;
 		     j < sizeof(behaviour_names) / sizeof(behaviour_names[0]);
@@ -547,30 +567,6 @@
 static const h1_handler_t store_handler = { .request = on_store_request,
 					    on_store_disconnect };
 
-static int listen_replica(replica_stub_t *replica);
-
-static void on_restart_timer(medlar_client_t *client, medlar_timer_t *timer,
-			     medlar_time_t now, void *data)
-{
-	replica_stub_t *replica = data;
-
-	(void)client;
-	(void)timer;
-	(void)now;
-	replica->down = listen_replica(replica) != MEDLAR_OK;
-}
-
-/* Closes all connections and refuses new ones for CRASH_DOWN_MS. */
-static void crash_replica(replica_stub_t *replica)
-{
-	site_t *site = replica->site;
-
-	replica->down = true;
-	h1_server_finish(&replica->server);
-	(void)medlar_timer_set(site->loop.client, &replica->restart_timer,
-			       site->loop.now + CRASH_DOWN_MS);
-}
-
 static void write_headers(const job_t *job, medlar_buf_t *out)
 {
 	const h1_message_t *message = &job->conn->parser.message;
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -76,7 +76,7 @@
 	assert_true(suspects_is_convicted(&suspects, 7, 14));
 	assert_false(suspects_is_convicted(&suspects, 8, 14));
 	assert_false(suspects_is_convicted(&suspects, 7, 13 + 61 * 1000));
-	suspects_clear(&suspects, 7, 14);
+	suspects_add_answer(&suspects, 7, 14);
 	assert_false(suspects_is_convicted(&suspects, 7, 15));
 	suspects_convict(&suspects, 9, 20);
 	assert_true(suspects_is_convicted(&suspects, 9, 21));
@@ -95,7 +95,7 @@
 	assert_int_equal(suspects_add_crash(&suspects, 7, 2, 12), 2);
 	assert_int_equal(suspects_add_crash(&suspects, 7, 1, 10), 2);
 	assert_int_equal(suspects_list_recent(&suspects, 20, recent), 2);
-	suspects_clear(&suspects, 7, 20);
+	suspects_add_answer(&suspects, 7, 20);
 	assert_int_equal(suspects_add_crash(&suspects, 7, 3, 19), 0);
 	assert_int_equal(suspects_add_crash(&suspects, 7, 3, 21), 1);
 	assert_int_equal(suspects_list_recent(&suspects, 30, recent), 3);
@@ -119,6 +119,44 @@
 	assert_true(suspects_is_convicted(&suspects, 7, later + 1));
 }
 
+/*
+ * Guards against CONFIG: all replicas of a service went down at once, and a popular
+ * request that they were running was refused for a minute.
+ */
+static void a_popular_request_is_not_blamed_for_an_outage(void **state)
+{
+	static suspects_t suspects;
+	crash_report_t recent[SUSPECTS_RECENT_MAX];
+
+	(void)state;
+	suspects_add_answer(&suspects, 7, 1000);
+	for (unsigned i = 1; i <= 5; i++)
+		(void)suspects_add_crash(&suspects, 7, i, 1000 + 10 * i);
+	assert_false(suspects_is_convicted(&suspects, 7, 1100));
+	assert_int_equal(suspects_list_recent(&suspects, 1100, recent), 1);
+	suspects_convict(&suspects, 7, 1200);
+	assert_false(suspects_is_convicted(&suspects, 7, 1200));
+	suspects_add_stored(&suspects, 7, 1200);
+	assert_false(suspects_is_convicted(&suspects, 7, 1200));
+}
+
+/* A request that was answered once may begin to crash replicas all the same. */
+static void crashes_after_each_return_convict_a_popular_request(void **state)
+{
+	static suspects_t suspects;
+	medlar_time_t now = 0;
+
+	(void)state;
+	suspects_add_answer(&suspects, 7, 1000);
+	for (unsigned i = 0; i < SUSPECT_BREAKS; i++) {
+		now = 1000 + 2500 * (medlar_time_t)i;
+		assert_false(suspects_is_convicted(&suspects, 7, now));
+		(void)suspects_add_crash(&suspects, 7, 2 * i + 1, now + 10);
+		(void)suspects_add_crash(&suspects, 7, 2 * i + 2, now + 20);
+	}
+	assert_true(suspects_is_convicted(&suspects, 7, now + 20));
+}
+
 /* Guards against BUDGET: a kill of all instances made them forget what crashes. */
 static void a_conviction_read_from_the_store_holds(void **state)
 {
@@ -171,6 +209,9 @@
 		cmocka_unit_test(three_crashes_convict_and_an_answer_clears),
 		cmocka_unit_test(a_crash_that_is_told_again_counts_once),
 		cmocka_unit_test(a_conviction_is_renewed_by_one_crash),
+		cmocka_unit_test(a_popular_request_is_not_blamed_for_an_outage),
+		cmocka_unit_test(
+			crashes_after_each_return_convict_a_popular_request),
 		cmocka_unit_test(a_conviction_read_from_the_store_holds),
 		cmocka_unit_test(
 			a_conviction_is_stored_once_and_again_when_prolonged),
