Write a conviction to the store once, and wait for it to come back

Found by reading: a conviction that has been written comes back with the changes of the store, some tenths of a second later on most instances. Each tick of 100 ms until then wrote it again, two calls each time. It is now written again only if it has not come back after 3 s. The log says "convict" only where the request was not convicted before and is after.

test_crash: a_conviction_is_stored_once_and_again_when_prolonged asks for the first, and fails without the new condition.

--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -9,6 +9,8 @@
 #define ANSWER_COUNTS_MS (10 * MEDLAR_SECOND)
 /* Crashes within this time of each other have one cause, if it is an outage. */
 #define OUTAGE_SPREAD_MS (2 * MEDLAR_SECOND)
+/* Time in which what was written to the store comes back with its changes. */
+#define WRITTEN_SEEN_MS (3 * MEDLAR_SECOND)
 /* A conviction is stored anew if it is prolonged by this time or more. */
 #define STORE_AGAIN_MS (SUSPECT_CONVICTION_MS / 2)
 
@@ -174,15 +176,19 @@
  * @position: where to go on in the table, initially 0; moved on
  * @now: current time, ms
  *
+ * One that was written a short while ago is left out.
+ *
  * Return: a convicted request, or NULL if there are no more.
  */
-const suspect_t *suspects_next_unstored(const suspects_t *suspects,
-					size_t *position, medlar_time_t now)
+suspect_t *suspects_next_unstored(suspects_t *suspects, size_t *position,
+				  medlar_time_t now)
 {
 	while (*position < SUSPECTS_MAX) {
-		const suspect_t *suspect = &suspects->entries[(*position)++];
+		suspect_t *suspect = &suspects->entries[(*position)++];
 
 		if (suspect->fingerprint && !suspect->stored_at &&
+		    !(suspect->written_at &&
+		      now - suspect->written_at < WRITTEN_SEEN_MS) &&
 		    is_convicted(suspect, now))
 			return suspect;
 	}
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -30,6 +30,8 @@
  * @answered_at: when it was last answered after a crash, ms; 0 if it was not
  * @stored_at: when the store was first seen to hold its conviction, ms; 0 if it
  *	was not, or if the conviction was prolonged much since
+ * @written_at: when this instance last wrote its conviction to the store, ms; 0 if
+ *	it did not
  */
 typedef struct suspect {
 	uint64_t fingerprint;
@@ -38,6 +40,7 @@
 	medlar_time_t updated_at;
 	medlar_time_t answered_at;
 	medlar_time_t stored_at;
+	medlar_time_t written_at;
 } suspect_t;
 
 /**
@@ -91,8 +94,8 @@
 		      medlar_time_t now);
 void suspects_add_stored(suspects_t *suspects, uint64_t fingerprint,
 			 medlar_time_t now);
-const suspect_t *suspects_next_unstored(const suspects_t *suspects,
-					size_t *position, medlar_time_t now);
+suspect_t *suspects_next_unstored(suspects_t *suspects, size_t *position,
+				  medlar_time_t now);
 void suspects_add_answer(suspects_t *suspects, uint64_t fingerprint,
 			 medlar_time_t now);
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
--- a/router/convictions.c
+++ b/router/convictions.c
@@ -23,16 +23,20 @@
 {
 	uint64_t fingerprint = entries_parse_fingerprint(name);
 	medlar_time_t now = convictions->loop->now;
+	bool was_convicted;
 
 	if (item->deleted || !fingerprint)
 		return;
-	if (!suspects_is_convicted(convictions->suspects, fingerprint, now))
+	was_convicted = suspects_is_convicted(convictions->suspects,
+					      fingerprint, now);
+	suspects_add_stored(convictions->suspects, fingerprint, now);
+	if (!was_convicted &&
+	    suspects_is_convicted(convictions->suspects, fingerprint, now))
 		LOG_LINE(convictions->log, LOG_LEVEL_WARNING, "convict",
 			 MEDLAR_HEX("request", fingerprint),
 			 MEDLAR_TEXT("source", MEDLAR_STR("store")),
 			 MEDLAR_TEXT("by", item->value),
 			 MEDLAR_NUM("revision", item->revision));
-	suspects_add_stored(convictions->suspects, fingerprint, now);
 }
 
 /* Time after the last crash from which this instance writes the conviction, ms. */
@@ -46,15 +50,16 @@
 	return OTHERS_AFTER_MS + (medlar_time_t)(hash % OTHERS_SPREAD_MS);
 }
 
-static void write_conviction(convictions_t *convictions, uint64_t fingerprint)
+/* If the store is busy or the write fails, a later tick tries again. */
+static void write_conviction(convictions_t *convictions, suspect_t *suspect)
 {
 	medlar_buf_t key;
 
 	medlar_buf_init(&key);
-	entries_conviction_key(fingerprint, &key);
-	/* If this fails, a later tick tries again. */
-	(void)store_put_expiring(convictions->store, medlar_buf_str(&key),
-				 convictions->instance, SUSPECT_CONVICTION_MS);
+	entries_conviction_key(suspect->fingerprint, &key);
+	if (!store_put_expiring(convictions->store, medlar_buf_str(&key),
+				convictions->instance, SUSPECT_CONVICTION_MS))
+		suspect->written_at = convictions->loop->now;
 	medlar_buf_finish(&key);
 }
 
@@ -65,12 +70,12 @@
 void convictions_tick(convictions_t *convictions)
 {
 	medlar_time_t now = convictions->loop->now;
-	const suspect_t *suspect;
+	suspect_t *suspect;
 	size_t position = 0;
 
 	while ((suspect = suspects_next_unstored(convictions->suspects,
 						 &position, now)))
 		if (now - suspect->updated_at >=
 		    write_delay(convictions, suspect->fingerprint))
-			write_conviction(convictions, suspect->fingerprint);
+			write_conviction(convictions, suspect);
 }
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -176,7 +176,7 @@
 	static suspects_t suspects;
 	medlar_time_t later = SUSPECT_CONVICTION_MS - 1;
 	size_t position = 0;
-	const suspect_t *found;
+	suspect_t *found;
 
 	(void)state;
 	for (unsigned i = 1; i < SUSPECT_BREAKS; i++)
@@ -188,6 +188,12 @@
 	assert_non_null(found);
 	assert_int_equal(found->fingerprint, 7);
 	assert_null(suspects_next_unstored(&suspects, &position, 20));
+	found->written_at = 20;
+	position = 0;
+	assert_null(suspects_next_unstored(&suspects, &position, 2000));
+	position = 0;
+	assert_ptr_equal(suspects_next_unstored(&suspects, &position, 5000),
+			 found);
 	suspects_add_stored(&suspects, 7, 25);
 	(void)suspects_add_crash(&suspects, 7, 8, 30);
 	position = 0;
