Let one request through at a time after the end of a conviction

What callers saw: a request that crashes replicas came again just after the end of its conviction, repeated at once at several instances.

Cause: a conviction ends everywhere at the same time, and nothing limits what is sent before the first crash shows and is told to others.

Change: after the end one request passes at a time, for half a minute only at the instance that a hash chooses for it. An answer clears it, a crash convicts it again. The choice is the one that was made for observers of replicas; it is now called peers_owner_of().

--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -5,6 +5,10 @@
 
 /* Time for which each message tells of a crash; most instances need one of them. */
 #define TELL_MS (5 * MEDLAR_SECOND)
+/* Time after the end of a conviction in which only its owner tries the request. */
+#define OWNER_TRIES_MS (30 * MEDLAR_SECOND)
+/* Time in which the outcome of a trial shows. */
+#define TRIAL_MS (2 * MEDLAR_SECOND)
 /* A request that was answered this recently is no likely cause of crashes. */
 #define ANSWER_COUNTS_MS (10 * MEDLAR_SECOND)
 /* Crashes within this time of each other have one cause, if it is an outage. */
@@ -214,6 +218,43 @@
 					.answered_at = now };
 }
 
+/**
+ * suspects_find_crasher() - find a request that has crashed too many replicas
+ * @suspects: table
+ * @fingerprint: fingerprint of the request
+ *
+ * Return: the request, also after the end of its conviction, or NULL.
+ */
+suspect_t *suspects_find_crasher(suspects_t *suspects, uint64_t fingerprint)
+{
+	suspect_t *suspect = find_suspect(suspects, fingerprint);
+
+	return suspect && suspect->crashes >= SUSPECT_BREAKS ? suspect : NULL;
+}
+
+/**
+ * suspect_may_try() - decide whether a request may be sent to a replica again
+ * @suspect: a request that has crashed too many replicas
+ * @is_owner: this instance is the first to try it
+ * @now: current time, ms
+ *
+ * After the end of a conviction one request is let through at a time: an answer
+ * clears it, and a crash convicts it again.
+ *
+ * Return: whether it may be sent; if so, this counts as a trial.
+ */
+bool suspect_may_try(suspect_t *suspect, bool is_owner, medlar_time_t now)
+{
+	medlar_time_t wait = SUSPECT_CONVICTION_MS +
+			     (is_owner ? 0 : OWNER_TRIES_MS);
+
+	if (now - suspect->updated_at < wait ||
+	    (suspect->tried_at && now - suspect->tried_at < TRIAL_MS))
+		return false;
+	suspect->tried_at = now;
+	return true;
+}
+
 /**
  * suspects_is_convicted() - decide whether a request must be refused
  * @suspects: table
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -28,6 +28,8 @@
  * @replicas: hashes of the first replicas that crashed
  * @updated_at: time of the last crash or conviction, ms
  * @answered_at: when it was last answered after a crash, ms; 0 if it was not
+ * @tried_at: when it was last tried after the end of its conviction, ms; 0 if it
+ *	was not
  * @stored_at: when the store was first seen to hold its conviction, ms; 0 if it
  *	was not, or if the conviction was prolonged much since
  * @written_at: when this instance last wrote its conviction to the store, ms; 0 if
@@ -39,6 +41,7 @@
 	uint64_t replicas[SUSPECT_BREAKS];
 	medlar_time_t updated_at;
 	medlar_time_t answered_at;
+	medlar_time_t tried_at;
 	medlar_time_t stored_at;
 	medlar_time_t written_at;
 } suspect_t;
@@ -77,7 +80,8 @@
  * all of them tell each other of each crash. All instances are killed meanwhile: the
  * store holds the convictions, and those that start read them there. Or all replicas
  * of a service go down at once while they run the same popular request: as it has
- * just been answered, they count as one crash.
+ * just been answered, they count as one crash. A conviction ends while its callers
+ * repeat at once, at all instances: one instance tries the request once.
  */
 typedef struct suspects {
 	suspect_t entries[SUSPECTS_MAX];
@@ -98,6 +102,8 @@
 				  medlar_time_t now);
 void suspects_add_answer(suspects_t *suspects, uint64_t fingerprint,
 			 medlar_time_t now);
+suspect_t *suspects_find_crasher(suspects_t *suspects, uint64_t fingerprint);
+bool suspect_may_try(suspect_t *suspect, bool is_owner, medlar_time_t now);
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
 			   medlar_time_t now);
 
--- a/router/convictions.c
+++ b/router/convictions.c
@@ -45,7 +45,7 @@
 {
 	uint64_t hash = medlar_str_hash(convictions->instance, fingerprint);
 
-	if (!peers_observer_of(convictions->peers, fingerprint))
+	if (!peers_owner_of(convictions->peers, fingerprint))
 		return 0;
 	return OTHERS_AFTER_MS + (medlar_time_t)(hash % OTHERS_SPREAD_MS);
 }
--- a/router/forward.c
+++ b/router/forward.c
@@ -271,6 +271,25 @@
 	       forward->loop->now + time_max > forward->stop_at;
 }
 
+static bool is_convicted(forward_t *forward, uint64_t fingerprint)
+{
+	suspect_t *suspect = suspects_find_crasher(&forward->suspects,
+						   fingerprint);
+	bool is_owner;
+
+	if (!suspect)
+		return false;
+	is_owner = !peers_owner_of(forward->peers, fingerprint);
+	if (!suspect_may_try(suspect, is_owner, forward->loop->now))
+		return true;
+	LOG_LINE(forward->log, LOG_LEVEL_NOTICE, "trial",
+		 MEDLAR_HEX("request", fingerprint),
+		 MEDLAR_NUM("crashes", suspect->crashes),
+		 MEDLAR_NUM("age_ms", forward->loop->now - suspect->updated_at),
+		 MEDLAR_NUM("owner", is_owner));
+	return false;
+}
+
 static void on_request(h1_conn_t *conn, void *data)
 {
 	forward_t *forward = data;
@@ -302,8 +321,7 @@
 		return;
 	}
 	fingerprint = fingerprint_request(message, head.host);
-	if (suspects_is_convicted(&forward->suspects, fingerprint,
-				  forward->loop->now)) {
+	if (is_convicted(forward, fingerprint)) {
 		refuse_request(forward, conn, &refusal_convicted, &head);
 		return;
 	}
--- a/router/observations.c
+++ b/router/observations.c
@@ -21,7 +21,7 @@
 	if (observations->reports_left == 0)
 		return;
 	observations->reports_left--;
-	observer = peers_observer_of(observations->peers, replica->hash);
+	observer = peers_owner_of(observations->peers, replica->hash);
 	if (!observer) {
 		observations_add_report(observations, &report);
 		return;
--- a/router/peers.c
+++ b/router/peers.c
@@ -243,31 +243,31 @@
 	(void)medlar_timer_set(client, timer, now + GOSSIP_INTERVAL_MS);
 }
 
-static uint64_t observer_rank(uint64_t instance, uint64_t replica)
+static uint64_t owner_rank(uint64_t instance, uint64_t hash)
 {
 	return medlar_str_hash(
-		(medlar_str_t){ (const char *)&replica, sizeof(replica) },
-		instance);
+		(medlar_str_t){ (const char *)&hash, sizeof(hash) }, instance);
 }
 
 /**
- * peers_observer_of() - choose the instance that observes a replica
+ * peers_owner_of() - choose the instance that observes a replica, or decides on a
+ *	request that crashes replicas
  * @peers: the other instances
- * @replica: &struct replica.hash
+ * @hash: &struct replica.hash, or the fingerprint of the request
  *
- * Instances that know the same others choose the same one. Each replica gets its
- * observer by rank, so few change when an instance joins or leaves.
+ * Instances that know the same others choose the same one. Each hash gets its owner
+ * by rank, so few change when an instance joins or leaves.
  *
  * Return: the instance, or NULL if it is this one.
  */
-const peer_instance_t *peers_observer_of(const peers_t *peers, uint64_t replica)
+const peer_instance_t *peers_owner_of(const peers_t *peers, uint64_t hash)
 {
-	uint64_t best_rank = observer_rank(peers->own_hash, replica);
+	uint64_t best_rank = owner_rank(peers->own_hash, hash);
 	const peer_instance_t *best = NULL;
 	const peer_instance_t *peer;
 
 	TAILQ_FOREACH(peer, &peers->list, link) {
-		uint64_t rank = observer_rank(peer->hash, replica);
+		uint64_t rank = owner_rank(peer->hash, hash);
 
 		if (rank <= best_rank || peer->leaving ||
 		    !peer_is_live(peers, peer))
--- a/router/peers.h
+++ b/router/peers.h
@@ -201,8 +201,7 @@
 void peers_spread_news(peers_t *peers);
 void peers_register(peers_t *peers, medlar_str_t name, medlar_str_t value);
 void peers_unregister(peers_t *peers, medlar_str_t name);
-const peer_instance_t *peers_observer_of(const peers_t *peers,
-					 uint64_t replica);
+const peer_instance_t *peers_owner_of(const peers_t *peers, uint64_t hash);
 void peers_send_report(peers_t *peers, const peer_instance_t *observer,
 		       const replica_report_t *report);
 void peers_send_announcements(peers_t *peers,
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -119,6 +119,53 @@
 	assert_true(suspects_is_convicted(&suspects, 7, later + 1));
 }
 
+/*
+ * Guards against BUDGET: at the end of a conviction callers that repeat at once made
+ * all instances try the request in the same moment.
+ */
+static void one_instance_tries_once_after_the_end_of_a_conviction(void **state)
+{
+	enum {
+		INSTANCES = 4,
+		OWNER = 2,
+		REPEATS = 5
+	};
+	static suspects_t suspects[INSTANCES];
+	medlar_time_t end = 13 + SUSPECT_CONVICTION_MS;
+	int tries = 0;
+
+	(void)state;
+	for (int i = 0; i < INSTANCES; i++)
+		for (unsigned j = 1; j <= SUSPECT_BREAKS; j++)
+			(void)suspects_add_crash(&suspects[i], 7, j, 10 + j);
+	for (int i = 0; i < INSTANCES * REPEATS; i++) {
+		int at = i % INSTANCES;
+
+		tries += suspect_may_try(
+			suspects_find_crasher(&suspects[at], 7), at == OWNER,
+			end + i);
+	}
+	assert_int_equal(tries, 1);
+}
+
+/* The owner may get no request of its kind, and the trial may end without one. */
+static void a_conviction_ends_everywhere_in_time(void **state)
+{
+	static suspects_t suspects;
+	medlar_time_t end = 10 + 2 * SUSPECT_CONVICTION_MS;
+	suspect_t *suspect;
+
+	(void)state;
+	suspects_convict(&suspects, 7, 10);
+	suspect = suspects_find_crasher(&suspects, 7);
+	assert_non_null(suspect);
+	assert_true(suspect_may_try(suspect, false, end));
+	assert_false(suspect_may_try(suspect, false, end + 1));
+	assert_true(suspect_may_try(suspect, false, end + 10000));
+	suspects_add_answer(&suspects, 7, end + 10001);
+	assert_null(suspects_find_crasher(&suspects, 7));
+}
+
 /*
  * Guards against CONFIG: all replicas of a service went down at once, and a popular
  * request that they were running was refused for a minute.
@@ -215,6 +262,9 @@
 		cmocka_unit_test(three_crashes_convict_and_an_answer_clears),
 		cmocka_unit_test(a_crash_that_is_told_again_counts_once),
 		cmocka_unit_test(a_conviction_is_renewed_by_one_crash),
+		cmocka_unit_test(
+			one_instance_tries_once_after_the_end_of_a_conviction),
+		cmocka_unit_test(a_conviction_ends_everywhere_in_time),
 		cmocka_unit_test(a_popular_request_is_not_blamed_for_an_outage),
 		cmocka_unit_test(
 			crashes_after_each_return_convict_a_popular_request),
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -639,7 +639,7 @@
 		deliver_message(fixture, &message);
 	}
 	for (uint64_t replica = 1; replica <= 400; replica++) {
-		const peer_instance_t *observer = peers_observer_of(
+		const peer_instance_t *observer = peers_owner_of(
 			&fixture->peers, replica);
 
 		counts[observer ? observer->name[strlen("other-")] - '0' : 3]++;
