Connections to replicas: a file for the pool of idle ones

upstream.c had grown to 660 lines with two jobs. The pool of idle connections, and what may be taken from it, moves to upstream_pool.c; names get its prefix. A new connection takes the place of an idle one only if none may carry the attempt, not after one was closed for its age (the latter closed two). give_back_unsent() asks replica_is_unavailable() instead of repeating half of replica_takes_requests(). e2e_hazards, e2e_router, e2e_availability, e2e_crash, e2e_stop_grace pass.

--- a/libroute/availability.c
+++ b/libroute/availability.c
@@ -141,6 +141,19 @@
 	       replica->inflight_len >= replica->info.slots;
 }
 
+/**
+ * replica_is_unavailable() - check whether a replica said that it takes no requests
+ * @replica: replica
+ * @now: current time, ms
+ *
+ * Return: whether it is leaving, or wants no requests for some time.
+ */
+bool replica_is_unavailable(const replica_t *replica, medlar_time_t now)
+{
+	return replica_is_leaving(replica) ||
+	       now < replica->availability.held_until;
+}
+
 /**
  * replica_takes_requests() - check whether a replica may be sent a request now
  * @replica: replica
@@ -151,8 +164,7 @@
  */
 bool replica_takes_requests(const replica_t *replica, medlar_time_t now)
 {
-	return !replica_is_leaving(replica) &&
-	       now >= replica->availability.held_until &&
+	return !replica_is_unavailable(replica, now) &&
 	       !is_returning_full(replica, now);
 }
 
--- a/libroute/fleet.h
+++ b/libroute/fleet.h
@@ -253,6 +253,7 @@
 void replica_hold(replica_t *replica, medlar_time_t duration,
 		  medlar_time_t now);
 bool replica_is_leaving(const replica_t *replica);
+bool replica_is_unavailable(const replica_t *replica, medlar_time_t now);
 bool replica_takes_requests(const replica_t *replica, medlar_time_t now);
 medlar_time_t fleet_available_at(const fleet_service_t *service,
 				 medlar_time_t now);
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -4,8 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/headers.h"
-#include "router/upstream.h"
+#include "router/upstream_internal.h"
 
 #define REPLY_HEAD_BYTES_MAX ((size_t)64 * 1024)
 /* Replicas that send without end must not use up the memory of the process. */
@@ -17,45 +16,6 @@
 /* How long the reply to a cancelled attempt is awaited before the close. */
 #define CANCELLED_REPLY_MAX_MS 300
 #define CANCELLED_REPLY_NON_IDEMPOTENT_MAX_MS 3000
-/* A replica that announces no idle limit keeps a connection less than 1 s. */
-#define IDLE_TIMEOUT_DEFAULT_MS 800
-/* A connection is not reused this close to the announced idle limit. */
-#define IDLE_TIMEOUT_MARGIN_MS ((medlar_time_t)300)
-/*
- * Idle time after which a connection is not reused for a request that is not
- * idempotent, since the replica may be about to close it.
- */
-#define IDLE_NON_IDEMPOTENT_MAX_MS 250
-
-typedef struct upstream_conn upstream_conn_t;
-
-/*
- * A connection to a replica. The attempt is NULL if the connection is idle or
- * the attempt was cancelled; the request stays in flight until the replica has
- * replied.
- */
-struct upstream_conn {
-	TAILQ_ENTRY(upstream_conn) link; /* among open or closed connections */
-	TAILQ_ENTRY(upstream_conn) pool_link; /* in pool_t.idle */
-	uint64_t number; /* differs from that of any other connection */
-	h1_client_t client;
-	upstream_t *upstream;
-	replica_t *replica;
-	attempt_t *attempt;
-	inflight_t inflight;
-	medlar_timer_t timer;
-	uint64_t fingerprint;
-	reply_head_t reply_head; /* of the last reply, until the next request */
-	char request_id[64];
-	size_t request_id_len;
-	bool in_pool;
-	bool needs_probe; /* reconnect to find out whether the replica is up */
-};
-
-/* Idle connections of a replica, the most recently used one first. */
-typedef struct pool {
-	struct upstream_conn_list idle;
-} pool_t;
 
 /**
  * upstream_init() - initialise without connections
@@ -82,86 +42,6 @@
 	TAILQ_INIT(&upstream->closed_conns);
 }
 
-/**
- * upstream_free_closed() - free the connections closed in this loop iteration
- * @data: the connections, a &struct upstream; this is a loop hook
- */
-void upstream_free_closed(void *data)
-{
-	upstream_t *upstream = data;
-	upstream_conn_t *conn;
-
-	while ((conn = TAILQ_FIRST(&upstream->closed_conns))) {
-		TAILQ_REMOVE(&upstream->closed_conns, conn, link);
-		h1_client_finish(&conn->client);
-		replica_unref(conn->replica);
-		free(conn);
-	}
-}
-
-static void remove_from_pool(upstream_conn_t *conn)
-{
-	pool_t *pool = conn->replica->pool;
-
-	if (!conn->in_pool)
-		return;
-	TAILQ_REMOVE(&pool->idle, conn, pool_link);
-	conn->in_pool = false;
-	conn->replica->conns_idle--;
-}
-
-static void add_to_pool(upstream_conn_t *conn)
-{
-	pool_t *pool = conn->replica->pool;
-
-	TAILQ_INSERT_HEAD(&pool->idle, conn, pool_link);
-	conn->in_pool = true;
-	conn->replica->conns_idle++;
-}
-
-static void close_conn(upstream_conn_t *conn)
-{
-	upstream_t *upstream = conn->upstream;
-
-	remove_from_pool(conn);
-	if (conn->inflight.replica)
-		inflight_end(&conn->inflight, INFLIGHT_IGNORED,
-			     upstream->loop->now);
-	medlar_timer_clear(upstream->loop->client, &conn->timer);
-	h1_client_close(&conn->client);
-	conn->replica->conns--;
-	TAILQ_REMOVE(&upstream->open_conns, conn, link);
-	TAILQ_INSERT_TAIL(&upstream->closed_conns, conn, link);
-}
-
-static void close_idle_conns(replica_t *replica)
-{
-	pool_t *pool = replica->pool;
-
-	while (pool && !TAILQ_EMPTY(&pool->idle))
-		close_conn(TAILQ_FIRST(&pool->idle));
-}
-
-static medlar_time_t idle_timeout(const upstream_conn_t *conn)
-{
-	medlar_time_t timeout = conn->client.peer_idle_timeout;
-
-	if (timeout == 0)
-		return IDLE_TIMEOUT_DEFAULT_MS;
-	return timeout > 2 * IDLE_TIMEOUT_MARGIN_MS
-		       ? timeout - IDLE_TIMEOUT_MARGIN_MS
-		       : timeout / 2;
-}
-
-static void return_to_pool(upstream_conn_t *conn)
-{
-	medlar_timer_clear(conn->upstream->loop->client, &conn->timer);
-	if (conn->replica->removed)
-		close_conn(conn);
-	else
-		add_to_pool(conn);
-}
-
 static void end_attempt(upstream_conn_t *conn, const exchange_reply_t *reply,
 			inflight_end_t how)
 {
@@ -271,9 +151,9 @@
 	if (end == H1_END_REPLY) {
 		handle_reply(conn);
 		if (client->state == H1_IDLE)
-			return_to_pool(conn);
+			upstream_conn_release(conn);
 		else
-			close_conn(conn);
+			upstream_conn_close(conn);
 		return;
 	}
 	check_for_crash(conn, end);
@@ -287,7 +167,7 @@
 		end_attempt(conn, &reply, outcome_inflight_end(reply.outcome));
 	if (conn->needs_probe && !conn->replica->removed)
 		(void)open_conn(conn->upstream, conn->replica, NULL);
-	close_conn(conn);
+	upstream_conn_close(conn);
 }
 
 static void on_idle_closed(h1_client_t *client, void *data)
@@ -300,7 +180,7 @@
 						conn->upstream->loop->now));
 	if (conn->attempt)
 		end_attempt(conn, &reply, INFLIGHT_IGNORED);
-	close_conn(conn);
+	upstream_conn_close(conn);
 }
 
 /*
@@ -344,14 +224,11 @@
 static bool give_back_unsent(upstream_conn_t *conn)
 {
 	const exchange_reply_t reply = { .outcome = OUTCOME_NOT_SENT };
-	const replica_t *replica = conn->replica;
-	medlar_time_t now = conn->upstream->loop->now;
 
-	if (!replica_is_leaving(replica) &&
-	    now >= replica->availability.held_until)
+	if (!replica_is_unavailable(conn->replica, conn->upstream->loop->now))
 		return false;
 	end_attempt(conn, &reply, INFLIGHT_IGNORED);
-	return_to_pool(conn);
+	upstream_conn_release(conn);
 	return true;
 }
 
@@ -396,7 +273,7 @@
 	}
 	inflight_end(&conn->inflight, INFLIGHT_IGNORED,
 		     conn->upstream->loop->now);
-	return_to_pool(conn);
+	upstream_conn_release(conn);
 }
 
 static const h1_client_events_t client_events = {
@@ -428,24 +305,10 @@
 	} else {
 		inflight_end(&conn->inflight, INFLIGHT_SILENT, now);
 		replica_ref(replica);
-		close_idle_conns(replica);
+		upstream_pool_clear(replica);
 		replica_unref(replica);
 	}
-	close_conn(conn);
-}
-
-static pool_t *find_or_create_pool(replica_t *replica)
-{
-	pool_t *pool = replica->pool;
-
-	if (pool)
-		return pool;
-	pool = calloc(1, sizeof(*pool));
-	if (pool) {
-		TAILQ_INIT(&pool->idle);
-		replica->pool = pool;
-	}
-	return pool;
+	upstream_conn_close(conn);
 }
 
 /* If attempt is NULL, the connection only probes whether the replica is up. */
@@ -485,67 +348,6 @@
 				upstream->loop->now + CONNECT_TIMEOUT_MS);
 }
 
-/*
- * A reply is told from those to other requests by the id that it repeats. A second
- * copy of the reply to an earlier attempt bears the same id, so no connection
- * carries two attempts of a request.
- */
-static bool has_carried_request(const upstream_conn_t *conn,
-				const exchange_part_t *part)
-{
-	for (unsigned i = 0; i < part->attempts_len; i++)
-		if (part->attempts[i].connection == conn->number)
-			return true;
-	return false;
-}
-
-/* Returns the last used idle connection that may carry an attempt, or NULL. */
-static upstream_conn_t *find_idle_conn(const pool_t *pool,
-				       const attempt_t *attempt)
-{
-	upstream_conn_t *conn;
-
-	TAILQ_FOREACH(conn, &pool->idle, pool_link)
-		if (!has_carried_request(conn, attempt->part))
-			return conn;
-	return NULL;
-}
-
-static upstream_conn_t *take_idle_conn(const attempt_t *attempt,
-				       medlar_time_t now)
-{
-	replica_t *replica = attempt->replica;
-	bool is_non_idempotent = !attempt->exchange->route->idempotent;
-	upstream_conn_t *conn = find_idle_conn(replica->pool, attempt);
-	medlar_time_t idle;
-
-	if (!conn)
-		return NULL;
-	idle = now - conn->client.idle_since;
-	if (idle >= idle_timeout(conn)) {
-		close_idle_conns(replica);
-		return NULL;
-	}
-	if (is_non_idempotent && idle > IDLE_NON_IDEMPOTENT_MAX_MS) {
-		close_conn(conn);
-		return NULL;
-	}
-	remove_from_pool(conn);
-	return conn;
-}
-
-/*
- * Idle connections that cannot carry an attempt count towards the limit of the
- * replica, so a new one takes the place of one of them.
- */
-static void close_oldest_idle_conn(replica_t *replica)
-{
-	pool_t *pool = replica->pool;
-
-	if (!TAILQ_EMPTY(&pool->idle))
-		close_conn(TAILQ_LAST(&pool->idle, upstream_conn_list));
-}
-
 /**
  * upstream_send_attempt() - send an attempt to its replica
  * @upstream: connections
@@ -562,13 +364,11 @@
 	medlar_time_t now = upstream->loop->now;
 	upstream_conn_t *conn;
 
-	if (!find_or_create_pool(replica))
+	if (!upstream_pool_create(replica))
 		return MEDLAR_ERR_NOMEM;
-	conn = take_idle_conn(attempt, now);
-	if (!conn) {
-		close_oldest_idle_conn(replica);
+	conn = upstream_pool_take(attempt, now);
+	if (!conn)
 		return open_conn(upstream, replica, attempt);
-	}
 	conn->attempt = attempt;
 	attempt->transport = conn;
 	inflight_begin(&conn->inflight, replica, now);
@@ -598,7 +398,7 @@
 	if (conn->client.state == H1_IDLE) {
 		inflight_end(&conn->inflight, INFLIGHT_IGNORED,
 			     upstream->loop->now);
-		return_to_pool(conn);
+		upstream_conn_release(conn);
 		return true;
 	}
 	(void)medlar_timer_set(
@@ -610,38 +410,6 @@
 	return false;
 }
 
-/**
- * upstream_remove_replica() - close the idle connections of a removed replica
- * @replica: replica; connections in use are closed after their reply
- */
-void upstream_remove_replica(replica_t *replica)
-{
-	close_idle_conns(replica);
-	free(replica->pool);
-	replica->pool = NULL;
-}
-
-/**
- * upstream_close_expired() - close connections that have been idle for too long
- * @upstream: connections
- * @fleet: replicas whose connections are checked
- */
-void upstream_close_expired(upstream_t *upstream, fleet_t *fleet)
-{
-	replica_t *replica;
-
-	TAILQ_FOREACH(replica, &fleet->replicas, fleet_link) {
-		pool_t *pool = replica->pool;
-		upstream_conn_t *conn;
-
-		while (pool &&
-		       (conn = TAILQ_LAST(&pool->idle, upstream_conn_list)) &&
-		       upstream->loop->now - conn->client.idle_since >=
-			       idle_timeout(conn))
-			close_conn(conn);
-	}
-}
-
 /**
  * upstream_finish() - close and free all connections
  * @upstream: connections; no exchange may be in progress
@@ -653,7 +421,7 @@
 
 	for (conn = TAILQ_FIRST(&upstream->open_conns); conn; conn = next) {
 		next = TAILQ_NEXT(conn, link);
-		close_conn(conn);
+		upstream_conn_close(conn);
 	}
 	upstream_free_closed(upstream);
 }
