--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -219,13 +219,14 @@
 }
 
 /**
- * suspects_find_crasher() - find a request that has crashed too many replicas
+ * suspects_find_convicted() - find a request that was convicted
  * @suspects: table
  * @fingerprint: fingerprint of the request
  *
- * Return: the request, also after the end of its conviction, or NULL.
+ * Return: the request, also if its conviction has ended without an answer since, or
+ * NULL.
  */
-suspect_t *suspects_find_crasher(suspects_t *suspects, uint64_t fingerprint)
+suspect_t *suspects_find_convicted(suspects_t *suspects, uint64_t fingerprint)
 {
 	suspect_t *suspect = find_suspect(suspects, fingerprint);
 
@@ -234,7 +235,7 @@
 
 /**
  * suspect_may_try() - decide whether a request may be sent to a replica again
- * @suspect: a request that has crashed too many replicas
+ * @suspect: a request that was convicted
  * @is_owner: this instance is the first to try it
  * @now: current time, ms
  *
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -102,7 +102,7 @@
 				  medlar_time_t now);
 void suspects_add_answer(suspects_t *suspects, uint64_t fingerprint,
 			 medlar_time_t now);
-suspect_t *suspects_find_crasher(suspects_t *suspects, uint64_t fingerprint);
+suspect_t *suspects_find_convicted(suspects_t *suspects, uint64_t fingerprint);
 bool suspect_may_try(suspect_t *suspect, bool is_owner, medlar_time_t now);
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
 			   medlar_time_t now);
--- a/router/convictions.c
+++ b/router/convictions.c
@@ -5,12 +5,11 @@
 #include "router/convictions.h"
 
 /*
- * The instance that is chosen for a request writes its conviction. Others write it
- * if the store lacks it after this time, and a part of the next that differs from
- * instance to instance.
+ * The owner of a request writes its conviction. Others do if the store lacks it after
+ * a time between these bounds, which differs from instance to instance.
  */
-#define OTHERS_AFTER_MS 2000
-#define OTHERS_SPREAD_MS 10000
+#define OTHERS_DELAY_MIN_MS 2000
+#define OTHERS_DELAY_MAX_MS 12000
 
 /**
  * convictions_apply() - take a conviction that the store holds
@@ -47,7 +46,9 @@
 
 	if (!peers_owner_of(convictions->peers, fingerprint))
 		return 0;
-	return OTHERS_AFTER_MS + (medlar_time_t)(hash % OTHERS_SPREAD_MS);
+	return OTHERS_DELAY_MIN_MS +
+	       (medlar_time_t)(hash %
+			       (OTHERS_DELAY_MAX_MS - OTHERS_DELAY_MIN_MS));
 }
 
 /* If the store is busy or the write fails, a later tick tries again. */
--- a/router/convictions.h
+++ b/router/convictions.h
@@ -16,7 +16,7 @@
  * @loop: event loop
  * @log: log for what the store told
  * @suspects: table of this instance
- * @peers: other instances, one of which writes
+ * @peers: other instances, among them the owners of requests
  * @store: client of the store
  * @instance: name of this instance, told in the entries
  */
--- a/router/forward.c
+++ b/router/forward.c
@@ -271,10 +271,11 @@
 	       forward->loop->now + time_max > forward->stop_at;
 }
 
+/* Whether a request must be refused as it crashes replicas. */
 static bool is_convicted(forward_t *forward, uint64_t fingerprint)
 {
-	suspect_t *suspect = suspects_find_crasher(&forward->suspects,
-						   fingerprint);
+	suspect_t *suspect = suspects_find_convicted(&forward->suspects,
+						     fingerprint);
 	bool is_owner;
 
 	if (!suspect)
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -142,7 +142,7 @@
 		int at = i % INSTANCES;
 
 		tries += suspect_may_try(
-			suspects_find_crasher(&suspects[at], 7), at == OWNER,
+			suspects_find_convicted(&suspects[at], 7), at == OWNER,
 			end + i);
 	}
 	assert_int_equal(tries, 1);
@@ -157,13 +157,13 @@
 
 	(void)state;
 	suspects_convict(&suspects, 7, 10);
-	suspect = suspects_find_crasher(&suspects, 7);
+	suspect = suspects_find_convicted(&suspects, 7);
 	assert_non_null(suspect);
 	assert_true(suspect_may_try(suspect, false, end));
 	assert_false(suspect_may_try(suspect, false, end + 1));
 	assert_true(suspect_may_try(suspect, false, end + 10000));
 	suspects_add_answer(&suspects, 7, end + 10001);
-	assert_null(suspects_find_crasher(&suspects, 7));
+	assert_null(suspects_find_convicted(&suspects, 7));
 }
 
 /*
