--- a/tests/e2e_availability.sh
+++ b/tests/e2e_availability.sh
@@ -120,5 +120,31 @@
 		grep -q '^X-Missing-Parts: 0$'
 }
 check all-parts-are-in-after-the-holds eventually all_parts_are_in
+
+# The store is slow and still lists a replica as ready that says that it is leaving.
+control 'store?delay=600' >/dev/null
+control 'replica?replica=ledger-1&mode=leaving' >/dev/null
+send_some slow-store /order/x 12
+check a-leaving-replica-of-a-slow-store-costs-no-answer test "$bad" -eq 0
+left=$(arrivals ledger-1)
+control 'replica?replica=ledger-1&state=ready' >/dev/null
+send_some stale-entry /order/x 15
+check a-stale-entry-of-a-slow-store-brings-nobody-back \
+	test "$(arrivals ledger-1)" -eq "$left"
+
+# An instance that starts meanwhile learns it from the first reply that says so.
+kill -KILL "$(cat "$dir/router-1.pid")"
+wait "$(cat "$dir/router-1.pid")" 2>/dev/null
+site_start_router 1 "$((port + 500))"
+fleet_wait "http://127.0.0.1:$((port + 501))/api/ready"
+send_some restarted /order/x 15
+check a-restart-costs-no-answer test "$bad" -eq 0
+left=$(arrivals ledger-1)
+control 'replica?replica=ledger-1&state=ready' >/dev/null
+send_some restarted-again /order/x 15
+check an-instance-that-started-again-learns-it-anew \
+	test "$(arrivals ledger-1)" -eq "$left"
+control 'store?delay=0' >/dev/null
+control 'replica?replica=all&mode=ok' >/dev/null
 check log-lines-are-as-documented "$build/medlarctl" logs check \
 	"$dir/router-1.log"
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -93,6 +93,13 @@
 	site_t *site;
 } watcher_t;
 
+/* A call to the store that is served late. */
+typedef struct late_call {
+	h1_conn_t *conn; /* NULL if unused */
+	medlar_timer_t timer;
+	site_t *site;
+} late_call_t;
+
 /* A request that a replica executes. */
 typedef struct job {
 	h1_conn_t *conn;
@@ -119,6 +126,8 @@
 	uint64_t revision;
 	uint64_t last_lease;
 	bool store_down;
+	medlar_time_t store_delay;
+	late_call_t late_calls[WATCHERS_MAX];
 	execution_t executions[EXECUTIONS_MAX];
 	size_t executions_len;
 	uint16_t port;
@@ -509,28 +518,14 @@
 	       memcmp(target.ptr, path, strlen(path)) == 0;
 }
 
-static void on_store_request(h1_conn_t *conn, void *data)
+/* Serves a call of a router. */
+static void serve_store_call(site_t *site, h1_conn_t *conn)
 {
-	site_t *site = data;
 	medlar_str_t target = h1_message_target(&conn->parser.message);
 	medlar_buf_t body;
 
 	medlar_buf_init(&body);
-	if (has_path(target, "/control/replica")) {
-		control_replica(site, conn);
-	} else if (has_path(target, "/control/runs")) {
-		control_runs(site, conn);
-	} else if (has_path(target, "/control/arrivals")) {
-		control_arrivals(site, conn);
-	} else if (has_path(target, "/control/executions")) {
-		control_executions(site, conn);
-	} else if (has_path(target, "/control/item")) {
-		control_item(site, conn);
-	} else if (has_path(target, "/control/store")) {
-		site->store_down = !site->store_down;
-		cut_watches(site);
-		h1_conn_answer_status(conn, 200);
-	} else if (site->store_down) {
+	if (site->store_down) {
 		h1_conn_answer_status(conn, 503);
 	} else if (has_path(target, "/api/kv-range")) {
 		answer_item_list(site, conn);
@@ -553,11 +548,84 @@
 	medlar_buf_finish(&body);
 }
 
+static void on_late_call(medlar_client_t *client, medlar_timer_t *timer,
+			 medlar_time_t now, void *data)
+{
+	late_call_t *call = data;
+	h1_conn_t *conn = call->conn;
+
+	(void)client;
+	(void)timer;
+	(void)now;
+	call->conn = NULL;
+	serve_store_call(call->site, conn);
+}
+
+static void delay_store_call(site_t *site, h1_conn_t *conn)
+{
+	for (size_t i = 0; i < WATCHERS_MAX; i++) {
+		late_call_t *call = &site->late_calls[i];
+
+		if (call->conn)
+			continue;
+		*call = (late_call_t){ .conn = conn, .site = site };
+		medlar_timer_init(&call->timer, on_late_call, call);
+		(void)medlar_timer_set(site->loop.client, &call->timer,
+				       site->loop.now + site->store_delay);
+		return;
+	}
+	h1_conn_answer_status(conn, 429);
+}
+
+/* usage: /control/store to take the store away or bring it back, ?delay=MS */
+static void control_store(site_t *site, h1_conn_t *conn)
+{
+	char delay[TEXT_MAX];
+
+	get_query_arg(conn, "delay", delay, sizeof(delay));
+	if (delay[0]) {
+		site->store_delay = atoi(delay);
+	} else {
+		site->store_down = !site->store_down;
+		cut_watches(site);
+	}
+	h1_conn_answer_status(conn, 200);
+}
+
+static void on_store_request(h1_conn_t *conn, void *data)
+{
+	site_t *site = data;
+	medlar_str_t target = h1_message_target(&conn->parser.message);
+
+	if (has_path(target, "/control/replica"))
+		control_replica(site, conn);
+	else if (has_path(target, "/control/runs"))
+		control_runs(site, conn);
+	else if (has_path(target, "/control/arrivals"))
+		control_arrivals(site, conn);
+	else if (has_path(target, "/control/executions"))
+		control_executions(site, conn);
+	else if (has_path(target, "/control/item"))
+		control_item(site, conn);
+	else if (has_path(target, "/control/store"))
+		control_store(site, conn);
+	else if (site->store_delay && !site->store_down)
+		delay_store_call(site, conn);
+	else
+		serve_store_call(site, conn);
+}
+
 static void on_store_disconnect(h1_conn_t *conn, void *data)
 {
+	site_t *site = data;
 	watcher_t *watcher = conn->handler_data;
 
-	(void)data;
+	for (size_t i = 0; i < WATCHERS_MAX; i++)
+		if (site->late_calls[i].conn == conn) {
+			medlar_timer_clear(site->loop.client,
+					   &site->late_calls[i].timer);
+			site->late_calls[i].conn = NULL;
+		}
 	if (!watcher)
 		return;
 	medlar_timer_clear(watcher->site->loop.client, &watcher->timer);
