Recognise replies to requests with long ids

What callers saw: a request whose id has more than 64 bytes ran and was answered 504. The connection kept the first 64 bytes of the id, so the reply, which repeats the whole, never matched.

Change: the connection keeps the id as it is. Its length is bounded with the head.

e2e_router: a-request-with-a-long-id-is-answered fails before (504), and passes now.

--- a/router/upstream.c
+++ b/router/upstream.c
@@ -2,7 +2,6 @@
  * DOC: connections to replicas
  */
 #include <stdlib.h>
-#include <string.h>
 
 #include "router/upstream_internal.h"
 
@@ -72,9 +71,9 @@
 /* Checks whether the reply repeats the id of the request. */
 static bool reply_matches_request(const upstream_conn_t *conn)
 {
-	return medlar_str_equal(
-		conn->reply_head.request_id,
-		(medlar_str_t){ conn->request_id, conn->request_id_len });
+	return !conn->request_id.error &&
+	       medlar_str_equal(conn->reply_head.request_id,
+				medlar_buf_str(&conn->request_id));
 }
 
 static outcome_t classify_reply(const upstream_conn_t *conn, unsigned status)
@@ -244,11 +243,8 @@
 		return;
 	attempt->connection = conn->number;
 	conn->fingerprint = exchange->fingerprint;
-	conn->request_id_len = request->id.len < sizeof(conn->request_id)
-				       ? request->id.len
-				       : sizeof(conn->request_id);
-	if (conn->request_id_len)
-		memcpy(conn->request_id, request->id.ptr, conn->request_id_len);
+	medlar_buf_reset(&conn->request_id);
+	medlar_buf_add(&conn->request_id, request->id);
 	headers_write_attempt(&request->head, remaining_time(exchange, now),
 			      conn->replica->id, request->body.len,
 			      request->has_body);
@@ -332,6 +328,7 @@
 		free(conn);
 		return MEDLAR_ERR_IO;
 	}
+	medlar_buf_init(&conn->request_id);
 	conn->number = ++upstream->conns_opened;
 	conn->upstream = upstream;
 	conn->replica = replica;
--- a/router/upstream_internal.h
+++ b/router/upstream_internal.h
@@ -24,7 +24,6 @@
  * @fingerprint: fingerprint of the last request
  * @reply_head: head of the last reply, until the next request
  * @request_id: id of the last request
- * @request_id_len: length of @request_id, bytes
  * @in_pool: it is idle, and in the pool of the replica
  * @needs_probe: reconnect to find out whether the replica is up
  */
@@ -40,8 +39,7 @@
 	medlar_timer_t timer;
 	uint64_t fingerprint;
 	reply_head_t reply_head;
-	char request_id[64];
-	size_t request_id_len;
+	medlar_buf_t request_id;
 	bool in_pool;
 	bool needs_probe;
 };
--- a/router/upstream_pool.c
+++ b/router/upstream_pool.c
@@ -27,6 +27,7 @@
 	while ((conn = TAILQ_FIRST(&upstream->closed_conns))) {
 		TAILQ_REMOVE(&upstream->closed_conns, conn, link);
 		h1_client_finish(&conn->client);
+		medlar_buf_finish(&conn->request_id);
 		replica_unref(conn->replica);
 		free(conn);
 	}
--- a/tests/e2e_router.sh
+++ b/tests/e2e_router.sh
@@ -55,6 +55,10 @@
 	"X-Part-Stamps: shard-0.*shard-3-[0-9].$id"
 check the-top-records-are-returned answer_has 'shard-3 .*2shard-3'
 
+long_id=$(printf '%0200d' 7)
+check a-request-with-a-long-id-is-answered \
+	status_is "$site_router1" "$long_id" /order/x 200
+
 send_request '/order/a%2F../b//?q=%20&x' -X PUT -d 'a body'
 check an-order-is-relayed answer_has 'a body'
 check the-target-is-unchanged answer_has \
