--- a/review/stand-in-2/ports.c
+++ b/review/stand-in-2/ports.c
@@ -14,8 +14,9 @@
 #include <time.h>
 #include <unistd.h>
 
-#define PORT_MIN 15000
-#define PORT_SPAN 15000
+/* Above the ports of the project's tests, below those that the system hands out. */
+#define PORT_MIN 30000
+#define PORT_SPAN 2500
 #define TRIES 200
 
 static struct sockaddr_in loopback(unsigned port)
@@ -43,7 +44,7 @@
 	unsigned seed = (unsigned)getpid() * 7919u + (unsigned)time(NULL);
 
 	for (int i = 0; i < TRIES; i++) {
-		unsigned first = PORT_MIN + (seed + (unsigned)i * 997u) %
+		unsigned first = PORT_MIN + (seed + (unsigned)i * 97u) %
 						    PORT_SPAN;
 		unsigned free_count = 0;
 
