Test several routers on a virtual clock, with all that the process does

loop_poll() runs an iteration at a given time; daemon_start() and daemon_stop() are the former start and stop of the components.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	medlard/log.c medlard/loop.c medlard/options.c \
 	medlard/settings.c
 FAKE_SRC := $(wildcard tests/fakes/common_*.c)
+SITE_STORE_SRC := $(wildcard tests/fakes/site_*.c)
 
 obj = $(patsubst %,$(BUILD)/obj/%.o,$(1))
 LIB := $(BUILD)/libmedlar.a
@@ -53,7 +54,7 @@
 ROUTER_TESTS := $(patsubst %,$(BUILD)/tests/%,test_routes test_records \
 	test_retry_budget test_pause test_crash test_fleet test_exchange \
 	test_answer_time test_retry_after test_watchers test_rotation test_hash_index test_observer test_throttle test_limit test_entry_points test_admission test_peers test_mirror test_h1 test_h1_endless test_log_batch test_platform \
-	test_router_settings test_store test_availability)
+	test_router_settings test_store test_availability test_removal)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c)) \
 	$(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
 SOAK := $(BUILD)/tests/soak_proxy
@@ -105,10 +106,13 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ $(ROUTER_LDLIBS)
 
+$(BUILD)/tests/test_removal: $(call obj,$(SITE_STORE_SRC))
+
 $(ROUTER_TESTS): $(BUILD)/tests/%: $(BUILD)/obj/tests/%.c.o $(ROUTER_LIB) \
 		$(ROUTE_LIB) $(LIB)
 	@mkdir -p $(@D)
-	$(CC) $(SANFLAGS) -o $@ $^ $(ROUTER_LDLIBS) -lcmocka
+	$(CC) $(SANFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
+		$(ROUTER_LDLIBS) -lcmocka
 
 $(BUILD)/tests/test_%: $(BUILD)/obj/tests/test_%.c.o $(DAEMON_LIB) $(LIB)
 	@mkdir -p $(@D)
@@ -129,15 +133,15 @@
 # Generated code is compiled without the warnings of our own.
 $(BUILD)/obj/proto/%.c.o: proto/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) -std=gnu11 $(BASEFLAGS) -w -MMD -c -o $@ $<
+	$(CC) $(CPPFLAGS) -std=gnu11 $(BASEFLAGS) -w -MMD -MP -c -o $@ $<
 
 $(BUILD)/obj/%.c.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/obj/%.cc.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
--- a/medlard/loop.c
+++ b/medlard/loop.c
@@ -148,20 +148,44 @@
 		watch->fn(event->events, watch->data);
 }
 
-static void run_iteration(loop_t *loop)
+static void handle_events(loop_t *loop, const struct epoll_event *events,
+			  int count, medlar_time_t now)
 {
-	struct epoll_event events[EVENTS_MAX];
-	int count;
-
-	count = epoll_wait(loop->epoll, events, EVENTS_MAX, wait_timeout(loop));
-	loop->now = clock_now();
+	loop->now = now;
 	for (int i = 0; i < count; i++)
 		dispatch_event(loop, &events[i]);
-	medlar_client_run(loop->client, loop->now);
+	medlar_client_run(loop->client, now);
 	for (size_t i = 0; i < loop->hooks_len; i++)
 		loop->hooks[i].fn(loop->hooks[i].data);
 }
 
+static void run_iteration(loop_t *loop)
+{
+	struct epoll_event events[EVENTS_MAX];
+	int count = epoll_wait(loop->epoll, events, EVENTS_MAX,
+			       wait_timeout(loop));
+
+	handle_events(loop, events, count, clock_now());
+}
+
+/**
+ * loop_poll() - run one iteration at a given time, without waiting
+ * @loop: loop
+ * @now: time of the iteration, ms
+ *
+ * Drives a loop on a clock of the caller.
+ *
+ * Return: number of events that were handled.
+ */
+int loop_poll(loop_t *loop, medlar_time_t now)
+{
+	struct epoll_event events[EVENTS_MAX];
+	int count = epoll_wait(loop->epoll, events, EVENTS_MAX, 0);
+
+	handle_events(loop, events, count, now);
+	return count;
+}
+
 /**
  * loop_run() - handle events until loop_stop() is called
  * @loop: loop
--- a/medlard/loop.h
+++ b/medlard/loop.h
@@ -64,6 +64,7 @@
 	       void *data);
 void loop_unwatch(loop_t *loop, int fd);
 int loop_add_hook(loop_t *loop, loop_hook_fn_t fn, void *data);
+int loop_poll(loop_t *loop, medlar_time_t now);
 void loop_run(loop_t *loop);
 void loop_stop(loop_t *loop);
 
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -289,7 +289,13 @@
 	medlar_buf_finish(&value);
 }
 
-static int start_components(daemon_state_t *state)
+/**
+ * daemon_start() - connect and start the components
+ * @state: the router process; its settings, client, log and loop are initialised
+ *
+ * Return: %MEDLAR_OK, or the first error; daemon_stop() may be called after %MEDLAR_OK only.
+ */
+int daemon_start(daemon_state_t *state)
 {
 	const router_settings_t *settings = &state->settings;
 	const retry_limits_t limits = { settings->retry_ratio,
@@ -345,7 +351,11 @@
 				state->loop.now + TICK_INTERVAL_MS);
 }
 
-static void stop_components(daemon_state_t *state)
+/**
+ * daemon_stop() - stop the components and release their memory
+ * @state: the router process
+ */
+void daemon_stop(daemon_state_t *state)
 {
 	listeners_close(state);
 	forward_finish(&state->forward);
@@ -376,7 +386,7 @@
 	if (!error)
 		error = handle_signals();
 	if (!error)
-		error = start_components(state);
+		error = daemon_start(state);
 	LOG_LINE(&state->log, LOG_LEVEL_NOTICE, "start",
 		 MEDLAR_TEXT("instance",
 			     medlar_str_from(state->settings.instance)),
@@ -386,7 +396,7 @@
 	if (error)
 		return error;
 	loop_run(&state->loop);
-	stop_components(state);
+	daemon_stop(state);
 	return MEDLAR_OK;
 }
 
--- a/router/daemon_internal.h
+++ b/router/daemon_internal.h
@@ -65,6 +65,8 @@
 } daemon_state_t;
 
 /* State of the process. */
+int daemon_start(daemon_state_t *state);
+void daemon_stop(daemon_state_t *state);
 bool daemon_is_ready(const daemon_state_t *state);
 medlar_time_t daemon_address_ttl(const daemon_state_t *state);
 
