Remove replicas at once while the store answers somebody

Cause: an instance that could not reach the store told the present moment as the end of an outage, and all others took the latest end that any of them told. So a removal that they had from the store itself was taken for the expiry of an entry in an outage, and the replica kept for 2.2 s more. That came on top of the pause between two watches, 1.05 s and 1.5 s for the instances that were not cut, and of the tick: 1.05 + 2.2 + 0.1 s exceed 3 s. The log shows it: event=replica state=lapsed at the instances that are in contact, 1 s after the removal.

Change: an outage is a time in which the store answers no instance. Each instance tells since when all its watches were answered; these times are joined (libroute/uptime.c), and there was an outage only where they leave a gap. An instance that is cut learns so from the others. The grace ends 2.2 s after the outage, not after the removal was seen, and at once if others tell later that there was no outage. For that to hold no watcher may sleep through an outage, so the second to fourth pause 250 to 450 ms instead of 600 to 1500; with that the sum stays below 3 s even if the removal is taken for an expiry: 450 + 2200 + 100 and the way from one instance to the next.

The message keeps its form: outage_age becomes answered_age, and a list follows that instances of earlier versions do not read. They take the start of the contact for the end of an outage, which keeps their grace as it was, or shorter.

The log gives the input of the decision: store_up_ms on lapsed and gone.

--- a/libroute/watchers.c
+++ b/libroute/watchers.c
@@ -4,8 +4,11 @@
 #include "libroute/watchers.h"
 
 #define LEADER_PAUSE_MS 150
-/* Each further watcher pauses longer than the one before it. */
-#define PAUSE_STEP_MS 450
+/*
+ * Each further watcher pauses longer than the one before it, but none for so long
+ * that it would not notice an outage in which entries expire.
+ */
+#define PAUSE_STEP_MS 100
 /* Instances that try a silent store per decision, all together. */
 #define PROBES_PER_DECISION 1.0
 /*
--- a/proto/gossip.h
+++ b/proto/gossip.h
@@ -37,7 +37,7 @@
 	u_int near;
 	bool_t watching;
 	u_int store_age;
-	u_int outage_age;
+	u_int answered_age;
 	u_quad_t revision;
 	struct {
 		u_int convicted_len;
@@ -61,6 +61,14 @@
 };
 typedef struct gossip_watchers gossip_watchers;
 
+struct gossip_answered {
+	struct {
+		u_int ages_len;
+		u_int *ages_val;
+	} ages;
+};
+typedef struct gossip_answered gossip_answered;
+
 struct gossip_live_peer {
 	u_quad_t name_hash;
 	u_int age;
@@ -181,6 +189,7 @@
 extern  bool_t xdr_gossip_message (XDR *, gossip_message*);
 extern  bool_t xdr_gossip_watcher (XDR *, gossip_watcher*);
 extern  bool_t xdr_gossip_watchers (XDR *, gossip_watchers*);
+extern  bool_t xdr_gossip_answered (XDR *, gossip_answered*);
 extern  bool_t xdr_gossip_live_peer (XDR *, gossip_live_peer*);
 extern  bool_t xdr_gossip_live_peers (XDR *, gossip_live_peers*);
 extern  bool_t xdr_gossip_crash (XDR *, gossip_crash*);
@@ -196,6 +205,7 @@
 extern bool_t xdr_gossip_message ();
 extern bool_t xdr_gossip_watcher ();
 extern bool_t xdr_gossip_watchers ();
+extern bool_t xdr_gossip_answered ();
 extern bool_t xdr_gossip_live_peer ();
 extern bool_t xdr_gossip_live_peers ();
 extern bool_t xdr_gossip_crash ();
--- a/proto/gossip.x
+++ b/proto/gossip.x
@@ -1,8 +1,8 @@
 /*
  * Messages between routers. The calls have no reply and are sent in datagrams; a
  * gossip_message may be followed by a gossip_watchers, a gossip_live_peers, a
- * gossip_crashes and a gossip_limits. A gossip_changes is the body of the answer to GET /changes?after=REVISION on the
- * same port over TCP.
+ * gossip_crashes, a gossip_limits and a gossip_answered. A gossip_changes is the body
+ * of the answer to GET /changes?after=REVISION on the same port over TCP.
  */
 
 const GOSSIP_NAME_MAX = 127;
@@ -17,6 +17,10 @@
 const GOSSIP_CRASHES_MAX = 16;
 const GOSSIP_LIMITS_MAX = 16;
 
+/*
+ * Status of the sender. @answered_age: time in ms since the store has answered all its
+ * watches, 0 if it does not watch or got no answer to the last one.
+ */
 struct gossip_message {
 	string name<GOSSIP_NAME_MAX>;
 	string zone<GOSSIP_NAME_MAX>;
@@ -29,7 +33,7 @@
 	unsigned int near;
 	bool watching;
 	unsigned int store_age;
-	unsigned int outage_age;
+	unsigned int answered_age;
 	unsigned hyper revision;
 	unsigned hyper convicted<GOSSIP_CONVICTED_MAX>;
 };
@@ -48,6 +52,11 @@
 	gossip_watcher list<GOSSIP_WATCHERS_MAX>;
 };
 
+/* The time since the store has answered each instance of a gossip_watchers, in ms. */
+struct gossip_answered {
+	unsigned int ages<GOSSIP_WATCHERS_MAX>;
+};
+
 /* Instances that the sender knows to be live, and the time since then in ms. */
 struct gossip_live_peer {
 	unsigned hyper name_hash;
--- a/proto/gossip_xdr.c
+++ b/proto/gossip_xdr.c
@@ -36,7 +36,7 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->outage_age))
+			 if (!xdr_u_int (xdrs, &objp->answered_age))
 				 return FALSE;
 
 		} else {
@@ -46,7 +46,7 @@
 		IXDR_PUT_U_LONG(buf, objp->near);
 		IXDR_PUT_BOOL(buf, objp->watching);
 		IXDR_PUT_U_LONG(buf, objp->store_age);
-		IXDR_PUT_U_LONG(buf, objp->outage_age);
+		IXDR_PUT_U_LONG(buf, objp->answered_age);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
@@ -79,7 +79,7 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->store_age))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->outage_age))
+			 if (!xdr_u_int (xdrs, &objp->answered_age))
 				 return FALSE;
 
 		} else {
@@ -89,7 +89,7 @@
 		objp->near = IXDR_GET_U_LONG(buf);
 		objp->watching = IXDR_GET_BOOL(buf);
 		objp->store_age = IXDR_GET_U_LONG(buf);
-		objp->outage_age = IXDR_GET_U_LONG(buf);
+		objp->answered_age = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
@@ -121,7 +121,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->store_age))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->outage_age))
+	 if (!xdr_u_int (xdrs, &objp->answered_age))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
@@ -156,6 +156,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gossip_answered (XDR *xdrs, gossip_answered *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->ages.ages_val, (u_int *) &objp->ages.ages_len, GOSSIP_WATCHERS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gossip_live_peer (XDR *xdrs, gossip_live_peer *objp)
 {
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -226,7 +226,7 @@
 {
 	daemon_state_t *state = data;
 
-	fleet_remove_expired(&state->fleet, now);
+	daemon_remove_expired(state);
 	fleet_update_limits(&state->fleet, now);
 	log_batch_flush(&state->replica_log, now);
 	log_batch_flush(&state->peers.peer_log, now);
@@ -255,6 +255,7 @@
 		reload_settings(state);
 	}
 	if (state->store.has_news || state->has_limit_news) {
+		daemon_update_store_status(state);
 		peers_spread_news(&state->peers);
 		state->store.has_news = false;
 		state->has_limit_news = false;
--- a/router/daemon_entries.c
+++ b/router/daemon_entries.c
@@ -6,7 +6,8 @@
 
 /*
  * How long after an outage of the store a replica without an entry is kept, as
- * its lease may have expired only because it could not be renewed.
+ * its lease may have expired only because it could not be renewed. An outage is a
+ * time in which the store answers no instance.
  */
 #define EXPIRY_GRACE_MS 2200
 
@@ -150,12 +151,11 @@
 	return fleet_update(&state->fleet, info, state->loop.now);
 }
 
-/* Entries that expired during an outage of the store may be written again. */
-static bool is_after_outage(const daemon_state_t *state)
+/* Whether entries that expired in an outage have been written again by now. */
+static bool is_after_grace(const daemon_state_t *state)
 {
-	medlar_time_t outage_end = peers_store_outage_end(&state->peers);
-
-	return outage_end && state->loop.now - outage_end < EXPIRY_GRACE_MS;
+	return uptime_is_steady(&state->peers.store_uptime, EXPIRY_GRACE_MS,
+				state->loop.now);
 }
 
 /**
@@ -170,9 +170,46 @@
 	state->peers.store = (peers_store_t){
 		.watching = store->watching,
 		.last_contact = store->last_contact,
-		.outage_end = store->down_since ? state->loop.now
-						: store->recovered_at,
+		.answered_since = store->answered.since,
 	};
+	uptime_add(&state->peers.store_uptime, &store->answered);
+}
+
+static void log_removal(daemon_state_t *state, medlar_str_t id,
+			const char *state_name)
+{
+	const uptime_t *uptime = &state->peers.store_uptime;
+	medlar_time_t now = state->loop.now;
+
+	if (!log_batch_admits(&state->replica_log, id, now))
+		return;
+	LOG_LINE(&state->log, LOG_LEVEL_INFO, "replica", MEDLAR_TEXT("id", id),
+		 MEDLAR_TEXT("state", medlar_str_from(state_name)),
+		 MEDLAR_NUM("store_up_ms",
+			    uptime->since ? now - uptime->since : -1));
+}
+
+static void set_expiry(daemon_state_t *state, replica_t *replica)
+{
+	const uptime_t *uptime = &state->peers.store_uptime;
+	medlar_time_t grace_began = uptime->since ? uptime->since
+						  : state->loop.now;
+
+	log_removal(state, medlar_str_from(replica->id), "lapsed");
+	fleet_set_expiry(replica, grace_began + EXPIRY_GRACE_MS);
+}
+
+/**
+ * daemon_remove_expired() - remove replicas whose entries were not written again
+ * @state: the router process
+ *
+ * Other instances may tell later that there was no outage.
+ */
+void daemon_remove_expired(daemon_state_t *state)
+{
+	fleet_remove_expired(&state->fleet, is_after_grace(state)
+						    ? MEDLAR_TIME_NEVER
+						    : state->loop.now);
 }
 
 static void remove_replica(daemon_state_t *state, medlar_str_t id)
@@ -181,12 +218,11 @@
 
 	if (!replica)
 		return;
-	if (is_after_outage(state) && !replica_is_leaving(replica)) {
-		log_replica_state(state, id, "lapsed");
-		fleet_set_expiry(replica, state->loop.now + EXPIRY_GRACE_MS);
+	if (!is_after_grace(state) && !replica_is_leaving(replica)) {
+		set_expiry(state, replica);
 		return;
 	}
-	log_replica_state(state, id, "gone");
+	log_removal(state, id, "gone");
 	fleet_remove(&state->fleet, replica);
 }
 
--- a/router/daemon_internal.h
+++ b/router/daemon_internal.h
@@ -76,6 +76,7 @@
 void daemon_on_unavailable(const replica_t *replica, medlar_time_t until,
 			   void *data);
 void daemon_apply_entry(const store_item_t *item, void *data);
+void daemon_remove_expired(daemon_state_t *state);
 void daemon_update_store_status(daemon_state_t *state);
 
 /* Listeners for readiness checks, addresses and metrics. */
--- a/router/gossip.c
+++ b/router/gossip.c
@@ -54,6 +54,7 @@
 	gossip_live_peers live;
 	gossip_crashes crashes;
 	gossip_limits limits;
+	gossip_answered answered;
 } status_t;
 
 static bool_t xdr_status(XDR *xdr, status_t *status)
@@ -62,22 +63,26 @@
 	       xdr_gossip_watchers(xdr, &status->watchers) &&
 	       xdr_gossip_live_peers(xdr, &status->live) &&
 	       xdr_gossip_crashes(xdr, &status->crashes) &&
-	       xdr_gossip_limits(xdr, &status->limits);
+	       xdr_gossip_limits(xdr, &status->limits) &&
+	       xdr_gossip_answered(xdr, &status->answered);
 }
 
 /* This instance is left out, as the message tells the same of it. */
-static u_int list_watchers(const peers_t *peers, gossip_watcher *out)
+static u_int list_watchers(const peers_t *peers, gossip_watcher *out,
+			   u_int *answered_ages)
 {
 	const peer_instance_t *list[GOSSIP_WATCHERS_MAX];
 	size_t len = contact_list_watchers(peers, list);
 
-	for (size_t i = 0; i < len; i++)
+	for (size_t i = 0; i < len; i++) {
 		out[i] = (gossip_watcher){
 			.name_hash = list[i]->hash,
 			.store_age = time_to_age(peers,
 						 list[i]->store_last_contact),
 			.revision = list[i]->contact_revision,
 		};
+		answered_ages[i] = time_to_age(peers, list[i]->answered_since);
+	}
 	return (u_int)len;
 }
 
@@ -154,6 +159,8 @@
 {
 	const router_settings_t *settings = peers->settings;
 	gossip_watcher watchers[GOSSIP_WATCHERS_MAX];
+	u_int answered_ages[GOSSIP_WATCHERS_MAX];
+	u_int watchers_len = list_watchers(peers, watchers, answered_ages);
 	gossip_live_peer live_peers[GOSSIP_LIVE_PEERS_MAX];
 	gossip_crash crashes[GOSSIP_CRASHES_MAX];
 	gossip_limit limits[GOSSIP_LIMITS_MAX];
@@ -171,15 +178,16 @@
 		.near = peers->local_percent,
 		.watching = peers->store.watching,
 		.store_age = time_to_age(peers, peers->store.last_contact),
-		.outage_age = time_to_age(peers, peers->store.outage_end),
+		.answered_age = time_to_age(peers, peers->store.answered_since),
 		.convicted = { list_convicted(peers, convicted), convicted },
 	};
 	status_t status = { &message,
-			    { { list_watchers(peers, watchers), watchers } },
+			    { { watchers_len, watchers } },
 			    { { list_live_peers(peers, live_peers),
 				live_peers } },
 			    { { list_crashes(peers, crashes), crashes } },
-			    { { list_limits(peers, limits), limits } } };
+			    { { list_limits(peers, limits), limits } },
+			    { { watchers_len, answered_ages } } };
 
 	return encode_call(peers, GOSSIP_TELL, (xdrproc_t)xdr_status, &status,
 			   bytes);
--- a/router/gossip_receive.c
+++ b/router/gossip_receive.c
@@ -14,6 +14,14 @@
 	return age ? peers->loop->now - age + 1 : 0;
 }
 
+static void note_answered(peers_t *peers, const peer_instance_t *peer)
+{
+	const uptime_t seen = { peer->answered_since,
+				peer->store_last_contact };
+
+	uptime_add(&peers->store_uptime, &seen);
+}
+
 static void apply_message(peers_t *peers, const gossip_message *message)
 {
 	medlar_time_t now = peers->loop->now;
@@ -56,7 +64,8 @@
 	peer->watching = message->watching;
 	(void)contact_update(peer, age_to_time(peers, message->store_age),
 			     message->revision);
-	peer->store_outage_end = age_to_time(peers, message->outage_age);
+	peer->answered_since = age_to_time(peers, message->answered_age);
+	note_answered(peers, peer);
 	peer->last_heard = now;
 	if (!peers->leads_watchers)
 		changes_catch_up(peers);
@@ -99,17 +108,24 @@
  * What an instance passes on of a watcher may be older than what the watcher has
  * said itself; only newer contacts count.
  */
-static void apply_watchers(peers_t *peers, const gossip_watchers *watchers)
+static void apply_watchers(peers_t *peers, const gossip_watchers *watchers,
+			   const gossip_answered *answered)
 {
 	for (u_int i = 0; i < watchers->list.list_len; i++) {
 		const gossip_watcher *from = &watchers->list.list_val[i];
 		peer_instance_t *peer = peers_find_by_hash(peers,
 							   from->name_hash);
 
-		if (peer &&
-		    contact_update(peer, age_to_time(peers, from->store_age),
-				   from->revision))
-			peer->watching = true;
+		if (!peer ||
+		    !contact_update(peer, age_to_time(peers, from->store_age),
+				    from->revision))
+			continue;
+		peer->watching = true;
+		if (!answered || i >= answered->ages.ages_len)
+			continue;
+		peer->answered_since = age_to_time(peers,
+						   answered->ages.ages_val[i]);
+		note_answered(peers, peer);
 	}
 }
 
@@ -180,17 +196,25 @@
 	gossip_live_peers live = { 0 };
 	gossip_crashes crashes = { 0 };
 	gossip_limits limits = { 0 };
+	gossip_answered answered = { 0 };
 
 	if (xdr_gossip_message(xdr, &message)) {
+		bool has_watchers = xdr_gossip_watchers(xdr, &watchers);
+		bool has_live = xdr_gossip_live_peers(xdr, &live);
+		bool has_crashes = xdr_gossip_crashes(xdr, &crashes);
+		bool has_limits = xdr_gossip_limits(xdr, &limits);
+		bool has_answered = xdr_gossip_answered(xdr, &answered);
+
 		peers->stats->counts[STAT_GOSSIP_RECEIVED]++;
 		apply_message(peers, &message);
-		if (xdr_gossip_watchers(xdr, &watchers))
-			apply_watchers(peers, &watchers);
-		if (xdr_gossip_live_peers(xdr, &live))
+		if (has_watchers)
+			apply_watchers(peers, &watchers,
+				       has_answered ? &answered : NULL);
+		if (has_live)
 			apply_live_peers(peers, &live);
-		if (xdr_gossip_crashes(xdr, &crashes))
+		if (has_crashes)
 			apply_crashes(peers, &crashes);
-		if (xdr_gossip_limits(xdr, &limits))
+		if (has_limits)
 			apply_limits(peers, &limits);
 	}
 	xdr_free((xdrproc_t)xdr_gossip_message, (char *)&message);
@@ -198,6 +222,7 @@
 	xdr_free((xdrproc_t)xdr_gossip_live_peers, (char *)&live);
 	xdr_free((xdrproc_t)xdr_gossip_crashes, (char *)&crashes);
 	xdr_free((xdrproc_t)xdr_gossip_limits, (char *)&limits);
+	xdr_free((xdrproc_t)xdr_gossip_answered, (char *)&answered);
 }
 
 static void decode_report(peers_t *peers, XDR *xdr, uint32_t reporter)
--- a/router/peers.h
+++ b/router/peers.h
@@ -17,6 +17,7 @@
 #include "libroute/observer.h"
 #include "libroute/rotation.h"
 #include "libroute/suspects.h"
+#include "libroute/uptime.h"
 #include "libroute/watchers.h"
 #include "medlard/log.h"
 #include "proto/gossip.h"
@@ -47,8 +48,8 @@
  * @store_last_contact: time up to which its mirror is known current, see
  *	&struct store.last_contact, ms; 0 if not known
  * @contact_revision: store revision up to which its mirror was complete then
- * @store_outage_end: end of the last store outage that it saw, ms; 0 if there
- *	was none
+ * @answered_since: since when the store has answered all its watches, ms; 0 if it
+ *	does not
  * @registered: the store holds its entry
  * @fetch_failed_at: when it last failed to send the changes that it was asked for,
  *	ms; 0 if it never did
@@ -70,7 +71,7 @@
 	bool watching;
 	medlar_time_t store_last_contact;
 	uint64_t contact_revision;
-	medlar_time_t store_outage_end;
+	medlar_time_t answered_since;
 	bool registered;
 	medlar_time_t fetch_failed_at;
 } peer_instance_t;
@@ -86,13 +87,13 @@
  * @watching: it watches the store itself
  * @last_contact: time up to which the mirror is known current, ms; 0 if it never
  *	was
- * @outage_end: end of the last outage, ms; the current time during one, 0 if
- *	there was none
+ * @answered_since: since when the store has answered all watches of the instance,
+ *	ms; 0 if it does not
  */
 typedef struct peers_store {
 	bool watching;
 	medlar_time_t last_contact;
-	medlar_time_t outage_end;
+	medlar_time_t answered_since;
 } peers_store_t;
 
 /**
@@ -143,6 +144,8 @@
  * @far: which other instances get it
  * @live_rotation: which instances are named in it as live
  * @store: store status that this instance reports
+ * @store_uptime: time in which the store is known to have been up, from the answers
+ *	that it gave to any instance
  * @leads_watchers: this instance follows the store for all others, and does not
  *	wait for changes of peers
  * @behind_since: time since which a peer has been ahead of @mirror, ms; 0 if
@@ -187,6 +190,7 @@
 	rotation_t far;
 	rotation_t live_rotation;
 	peers_store_t store;
+	uptime_t store_uptime;
 	bool leads_watchers;
 	medlar_time_t behind_since;
 	uint64_t source_hash;
@@ -217,7 +221,6 @@
 watch_view_t peers_watch_view(const peers_t *peers);
 medlar_time_t peers_store_last_contact(const peers_t *peers);
 bool peers_mirror_is_current(const peers_t *peers);
-medlar_time_t peers_store_outage_end(const peers_t *peers);
 bool peer_is_live(const peers_t *peers, const peer_instance_t *peer);
 unsigned peers_count_instances(const peers_t *peers);
 unsigned peers_position(const peers_t *peers);
--- a/router/store.c
+++ b/router/store.c
@@ -113,8 +113,10 @@
 	store_channel_t *channel = &store->reader;
 	const watch_timing_t timing = watchers_time_call(channel->failures);
 
-	if (store->list_complete && !store->watching)
+	if (store->list_complete && !store->watching) {
+		store->answered.since = 0;
 		return;
+	}
 	medlar_buf_reset(&channel->request);
 	if (store->list_complete) {
 		store->calls->watch(store->mirror->revision, timing.wait,
--- a/router/store.h
+++ b/router/store.h
@@ -11,6 +11,7 @@
 
 #include "medlard/log.h"
 #include "medlard/h1_client.h"
+#include "libroute/uptime.h"
 #include "router/mirror.h"
 #include "router/stats.h"
 
@@ -110,8 +111,8 @@
  * @value: value of the entry
  * @down_since: time of the first failure after the last success, ms; 0 while
  *	calls succeed
- * @recovered_at: time of the first success after the last outage, ms; 0 if
- *	there was no outage
+ * @answered: time in which all lists and watches were answered; its start is 0 while
+ *	they are not, or none is made
  * @last_contact: time up to which the store is known to hold nothing that
  *	@mirror lacks, ms; 0 if no list is complete. Replies that are no complete
  *	list or watch do not count.
@@ -138,7 +139,7 @@
 	medlar_buf_t key;
 	medlar_buf_t value;
 	medlar_time_t down_since;
-	medlar_time_t recovered_at;
+	uptime_t answered;
 	medlar_time_t last_contact;
 };
 
--- a/router/store_channel.c
+++ b/router/store_channel.c
@@ -45,14 +45,17 @@
 	medlar_time_t now = store->loop->now;
 	bool is_reader = channel == &store->reader;
 
-	if (store->down_since) {
-		store->recovered_at = now;
+	if (is_reader) {
+		if (!store->answered.since)
+			store->answered.since = now;
+		store->answered.until = now;
+	}
+	if (store->down_since)
 		LOG_LINE(store->log, LOG_LEVEL_NOTICE, "store",
 			 MEDLAR_TEXT("state", MEDLAR_STR("up")),
 			 MEDLAR_TEXT("by", is_reader ? MEDLAR_STR("reader")
 						     : MEDLAR_STR("lease")),
 			 MEDLAR_NUM("down_ms", now - store->down_since));
-	}
 	store->down_since = 0;
 }
 
@@ -97,6 +100,8 @@
 		record_success(channel);
 	} else {
 		channel->failures++;
+		if (channel == &store->reader)
+			store->answered.since = 0;
 		store_record_failure(store, status);
 	}
 	channel->on_reply(store, status, body);
--- a/router/store_contact.c
+++ b/router/store_contact.c
@@ -106,25 +106,6 @@
 	return last_contact && peers->loop->now - last_contact <= age_max;
 }
 
-/**
- * peers_store_outage_end() - get the end of the last outage of the store
- * @peers: the other instances
- *
- * Return: the latest end seen by this instance or a live peer, ms; the current
- * time during an outage, 0 if there was none.
- */
-medlar_time_t peers_store_outage_end(const peers_t *peers)
-{
-	const peer_instance_t *peer;
-	medlar_time_t outage_end = peers->store.outage_end;
-
-	TAILQ_FOREACH(peer, &peers->list, link)
-		if (peer_is_live(peers, peer) &&
-		    peer->store_outage_end > outage_end)
-			outage_end = peer->store_outage_end;
-	return outage_end;
-}
-
 static bool is_fresh_watcher(const peers_t *peers, const peer_instance_t *peer)
 {
 	return peer->watching && !peer->leaving && peer_is_live(peers, peer) &&
--- a/tests/fakes/site_store.c
+++ b/tests/fakes/site_store.c
@@ -83,6 +83,16 @@
 	return item && item->value ? item : NULL;
 }
 
+/**
+ * site_store_drop_history() - forget all changes so far
+ * @store: store; watches that wait are answered with status 410
+ */
+void site_store_drop_history(site_store_t *store)
+{
+	store->history_from = ++store->revision;
+	site_store_wake_watches(store);
+}
+
 /**
  * site_store_grant() - give out a lease
  * @store: store
--- a/tests/fakes/site_store.h
+++ b/tests/fakes/site_store.h
@@ -107,6 +107,8 @@
  * @leases_cap: allocated capacity of @leases
  * @last_lease: last id of a lease that was given out
  * @revision: revision of the last change
+ * @history_from: changes after this revision are known; watches from an older one are
+ *	answered with status 410
  * @watches: watches that wait
  * @lease_timer: next check for leases that have ended
  * @counts: calls served
@@ -121,6 +123,7 @@
 	size_t leases_cap;
 	uint64_t last_lease;
 	uint64_t revision;
+	uint64_t history_from;
 	struct site_watch_list watches;
 	medlar_timer_t lease_timer;
 	site_counts_t counts;
@@ -131,6 +134,7 @@
 void site_store_put(site_store_t *store, const char *key, const char *value,
 		    uint64_t lease);
 const site_item_t *site_store_find(const site_store_t *store, const char *key);
+void site_store_drop_history(site_store_t *store);
 uint64_t site_store_grant(site_store_t *store, medlar_time_t ttl);
 site_lease_t *site_store_find_lease(site_store_t *store, uint64_t id);
 void site_store_end_lease(site_store_t *store, uint64_t id);
--- a/tests/fakes/site_store_http.c
+++ b/tests/fakes/site_store_http.c
@@ -12,6 +12,7 @@
 #include "tests/fakes/site_store.h"
 
 #define ARG_MAX_LEN 512
+#define STATUS_GONE 410
 
 /**
  * site_query_arg() - get a parameter of the query of a request
@@ -112,16 +113,18 @@
 
 static void answer_watch(site_store_t *store, site_watch_t *watch)
 {
+	bool is_known = watch->after >= store->history_from;
 	h1_conn_t *conn = watch->conn;
 	medlar_buf_t body;
 
 	medlar_buf_init(&body);
 	medlar_buf_add(&body, MEDLAR_STR("{\"events\":["));
-	write_items(store, watch->after, true, &body);
+	if (is_known)
+		write_items(store, watch->after, true, &body);
 	medlar_buf_printf(&body, "],\"storeRevision\":%" PRIu64 "}",
 			  store->revision);
 	remove_watch(store, watch);
-	answer(conn, 200, &body);
+	answer(conn, is_known ? 200 : STATUS_GONE, &body);
 	medlar_buf_finish(&body);
 }
 
