Watch the store while no other instance is heard from

What callers saw: nothing yet; found by the test of all ways to learn of a removal.

Cause: whether to watch rests on who watched last, as others told, and that is believed for 3.5 s after the last word; then each instance probes with a probability of one in the number of those known.

Change: an instance that gets no message for 500 ms, two rounds of all others, watches for itself until it hears from one. Others hear nothing of it, so this adds calls only where the cut is.

--- a/libroute/watchers.c
+++ b/libroute/watchers.c
@@ -58,6 +58,10 @@
 			 PAUSE_STEP_MS * (medlar_time_t)view->fresh_before,
 	};
 
+	if (view->is_isolated)
+		return (watch_role_t){ .watches = true,
+				       .leads = true,
+				       .pause = LEADER_PAUSE_MS };
 	if (view->fresh_before >= WATCHERS_MAX)
 		return role;
 	role.watches = view->in_contact || view->live_before < WATCHERS_MAX ||
--- a/libroute/watchers.h
+++ b/libroute/watchers.h
@@ -8,6 +8,9 @@
  * the same time. If all of them called it until it returns, they would keep it
  * busy and be refused; a bounded number of them tries at random instead.
  *
+ * An instance that is cut off from the others, but not from the store, watches for
+ * itself: nobody else can tell it of changes.
+ *
  * A watch whose answer is lost looks like one without changes. Load pattern: the
  * store returns from an outage, or all connections fall silent, while every
  * instance waits for such an answer, and changes follow at once.
@@ -27,12 +30,14 @@
  * @live_before: live instances with a lower name
  * @live: live instances, including this one
  * @in_contact: this instance watches the store and had an answer recently
+ * @is_isolated: no other instance has been heard from lately
  */
 typedef struct watch_view {
 	size_t fresh_before;
 	size_t live_before;
 	size_t live;
 	bool in_contact;
+	bool is_isolated;
 } watch_view_t;
 
 /**
--- a/router/gossip_receive.c
+++ b/router/gossip_receive.c
@@ -67,6 +67,7 @@
 	peer->answered_since = age_to_time(peers, message->answered_age);
 	note_answered(peers, peer);
 	peer->last_heard = now;
+	peers->heard_at = now;
 	if (!peers->leads_watchers)
 		changes_catch_up(peers);
 	for (unsigned i = 0; i < message->convicted.convicted_len; i++)
--- a/router/peers.h
+++ b/router/peers.h
@@ -135,6 +135,7 @@
  * @fetch_timer: timeout of the fetch in progress
  * @incarnation: wall-clock time at which this instance started, ms
  * @started_at: when it started, ms
+ * @heard_at: when the last message of another instance arrived, ms; 0 if none has
  * @seq: sequence number of the last message sent
  * @ready: this instance accepts callers
  * @leaving: this instance is shutting down
@@ -182,6 +183,7 @@
 	medlar_timer_t fetch_timer;
 	uint64_t incarnation;
 	medlar_time_t started_at;
+	medlar_time_t heard_at;
 	uint32_t seq;
 	bool ready;
 	bool leaving;
--- a/router/store_contact.c
+++ b/router/store_contact.c
@@ -15,6 +15,8 @@
 #define CONTACT_DELAY_MAX_MS 200
 /* Time after the start in which the others are heard from. */
 #define SETTLE_MS (2 * MEDLAR_SECOND)
+/* An instance that gets no message for this long, two rounds, is cut off. */
+#define ISOLATED_AFTER_MS 500
 
 static bool is_in_contact(const peers_t *peers, medlar_time_t last_contact)
 {
@@ -33,6 +35,12 @@
 		peers->loop->now - peers->started_at < SETTLE_MS);
 }
 
+static bool is_isolated(const peers_t *peers)
+{
+	return peers->len > 0 && peers->heard_at &&
+	       peers->loop->now - peers->heard_at > ISOLATED_AFTER_MS;
+}
+
 /**
  * peers_watch_view() - see who watches the store
  * @peers: the other instances
@@ -47,6 +55,7 @@
 		.live = 1,
 		.in_contact = peers->store.watching &&
 			      is_in_contact(peers, peers->store.last_contact),
+		.is_isolated = is_isolated(peers),
 	};
 	const peer_instance_t *peer;
 
--- a/tests/test_watchers.c
+++ b/tests/test_watchers.c
@@ -85,6 +85,21 @@
 	assert_true(decide(0, 90, true).watches);
 }
 
+/* It reaches the store, but none of those that watch it for all. */
+static void an_instance_without_others_watches_for_itself(void **state)
+{
+	const watch_view_t view = { .fresh_before = WATCHERS_MAX,
+				    .live_before = INSTANCES - 1,
+				    .live = INSTANCES,
+				    .is_isolated = true };
+	medlar_rand_t rand = { 1 };
+	watch_role_t role = watchers_decide(&view, &rand);
+
+	(void)state;
+	assert_true(role.watches);
+	assert_true(role.leads);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -93,6 +108,7 @@
 		cmocka_unit_test(an_outage_is_probed_by_a_bounded_number),
 		cmocka_unit_test(
 			others_try_if_the_usual_watchers_are_turned_away),
+		cmocka_unit_test(an_instance_without_others_watches_for_itself),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
