--- a/libroute/watchers.c
+++ b/libroute/watchers.c
@@ -8,7 +8,7 @@
  * Each further watcher pauses longer than the one before it, but none for so long
  * that it would not notice an outage in which entries expire.
  */
-#define PAUSE_STEP_MS 100
+#define PAUSE_STEP_MS 80
 /* Instances that try a silent store per decision, all together. */
 #define PROBES_PER_DECISION 1.0
 /*
--- a/tests/test_removal.c
+++ b/tests/test_removal.c
@@ -264,6 +264,42 @@
 	}
 }
 
+/* A router reached neither the store nor others, and missed what happened. */
+static void a_removal_is_known_after_a_cut_from_everything(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < SIZES_LEN; i++) {
+		router_sim_t *sim = begin(sizes[i], i + 1);
+		unsigned replica = 0;
+
+		for (size_t router = 0; router < sim->len;
+		     router += sim->len / 2)
+			for (int how = (int)first_kind(sim->len);
+			     how <= SITE_GATE_SILENT; how++) {
+				medlar_time_t calm[SIM_ROUTERS_MAX] = { 0 };
+				medlar_time_t removed_at;
+
+				sim_cut_peers(sim, router);
+				set_gates(sim, router, 1,
+					  (site_gate_state_t)how);
+				sim_run_for(sim, 2500);
+				removed_at = sim->now;
+				sim_remove_replica(sim, replica);
+				sim_run_for(sim, 2000);
+				sim_join_peers(sim, router);
+				set_gates(sim, router, 1, SITE_GATE_OPEN);
+				calm[router] = sim->now;
+				while (sim->now < calm[router] + SETTLE_MS) {
+					sim_step(sim);
+					expect_unused(sim, replica, removed_at,
+						      calm, "cut off");
+				}
+				replica++;
+			}
+		sim_end(sim);
+	}
+}
+
 /* A router reaches the store but no other router, which it learns from otherwise. */
 static void a_removal_is_known_to_a_router_without_others(void **state)
 {
@@ -299,6 +335,8 @@
 		cmocka_unit_test(a_removal_after_an_outage_is_none_beside_cuts),
 		cmocka_unit_test(a_removal_is_known_to_routers_that_start),
 		cmocka_unit_test(a_removal_is_known_by_a_new_list),
+		cmocka_unit_test(
+			a_removal_is_known_after_a_cut_from_everything),
 		cmocka_unit_test(a_removal_is_known_to_a_router_without_others),
 	};
 
