One place decides what the status of a reply is

Cause: the parser library takes any digits for a status; what is below 200 was taken for an interim reply, with its body, and what is above 599 passed on. medlard's client waited after 101 and took 000 for final.

Change: medlard/h1_status.c decides: three digits, 200 to 599 final, 100 to 199 interim but for 101, all else none. A reply with none ends as faulty at once: the outcome is unknown, the connection is closed, and the request goes elsewhere where its route allows, else 502. All replies that the parser reads go through it (replicas, store, other instances), and libcurl's status lines in medlard. Interim replies with a body are malformed. Counted, and logged with the status.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 ROUTER_SRC := $(filter-out router/main.c,$(wildcard router/*.c)) \
 	$(wildcard platform/*.c) proto/gossip_xdr.c \
 	medlard/clock.c medlard/h1.c medlard/h1_client.c medlard/h1_server.c \
+	medlard/h1_status.c \
 	medlard/log.c medlard/loop.c medlard/options.c \
 	medlard/settings.c
 FAKE_SRC := $(wildcard tests/fakes/common_*.c)
--- a/medlard/h1.c
+++ b/medlard/h1.c
@@ -5,11 +5,13 @@
 #include <strings.h>
 
 #include "medlard/h1.h"
+#include "medlard/h1_status.h"
 
 #define INTERIM_REPLIES_MAX 8
 /* Memory that a connection keeps for bodies, and may always use. */
 #define BODY_BYTES_KEPT ((size_t)64 * 1024)
-#define STATUS_SWITCHING 101
+/* Length of "HTTP/1.1". */
+#define VERSION_LEN ((size_t)8)
 #define STATUS_OK 200
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
@@ -104,6 +106,14 @@
 	return !(raw->flags & F_CHUNKED) && raw->content_length == UINT64_MAX;
 }
 
+/* Interim replies have no body (RFC 9110, section 15.2). */
+static bool is_interim_with_body(const http_parser *raw)
+{
+	return h1_status_kind(raw->status_code) == H1_STATUS_INTERIM &&
+	       ((raw->flags & F_CHUNKED) ||
+		(raw->content_length != UINT64_MAX && raw->content_length > 0));
+}
+
 static int on_headers_complete(http_parser *raw)
 {
 	h1_parser_t *parser = raw->data;
@@ -119,6 +129,8 @@
 		parser->expects_continue = has_expect_continue(message);
 		return 0;
 	}
+	if (is_interim_with_body(raw))
+		return fail_parse(raw, H1_MALFORMED);
 	message->close_delimited = !parser->method_is_head &&
 				   is_close_delimited(raw);
 	return parser->method_is_head ? 1 : 0;
@@ -200,6 +212,7 @@
 	parser->started = false;
 	parser->head_lines = 0;
 	parser->line_started = false;
+	parser->status_line_len = 0;
 	parser->head_complete = false;
 	parser->in_value = false;
 	parser->expects_continue = false;
@@ -250,27 +263,60 @@
 	parser->parser.data = parser;
 }
 
-/* Replies with status 1xx, except 101, precede the final reply. */
 static bool is_interim_reply(const h1_parser_t *parser)
 {
-	unsigned status = parser->message.status;
+	return parser->parser.type == HTTP_RESPONSE &&
+	       h1_status_kind(parser->message.status) == H1_STATUS_INTERIM;
+}
+
+static medlar_str_t status_line(const h1_parser_t *parser)
+{
+	return (medlar_str_t){ parser->status_line, parser->status_line_len };
+}
+
+/**
+ * h1_parser_status_code() - get the status code of a reply as received
+ * @parser: a parser that has received the first line of a reply
+ *
+ * Return: the code, possibly cut off, if it is none.
+ */
+medlar_str_t h1_parser_status_code(const h1_parser_t *parser)
+{
+	return h1_status_line_code(status_line(parser));
+}
 
-	return parser->parser.type == HTTP_RESPONSE && status < STATUS_OK &&
-	       status != STATUS_SWITCHING;
+static void keep_status_line(h1_parser_t *parser, char c)
+{
+	if (parser->parser.type == HTTP_RESPONSE && parser->head_lines == 0 &&
+	    parser->status_line_len < H1_STATUS_LINE_MAX)
+		parser->status_line[parser->status_line_len++] = c;
+}
+
+/* A line without a version and a space is left to the library. */
+static bool has_bad_status(const h1_parser_t *parser)
+{
+	medlar_str_t line = status_line(parser);
+
+	return parser->parser.type == HTTP_RESPONSE &&
+	       parser->head_lines == 0 && line.len > VERSION_LEN &&
+	       line.ptr[VERSION_LEN] == ' ' &&
+	       h1_status_line_kind(line) == H1_STATUS_INVALID;
 }
 
 /*
- * Rejects header lines that are folded (RFC 9112, section 5.2), since the
- * library would accept and join them.
+ * Rejects what the library would accept: header lines that are folded (RFC 9112,
+ * section 5.2), which it joins, and statuses that are none.
  *
- * Return: true if the head contains no folded line so far.
+ * Return: %H1_INCOMPLETE, or the error.
  */
-static bool check_line_folding(h1_parser_t *parser, medlar_str_t bytes)
+static h1_progress_t check_head(h1_parser_t *parser, medlar_str_t bytes)
 {
 	for (size_t i = 0; i < bytes.len && !parser->head_complete; i++) {
 		char c = bytes.ptr[i];
 
 		if (c == '\n') {
+			if (has_bad_status(parser))
+				return H1_BAD_STATUS;
 			parser->head_complete = parser->head_lines &&
 						!parser->line_started;
 			parser->head_lines += parser->line_started;
@@ -278,11 +324,12 @@
 		} else if (c != '\r') {
 			if (parser->head_lines && !parser->line_started &&
 			    (c == ' ' || c == '\t'))
-				return false;
+				return H1_MALFORMED;
+			keep_status_line(parser, c);
 			parser->line_started = true;
 		}
 	}
-	return true;
+	return H1_INCOMPLETE;
 }
 
 /* Return: false if more of them precede the reply than any server sends. */
@@ -311,6 +358,7 @@
 h1_progress_t h1_parser_feed(h1_parser_t *parser, medlar_str_t bytes,
 			     size_t *used)
 {
+	h1_progress_t progress;
 	size_t got;
 
 	*used = 0;
@@ -319,16 +367,21 @@
 			return H1_MALFORMED;
 		if (*used == bytes.len)
 			return H1_INCOMPLETE;
-		if (!check_line_folding(parser,
-					(medlar_str_t){ bytes.ptr + *used,
-							bytes.len - *used }))
-			return H1_MALFORMED;
+		progress = check_head(
+			parser,
+			(medlar_str_t){ bytes.ptr + *used, bytes.len - *used });
+		if (progress != H1_INCOMPLETE) {
+			parser->error = progress;
+			return progress;
+		}
 		got = http_parser_execute(&parser->parser, &parser_callbacks,
 					  bytes.ptr + *used, bytes.len - *used);
 		*used += got;
 	} while (parser->done && is_interim_reply(parser));
 	if (parser->done)
 		return H1_COMPLETE;
+	if (HTTP_PARSER_ERRNO(&parser->parser) == HPE_INVALID_STATUS)
+		parser->error = H1_BAD_STATUS;
 	if (HTTP_PARSER_ERRNO(&parser->parser) != HPE_OK ||
 	    parser->parser.upgrade)
 		return parser->error;
--- a/medlard/h1.h
+++ b/medlard/h1.h
@@ -11,6 +11,8 @@
 
 #include "libmedlar/medlar.h"
 
+/** Bytes of a status line that are kept: up to the code, and more. */
+#define H1_STATUS_LINE_MAX 31
 /** Most headers of a message. */
 #define H1_HEADERS_MAX 96
 
@@ -80,6 +82,7 @@
  * @H1_INCOMPLETE: the message is not complete yet
  * @H1_COMPLETE: the message is complete
  * @H1_MALFORMED: the message violates the protocol, or memory is short
+ * @H1_BAD_STATUS: the status of the reply is none, see &enum h1_status_kind
  * @H1_HEAD_TOO_LARGE: the target and the headers exceed the limits
  * @H1_BODY_TOO_LARGE: the body exceeds the limit
  */
@@ -87,6 +90,7 @@
 	H1_INCOMPLETE,
 	H1_COMPLETE,
 	H1_MALFORMED,
+	H1_BAD_STATUS,
 	H1_HEAD_TOO_LARGE,
 	H1_BODY_TOO_LARGE,
 } h1_progress_t;
@@ -99,13 +103,15 @@
  * @started: the first byte of the message was received
  * @head_lines: number of complete, non-empty lines of the head
  * @line_started: the current line of the head is not empty so far
+ * @status_line: begin of the first line of a reply
+ * @status_line_len: bytes of it
  * @head_complete: the empty line that ends the head was received
  * @in_value: the last text received was part of a header value
  * @method_is_head: the reply is to a HEAD request and has no body
  * @expects_continue: the client waits for status 100 before it sends the body
  * @interim_replies: interim replies that preceded the message
  * @memory_used: bytes of the body that are counted in &struct h1_limits.memory
- * @error: result to report if the library fails, %H1_MALFORMED by default
+ * @error: why the message was rejected, %H1_MALFORMED by default
  * @done: the message is complete
  */
 typedef struct h1_parser {
@@ -115,6 +121,8 @@
 	bool started;
 	unsigned head_lines;
 	bool line_started;
+	char status_line[H1_STATUS_LINE_MAX];
+	size_t status_line_len;
 	bool head_complete;
 	bool in_value;
 	bool method_is_head;
@@ -132,6 +140,7 @@
 h1_progress_t h1_parser_feed(h1_parser_t *parser, medlar_str_t bytes,
 			     size_t *used);
 h1_progress_t h1_parser_end(h1_parser_t *parser);
+medlar_str_t h1_parser_status_code(const h1_parser_t *parser);
 medlar_str_t h1_message_target(const h1_message_t *message);
 medlar_str_t h1_header_name(const h1_message_t *message, size_t index);
 medlar_str_t h1_header_value(const h1_message_t *message, size_t index);
--- a/medlard/http_client.c
+++ b/medlard/http_client.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "medlard/h1_status.h"
 #include "medlard/http_client_internal.h"
 
 #define URL_MAX 512 /* bytes */
@@ -39,7 +40,7 @@
 	call->last_byte_at = call->pool->http->loop->now;
 	if (call->reply.len + len > call->reply_max ||
 	    exceeds_memory(call, len)) {
-		call->reply_too_long = true;
+		call->reply_rejected = true;
 		return 0;
 	}
 	medlar_buf_add(&call->reply, (medlar_str_t){ bytes, len });
@@ -70,6 +71,16 @@
 	return text;
 }
 
+/* libcurl takes some statuses that are none for interim, and others for final. */
+static bool is_bad_status_line(medlar_str_t line)
+{
+	static const char start[] = "HTTP/";
+
+	return line.len >= strlen(start) &&
+	       memcmp(line.ptr, start, strlen(start)) == 0 &&
+	       h1_status_line_kind(line) == H1_STATUS_INVALID;
+}
+
 static size_t on_header(char *bytes, size_t size, size_t count, void *data)
 {
 	http_call_t *call = data;
@@ -80,8 +91,9 @@
 
 	call->last_byte_at = call->pool->http->loop->now;
 	call->head_len += len;
-	if (call->head_len > HEAD_BYTES_MAX) {
-		call->reply_too_long = true;
+	if (call->head_len > HEAD_BYTES_MAX ||
+	    is_bad_status_line(trim((medlar_str_t){ bytes, len }))) {
+		call->reply_rejected = true;
 		return 0;
 	}
 	if (!colon || !call->on_header)
@@ -308,7 +320,7 @@
 	call->done = request->done;
 	call->data = request->data;
 	call->fd = -1;
-	call->started = call->sent = call->reply_too_long = call->abandoned =
+	call->started = call->sent = call->reply_rejected = call->abandoned =
 		false;
 	medlar_timer_init(&call->timer, on_timeout, call);
 	error = prepare_call(call, request);
@@ -365,7 +377,7 @@
 	if (!call->sent)
 		return code == CURLE_COULDNT_CONNECT ? HTTP_REFUSED
 						     : HTTP_UNSENT;
-	if (call->reply_too_long || code == CURLE_WEIRD_SERVER_REPLY ||
+	if (call->reply_rejected || code == CURLE_WEIRD_SERVER_REPLY ||
 	    code == CURLE_UNSUPPORTED_PROTOCOL ||
 	    code == CURLE_BAD_CONTENT_ENCODING || code == CURLE_WRITE_ERROR)
 		return HTTP_MALFORMED;
--- a/medlard/http_client_internal.h
+++ b/medlard/http_client_internal.h
@@ -52,7 +52,7 @@
  * @fd: descriptor of its connection, or -1
  * @started: passed to libcurl
  * @sent: sending has begun
- * @reply_too_long: the reply's body exceeded @reply_max
+ * @reply_rejected: the reply is too long, or its status is none
  * @abandoned: the owner does not need the reply
  */
 struct http_call {
@@ -77,7 +77,7 @@
 	int fd;
 	bool started;
 	bool sent;
-	bool reply_too_long;
+	bool reply_rejected;
 	bool abandoned;
 };
 
--- a/router/changes.c
+++ b/router/changes.c
@@ -170,10 +170,23 @@
 	medlar_buf_finish(&request);
 }
 
+static void log_bad_status(const peers_t *peers)
+{
+	const h1_parser_t *parser = &peers->changes_client.parser;
+
+	if (parser->error != H1_BAD_STATUS)
+		return;
+	peers->stats->counts[STAT_BAD_STATUSES]++;
+	LOG_LINE(peers->log, LOG_LEVEL_WARNING, "bad_status",
+		 MEDLAR_TEXT("from", MEDLAR_STR("peer")),
+		 MEDLAR_TEXT("status", h1_parser_status_code(parser)));
+}
+
 static void on_fetch_done(h1_client_t *client, h1_end_t end, void *data)
 {
 	peers_t *peers = data;
 
+	log_bad_status(peers);
 	if (end == H1_END_REPLY && client->parser.message.status == 200) {
 		peers->source_hash = 0;
 		decode_changes(peers,
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -108,6 +108,18 @@
 	upstream_remove_replica(replica);
 }
 
+static void on_bad_status(const replica_t *replica, medlar_str_t code,
+			  void *data)
+{
+	daemon_state_t *state = data;
+	medlar_str_t id = medlar_str_from(replica->id);
+
+	if (log_batch_admits(&state->status_log, id, state->loop.now))
+		LOG_LINE(&state->log, LOG_LEVEL_WARNING, "bad_status",
+			 MEDLAR_TEXT("from", MEDLAR_STR("replica")),
+			 MEDLAR_TEXT("id", id), MEDLAR_TEXT("status", code));
+}
+
 static void on_crash(uint64_t fingerprint, const replica_t *replica, void *data)
 {
 	daemon_state_t *state = data;
@@ -115,6 +127,11 @@
 	forward_report_crash(&state->forward, fingerprint, replica);
 }
 
+static const upstream_events_t upstream_events = {
+	.crash = on_crash,
+	.bad_status = on_bad_status,
+};
+
 /**
  * daemon_address_ttl() - get the lifetime of the addresses given to callers
  * @state: the router process
@@ -229,6 +246,7 @@
 	daemon_remove_expired(state);
 	fleet_update_limits(&state->fleet, now);
 	log_batch_flush(&state->replica_log, now);
+	log_batch_flush(&state->status_log, now);
 	log_batch_flush(&state->peers.peer_log, now);
 	upstream_close_expired(&state->upstream, &state->fleet);
 	update_instances(state);
@@ -309,6 +327,7 @@
 				 &store_address))
 		return MEDLAR_ERR_SYNTAX;
 	log_batch_init(&state->replica_log, &state->log, "replica");
+	log_batch_init(&state->status_log, &state->log, "bad_status");
 	fleet_init(&state->fleet, medlar_str_from(settings->zone), &limits,
 		   on_replica_removed, state);
 	state->fleet.on_unavailable = daemon_on_unavailable;
@@ -316,7 +335,7 @@
 	state->fleet.on_limit = daemon_on_limit;
 	state->fleet.limit_data = state;
 	upstream_init(&state->upstream, &state->loop, &state->stats,
-		      REPLY_BODY_BYTES_MAX, on_crash, state);
+		      REPLY_BODY_BYTES_MAX, &upstream_events, state);
 	mirror_init(&state->mirror, daemon_apply_entry, state);
 	store_init(&state->store, &state->loop, &state->log, &state->stats,
 		   &platform_store_calls, &store_address, &state->mirror);
@@ -366,6 +385,7 @@
 	fleet_finish(&state->fleet);
 	mirror_finish(&state->mirror);
 	log_batch_finish(&state->replica_log);
+	log_batch_finish(&state->status_log);
 	loop_finish(&state->loop);
 }
 
--- a/router/daemon_internal.h
+++ b/router/daemon_internal.h
@@ -37,6 +37,8 @@
  * @exit_earliest_at: earliest time at which the loop stops, ms; 0 unless the
  *	instance is shutting down
  * @replica_log: log of changes of replicas
+ * @status_log: log of replies of replicas whose status is none
+ * @has_limit_news: a replica has named its first limit, of which others are not told
  * @path: name of the settings file
  */
 typedef struct daemon_state {
@@ -60,6 +62,7 @@
 	medlar_time_t exit_forced_at;
 	medlar_time_t exit_earliest_at;
 	log_batch_t replica_log;
+	log_batch_t status_log;
 	bool has_limit_news;
 	const char *path;
 } daemon_state_t;
--- a/router/stats.c
+++ b/router/stats.c
@@ -22,6 +22,7 @@
 	[STAT_CONNS_OPENED] = "upstream_connections_opened_total",
 	[STAT_CONNS_REUSED] = "upstream_connections_reused_total",
 	[STAT_STRAY_REPLIES] = "upstream_stray_replies_total",
+	[STAT_BAD_STATUSES] = "bad_status_replies_total",
 	[STAT_REPLICAS_LEAVING] = "replicas_leaving_total",
 	[STAT_REPLICAS_HELD] = "replicas_held_total",
 	[STAT_REPLICA_LIMITS] = "replica_limits_total",
--- a/router/stats.h
+++ b/router/stats.h
@@ -30,6 +30,8 @@
  * @STAT_CONNS_OPENED: connections to replicas that were opened
  * @STAT_CONNS_REUSED: requests that were sent on an idle connection
  * @STAT_STRAY_REPLIES: replies of replicas to another request
+ * @STAT_BAD_STATUSES: replies of replicas, the store and other instances whose status
+ *	is none
  * @STAT_REPLICAS_LEAVING: replicas that said in a reply that they are leaving
  * @STAT_REPLICAS_HELD: times at which a replica said that it wants no requests for
  *	some time
@@ -66,6 +68,7 @@
 	STAT_CONNS_OPENED,
 	STAT_CONNS_REUSED,
 	STAT_STRAY_REPLIES,
+	STAT_BAD_STATUSES,
 	STAT_REPLICAS_LEAVING,
 	STAT_REPLICAS_HELD,
 	STAT_REPLICA_LIMITS,
--- a/router/store_channel.c
+++ b/router/store_channel.c
@@ -115,11 +115,25 @@
 		       (medlar_str_t){ 0 }, false);
 }
 
+static void log_bad_status(const store_channel_t *channel)
+{
+	const h1_parser_t *parser = &channel->client.parser;
+	const store_t *store = channel->store;
+
+	if (parser->error != H1_BAD_STATUS)
+		return;
+	store->stats->counts[STAT_BAD_STATUSES]++;
+	LOG_LINE(store->log, LOG_LEVEL_WARNING, "bad_status",
+		 MEDLAR_TEXT("from", MEDLAR_STR("store")),
+		 MEDLAR_TEXT("status", h1_parser_status_code(parser)));
+}
+
 static void channel_on_done(h1_client_t *client, h1_end_t end, void *data)
 {
 	store_channel_t *channel = data;
 	const h1_message_t *reply = &client->parser.message;
 
+	log_bad_status(channel);
 	if (end == H1_END_REPLY)
 		channel_end_call(channel, reply->status,
 				 medlar_buf_str(&reply->body));
--- a/router/upstream.c
+++ b/router/upstream.c
@@ -22,17 +22,15 @@
  * @loop: event loop
  * @stats: counters
  * @body_max: most bytes of the body of a reply
- * @on_crash: called with the fingerprint of a request that crashed a replica
- * @data: passed to @on_crash
+ * @events: callbacks
+ * @data: passed to @events
  */
 void upstream_init(upstream_t *upstream, loop_t *loop, stats_t *stats,
-		   size_t body_max,
-		   void (*on_crash)(uint64_t, const replica_t *, void *),
-		   void *data)
+		   size_t body_max, const upstream_events_t *events, void *data)
 {
 	*upstream = (upstream_t){ .loop = loop,
 				  .stats = stats,
-				  .on_crash = on_crash,
+				  .events = events,
 				  .data = data,
 				  .body_max = body_max,
 				  .reply_memory = {
@@ -123,8 +121,8 @@
 static void report_crash(upstream_conn_t *conn, uint64_t fingerprint)
 {
 	if (fingerprint)
-		conn->upstream->on_crash(fingerprint, conn->replica,
-					 conn->upstream->data);
+		conn->upstream->events->crash(fingerprint, conn->replica,
+					      conn->upstream->data);
 }
 
 /* Checks whether the end of a connection indicates a crash of the replica. */
@@ -142,6 +140,18 @@
 	}
 }
 
+static void report_bad_status(const upstream_conn_t *conn)
+{
+	const upstream_t *upstream = conn->upstream;
+
+	if (conn->client.parser.error != H1_BAD_STATUS)
+		return;
+	upstream->stats->counts[STAT_BAD_STATUSES]++;
+	upstream->events->bad_status(
+		conn->replica, h1_parser_status_code(&conn->client.parser),
+		upstream->data);
+}
+
 static void on_done(h1_client_t *client, h1_end_t end, void *data)
 {
 	upstream_conn_t *conn = data;
@@ -155,6 +165,7 @@
 			upstream_conn_close(conn);
 		return;
 	}
+	report_bad_status(conn);
 	check_for_crash(conn, end);
 	if (!client->reused)
 		replica_limit_conns(conn->replica, client->loop->now);
--- a/router/upstream.h
+++ b/router/upstream.h
@@ -32,12 +32,24 @@
 
 TAILQ_HEAD(upstream_conn_list, upstream_conn);
 
+/**
+ * struct upstream_events - callbacks of the connections to replicas
+ * @crash: a request, with this fingerprint, crashed a replica
+ * @bad_status: a reply of a replica had a status that is none; @code is what it was
+ */
+typedef struct upstream_events {
+	void (*crash)(uint64_t fingerprint, const replica_t *replica,
+		      void *data);
+	void (*bad_status)(const replica_t *replica, medlar_str_t code,
+			   void *data);
+} upstream_events_t;
+
 /**
  * struct upstream - all connections to replicas
  * @loop: event loop
  * @stats: counters
- * @on_crash: called with the fingerprint of a request that crashed a replica
- * @data: passed to @on_crash
+ * @events: callbacks
+ * @data: passed to @events
  * @conns_opened: number of connections ever opened
  * @open_conns: open connections
  * @closed_conns: closed connections, freed at the end of the loop iteration
@@ -47,8 +59,7 @@
 typedef struct upstream {
 	loop_t *loop;
 	stats_t *stats;
-	void (*on_crash)(uint64_t fingerprint, const replica_t *replica,
-			 void *data);
+	const upstream_events_t *events;
 	void *data;
 	uint64_t conns_opened;
 	struct upstream_conn_list open_conns;
@@ -58,8 +69,7 @@
 } upstream_t;
 
 void upstream_init(upstream_t *upstream, loop_t *loop, stats_t *stats,
-		   size_t body_max,
-		   void (*on_crash)(uint64_t, const replica_t *, void *),
+		   size_t body_max, const upstream_events_t *events,
 		   void *data);
 void upstream_free_closed(void *data);
 int upstream_send_attempt(upstream_t *upstream, attempt_t *attempt);
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -47,15 +47,16 @@
 	BEHAVIOUR_LEAVING, /* says in its answers that it is leaving */
 	BEHAVIOUR_HOLD, /* refuses, and wants no requests for HOLD_S */
 	BEHAVIOUR_SHED_AGAIN, /* refuses once; later repeats the refusal, and runs */
+	BEHAVIOUR_STATUS, /* executes and answers with a status of the control */
 	BEHAVIOUR_CUT_HEAD, /* executes and closes within the head of the answer */
 	BEHAVIOUR_ENDLESS_HEAD, /* executes and sends headers without end */
 	BEHAVIOUR_ENDLESS_BODY, /* executes and sends a body without end */
 } behaviour_t;
 
 static const char *const behaviour_names[] = {
-	"ok",	      "shed",	  "reset",	  "stray",
-	"hang",	      "fail",	  "leaving",	  "hold",
-	"shed-again", "cut-head", "endless-head", "endless-body"
+	"ok",	    "shed",	    "reset",	   "stray",	 "hang",
+	"fail",	    "leaving",	    "hold",	   "shed-again", "status",
+	"cut-head", "endless-head", "endless-body"
 };
 
 /* Time for which a replica wants no requests, s. */
@@ -72,6 +73,8 @@
 	char service[TEXT_MAX];
 	behaviour_t behaviour;
 	medlar_time_t service_time;
+	char status
+		[TEXT_MAX]; /* status of its answers, if it answers with one */
 	unsigned arrivals; /* requests, also refused ones */
 	char limit[TEXT_MAX]; /* value of Server-Limit; empty: none */
 	medlar_time_t limit_named_at;
@@ -443,6 +446,8 @@
 		get_query_arg(conn, "work", text, sizeof(text));
 		if (text[0])
 			replica->service_time = atoi(text);
+		get_query_arg(conn, "status", replica->status,
+			      sizeof(replica->status));
 		get_query_arg(conn, "limit", text, sizeof(text));
 		if (text[0])
 			set_limit(replica, text);
@@ -776,6 +781,27 @@
 			       job->replica->site->loop.now + ENDLESS_PAUSE_MS);
 }
 
+/* Sends an answer whose status may be none, and keeps the connection open. */
+static void send_with_status(job_t *job)
+{
+	h1_conn_t *conn = job->conn;
+	medlar_buf_t out;
+	medlar_buf_t body;
+
+	medlar_buf_init(&out);
+	medlar_buf_init(&body);
+	write_body(job, &body);
+	medlar_buf_printf(&out, "HTTP/1.1 %s Odd\r\nContent-Length: %zu\r\n",
+			  job->replica->status, body.len);
+	write_headers(job, &out);
+	medlar_buf_add(&out, MEDLAR_STR("\r\n"));
+	medlar_buf_add(&out, medlar_buf_str(&body));
+	(void)send(conn->fd, out.ptr, out.len, MSG_DONTWAIT | MSG_NOSIGNAL);
+	finish_job(job);
+	medlar_buf_finish(&out);
+	medlar_buf_finish(&body);
+}
+
 static void on_work_done(medlar_client_t *client, medlar_timer_t *timer,
 			 medlar_time_t now, void *data)
 {
@@ -798,6 +824,10 @@
 		send_endless(job);
 		return;
 	}
+	if (job->replica->behaviour == BEHAVIOUR_STATUS) {
+		send_with_status(job);
+		return;
+	}
 	medlar_buf_init(&headers);
 	medlar_buf_init(&body);
 	write_headers(job, &headers);
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "medlard/h1.h"
+#include "medlard/h1_status.h"
 
 static const h1_limits_t limits = { 1024, 64, NULL };
 
@@ -139,6 +140,91 @@
 	h1_parser_finish(&parser);
 }
 
+/*
+ * Guards against MIXED: statuses that are none were passed on, or taken for interim
+ * replies, for which the request waited until its deadline.
+ */
+static void only_final_statuses_end_a_reply(void **state)
+{
+	static const struct {
+		const char *line;
+		h1_progress_t progress;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK", H1_COMPLETE },
+		{ "HTTP/1.1 200", H1_COMPLETE },
+		{ "HTTP/1.0 404 ", H1_COMPLETE },
+		{ "HTTP/1.1 599 x", H1_COMPLETE },
+		{ "HTTP/1.1 000 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 001 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 099 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 101 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 600 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 999 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 0 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 00 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 20 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 2 0 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 0200 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 2000 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 -20 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 +200 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 abc x", H1_BAD_STATUS },
+		{ "HTTP/1.1 2\t0 x", H1_BAD_STATUS },
+		{ "HTTP/1.1  200 x", H1_BAD_STATUS },
+		{ "HTTP/1.1 ", H1_BAD_STATUS },
+		{ "HTTP/1.1", H1_MALFORMED },
+		{ "200", H1_MALFORMED },
+		{ "HTTP/1.1 199 x", H1_MALFORMED },
+	};
+	char text[128];
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		for (size_t step = 1; step < 130; step += 64) {
+			h1_parser_t parser;
+			size_t used;
+
+			(void)snprintf(text, sizeof(text),
+				       "%s\r\nContent-Length: 2\r\n\r\nab",
+				       cases[i].line);
+			h1_parser_init(&parser, HTTP_RESPONSE, limits);
+			if (feed_in_steps(&parser, text, step, &used) !=
+			    cases[i].progress)
+				fail_msg("%s, step %zu", cases[i].line, step);
+			h1_parser_finish(&parser);
+		}
+}
+
+/* Random status lines; the reference reads them with the C library. */
+static void random_status_lines_are_told_apart(void **state)
+{
+	static const char alphabet[] = "0123459 9HTP/.1-+a\t";
+	medlar_rand_t rand = { 1 };
+
+	(void)state;
+	for (int i = 0; i < 200000; i++) {
+		char line[24] = "HTTP/1.1 ";
+		size_t len = strlen(line);
+		size_t end = len + medlar_rand_below(&rand, 8);
+		h1_status_kind_t kind = H1_STATUS_INVALID;
+		int digits = 0;
+		unsigned code = 0;
+
+		for (; len < end; len++)
+			line[len] = alphabet[medlar_rand_below(
+				&rand, sizeof(alphabet) - 1)];
+		line[len] = '\0';
+		digits = (int)strspn(line + 9, "0123456789");
+		if (digits == 3 && (line[12] == ' ' || line[12] == '\0') &&
+		    sscanf(line + 9, "%u", &code) == 1 && code >= 100 &&
+		    code <= 599 && code != 101)
+			kind = code >= 200 ? H1_STATUS_FINAL
+					   : H1_STATUS_INTERIM;
+		if (h1_status_line_kind(medlar_str_from(line)) != kind)
+			fail_msg("%s", line);
+	}
+}
+
 static void a_reply_without_length_is_delimited_by_close(void **state)
 {
 	h1_parser_t parser;
@@ -227,6 +313,8 @@
 		cmocka_unit_test(messages_above_the_limits_are_rejected),
 		cmocka_unit_test(bytes_after_the_end_are_not_consumed),
 		cmocka_unit_test(an_interim_reply_is_skipped),
+		cmocka_unit_test(only_final_statuses_end_a_reply),
+		cmocka_unit_test(random_status_lines_are_told_apart),
 		cmocka_unit_test(a_reply_without_length_is_delimited_by_close),
 		cmocka_unit_test(a_truncated_reply_is_not_complete),
 		cmocka_unit_test(a_reply_to_head_has_no_body),
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -237,6 +237,32 @@
 	}
 }
 
+/* Guards against MIXED: a status that is none was taken for the reply's. */
+static void a_status_that_is_none_is_no_reply(void **state)
+{
+	static const char *const statuses[] = { "000", "099", "101",  "600",
+						"999", "20",  "2000", "abc" };
+	char reply[128];
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		server_t server = { .reply = reply };
+		http_end_t end;
+		fixture_t fixture;
+
+		(void)snprintf(reply, sizeof(reply),
+			       "HTTP/1.1 %s x\r\nContent-Length: 2\r\n\r\n{}",
+			       statuses[i]);
+		server_start(&server);
+		fixture_init(&fixture);
+		end = call_once(&fixture, new_peer(&fixture, server.port, 4));
+		if (end != HTTP_MALFORMED)
+			fail_msg("status %s: end %d", statuses[i], (int)end);
+		fixture_finish(&fixture);
+		server_stop(&server);
+	}
+}
+
 static void a_refused_connection_sends_nothing(void **state)
 {
 	server_t server = { 0 };
@@ -435,6 +461,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(each_failure_ends_the_call_accordingly),
+		cmocka_unit_test(a_status_that_is_none_is_no_reply),
 		cmocka_unit_test(a_refused_connection_sends_nothing),
 		cmocka_unit_test(without_a_connection_nothing_is_sent),
 		cmocka_unit_test(a_request_is_never_sent_twice),
