A reset that a send has met completes no reply

Cause: send() reports a reset once and clears it; the client goes on to read, and recv() returns 0, which ends a reply that has no length.

Change: the connection remembers that a send failed; the end of the stream then completes nothing. Replies that have a length and all their bytes are taken as before, since a replica may answer before it has read everything.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 	tests/fakes/fake-*.c))
 ROUTER_TESTS := $(patsubst %,$(BUILD)/tests/%,test_routes test_records \
 	test_retry_budget test_pause test_crash test_fleet test_exchange \
-	test_answer_time test_retry_after test_watchers test_rotation test_hash_index test_observer test_throttle test_limit test_entry_points test_admission test_peers test_mirror test_h1 test_h1_endless test_log_batch test_platform \
+	test_answer_time test_retry_after test_watchers test_rotation test_hash_index test_observer test_throttle test_limit test_entry_points test_admission test_peers test_mirror test_h1 test_h1_client test_h1_endless test_log_batch test_platform \
 	test_router_settings test_store test_availability test_removal test_uptime)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c)) \
 	$(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
--- a/medlard/h1_client.c
+++ b/medlard/h1_client.c
@@ -112,9 +112,13 @@
 	}
 }
 
+/*
+ * After a failed send the end of the stream may be a reset, which the kernel reports
+ * only once.
+ */
 static void handle_eof(h1_client_t *client)
 {
-	if (client->state == H1_BUSY &&
+	if (client->state == H1_BUSY && !client->send_failed &&
 	    h1_parser_end(&client->parser) == H1_COMPLETE &&
 	    !skip_stray_reply(client))
 		complete_reply(client, true);
@@ -154,6 +158,7 @@
 			return false;
 		}
 		/* The peer may have replied to the part that it has read. */
+		client->send_failed = true;
 		set_events(client, EPOLLIN);
 		return true;
 	}
@@ -271,6 +276,7 @@
 	medlar_buf_add(&client->out, head);
 	medlar_buf_add(&client->out, body);
 	client->out_sent = 0;
+	client->send_failed = false;
 	client->state = H1_BUSY;
 	if (client->out.error)
 		end_connection(client);
--- a/medlard/h1_client.h
+++ b/medlard/h1_client.h
@@ -67,6 +67,7 @@
  * @parser: parser of the reply
  * @out: request being sent
  * @out_sent: bytes of @out that were handed to the kernel
+ * @send_failed: the connection broke while @out was being sent
  * @watched_events: epoll events that are being watched
  * @idle_since: time at which the last request ended or the connection was
  *	established, ms
@@ -84,6 +85,7 @@
 	h1_parser_t parser;
 	medlar_buf_t out;
 	size_t out_sent;
+	bool send_failed;
 	uint32_t watched_events;
 	medlar_time_t idle_since;
 	medlar_time_t peer_idle_timeout;
