One instance decides for all when a request that crashed replicas is tried

Cause: half a minute after the end of a conviction every instance tried the request by its own table, so a return cost as much as there are instances that get it.

Change: the instance that a hash chooses decides without an end. One trial at a time; an answer is told to the instance that decides, which then clears the request for all who ask.

--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -5,8 +5,6 @@
 
 /* Time for which each message tells of a crash; most instances need one of them. */
 #define TELL_MS (5 * MEDLAR_SECOND)
-/* Time after the end of a conviction in which only its owner tries the request. */
-#define OWNER_TRIES_MS (30 * MEDLAR_SECOND)
 /* Time in which the outcome of a trial shows. */
 #define TRIAL_MS (2 * MEDLAR_SECOND)
 /* A request that was answered this recently is no likely cause of crashes. */
@@ -234,22 +232,52 @@
 }
 
 /**
- * suspect_may_try() - decide whether a request may be sent to a replica again
+ * suspect_is_refused() - check whether the conviction of a request still holds
  * @suspect: a request that was convicted
- * @is_owner: this instance is the first to try it
+ * @now: current time, ms
+ *
+ * Return: true until a time without a crash has passed.
+ */
+bool suspect_is_refused(const suspect_t *suspect, medlar_time_t now)
+{
+	return is_convicted(suspect, now);
+}
+
+/* An instance that has started since knows nothing of the conviction. */
+static suspect_t *find_or_add_ended(suspects_t *suspects, uint64_t fingerprint,
+				    medlar_time_t now)
+{
+	suspect_t *suspect = find_suspect(suspects, fingerprint);
+
+	if (suspect)
+		return suspect;
+	suspect = find_or_replace_oldest(suspects, fingerprint);
+	suspect->crashes = SUSPECT_BREAKS;
+	suspect->updated_at = now - SUSPECT_CONVICTION_MS;
+	return suspect;
+}
+
+/**
+ * suspects_grant_trial() - decide whether a request that was convicted may be sent to
+ *	a replica again
+ * @suspects: table of the instance that decides for all
+ * @fingerprint: fingerprint of the request
  * @now: current time, ms
  *
  * After the end of a conviction one request is let through at a time: an answer
  * clears it, and a crash convicts it again.
  *
- * Return: whether it may be sent; if so, this counts as a trial.
+ * Return: whether one may be sent, by this or another instance; if so, this counts as
+ * a trial.
  */
-bool suspect_may_try(suspect_t *suspect, bool is_owner, medlar_time_t now)
+bool suspects_grant_trial(suspects_t *suspects, uint64_t fingerprint,
+			  medlar_time_t now)
 {
-	medlar_time_t wait = SUSPECT_CONVICTION_MS +
-			     (is_owner ? 0 : OWNER_TRIES_MS);
+	suspect_t *suspect = find_or_add_ended(suspects, fingerprint, now);
 
-	if (now - suspect->updated_at < wait ||
+	if (suspect->crashes < SUSPECT_BREAKS)
+		return true;
+	if (is_convicted(suspect, now) ||
 	    (suspect->tried_at && now - suspect->tried_at < TRIAL_MS))
 		return false;
 	suspect->tried_at = now;
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -80,8 +80,9 @@
  * all of them tell each other of each crash. All instances are killed meanwhile: the
  * store holds the convictions, and those that start read them there. Or all replicas
  * of a service go down at once while they run the same popular request: as it has
- * just been answered, they count as one crash. A conviction ends while its callers
- * repeat at once, at all instances: one instance tries the request once.
+ * just been answered, they count as one crash. Callers return long after the end of a
+ * conviction and repeat at once, at all instances: one of them decides for all, and
+ * lets one request through at a time.
  */
 typedef struct suspects {
 	suspect_t entries[SUSPECTS_MAX];
@@ -103,7 +104,9 @@
 void suspects_add_answer(suspects_t *suspects, uint64_t fingerprint,
 			 medlar_time_t now);
 suspect_t *suspects_find_convicted(suspects_t *suspects, uint64_t fingerprint);
-bool suspect_may_try(suspect_t *suspect, bool is_owner, medlar_time_t now);
+bool suspect_is_refused(const suspect_t *suspect, medlar_time_t now);
+bool suspects_grant_trial(suspects_t *suspects, uint64_t fingerprint,
+			  medlar_time_t now);
 bool suspects_is_convicted(const suspects_t *suspects, uint64_t fingerprint,
 			   medlar_time_t now);
 
--- a/proto/gossip.h
+++ b/proto/gossip.h
@@ -155,6 +155,21 @@
 };
 typedef struct gossip_observations gossip_observations;
 
+enum gossip_trial_kind {
+	GOSSIP_TRIAL_ASK = 0,
+	GOSSIP_TRIAL_GRANT = 1,
+	GOSSIP_TRIAL_DENY = 2,
+	GOSSIP_TRIAL_ANSWERED = 3,
+};
+typedef enum gossip_trial_kind gossip_trial_kind;
+
+struct gossip_trial {
+	u_quad_t request;
+	u_quad_t sender;
+	gossip_trial_kind kind;
+};
+typedef struct gossip_trial gossip_trial;
+
 #define GOSSIP_PROGRAM 0x20006d66
 #define GOSSIP_VERSION 1
 
@@ -168,6 +183,9 @@
 #define GOSSIP_ANNOUNCE 3
 extern  void * gossip_announce_1(gossip_observations , CLIENT *);
 extern  void * gossip_announce_1_svc(gossip_observations , struct svc_req *);
+#define GOSSIP_TRIAL 4
+extern  void * gossip_trial_1(gossip_trial , CLIENT *);
+extern  void * gossip_trial_1_svc(gossip_trial , struct svc_req *);
 extern int gossip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -180,6 +198,9 @@
 #define GOSSIP_ANNOUNCE 3
 extern  void * gossip_announce_1();
 extern  void * gossip_announce_1_svc();
+#define GOSSIP_TRIAL 4
+extern  void * gossip_trial_1();
+extern  void * gossip_trial_1_svc();
 extern int gossip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -200,6 +221,8 @@
 extern  bool_t xdr_gossip_changes (XDR *, gossip_changes*);
 extern  bool_t xdr_gossip_observation (XDR *, gossip_observation*);
 extern  bool_t xdr_gossip_observations (XDR *, gossip_observations*);
+extern  bool_t xdr_gossip_trial_kind (XDR *, gossip_trial_kind*);
+extern  bool_t xdr_gossip_trial (XDR *, gossip_trial*);
 
 #else /* K&R C */
 extern bool_t xdr_gossip_message ();
@@ -216,6 +239,8 @@
 extern bool_t xdr_gossip_changes ();
 extern bool_t xdr_gossip_observation ();
 extern bool_t xdr_gossip_observations ();
+extern bool_t xdr_gossip_trial_kind ();
+extern bool_t xdr_gossip_trial ();
 
 #endif /* K&R C */
 
--- a/proto/gossip.x
+++ b/proto/gossip.x
@@ -126,10 +126,28 @@
 	gossip_observation list<GOSSIP_OBSERVATIONS_MAX>;
 };
 
+enum gossip_trial_kind {
+	GOSSIP_TRIAL_ASK = 0,
+	GOSSIP_TRIAL_GRANT = 1,
+	GOSSIP_TRIAL_DENY = 2,
+	GOSSIP_TRIAL_ANSWERED = 3
+};
+
+/*
+ * Between an instance and the one that decides when a request that crashed replicas is
+ * sent to one again. @sender: hash of the name of the sender.
+ */
+struct gossip_trial {
+	unsigned hyper request;
+	unsigned hyper sender;
+	gossip_trial_kind kind;
+};
+
 program GOSSIP_PROGRAM {
 	version GOSSIP_VERSION {
 		void GOSSIP_TELL(gossip_message) = 1;
 		void GOSSIP_REPORT(gossip_observation) = 2;
 		void GOSSIP_ANNOUNCE(gossip_observations) = 3;
+		void GOSSIP_TRIAL(gossip_trial) = 4;
 	} = 1;
 } = 0x20006d66;
--- a/proto/gossip_xdr.c
+++ b/proto/gossip_xdr.c
@@ -344,3 +344,27 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_gossip_trial_kind (XDR *xdrs, gossip_trial_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_gossip_trial (XDR *xdrs, gossip_trial *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_gossip_trial_kind (xdrs, &objp->kind))
+		 return FALSE;
+	return TRUE;
+}
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -94,12 +94,20 @@
 	fleet_accept_limit(&state->fleet, news, state->loop.now);
 }
 
+static void on_trial(const gossip_trial *trial, void *data)
+{
+	daemon_state_t *state = data;
+
+	trials_receive(&state->forward.trials, trial);
+}
+
 static const peers_events_t peers_events = {
 	.can_apply_changes = can_apply_changes,
 	.report = on_report,
 	.announcement = on_announcement,
 	.list_limits = on_list_limits,
 	.limit = on_limit_news,
+	.trial = on_trial,
 };
 
 static void on_replica_removed(replica_t *replica, void *data)
--- a/router/forward.c
+++ b/router/forward.c
@@ -116,6 +116,8 @@
 					      : 0);
 	}
 	delay_add(&forward->setup.write_delay, iteration_elapsed(forward));
+	if (request->is_trial && (how == ANSWER_RELAY || how == ANSWER_MERGED))
+		trials_report_answer(&forward->trials, exchange->fingerprint);
 	forward_log_answer(request, how, status);
 }
 
@@ -246,9 +248,15 @@
 	return timing;
 }
 
+/* What is known of a request that may crash replicas. */
+typedef struct trial_state {
+	uint64_t fingerprint;
+	bool is_trial; /* it was convicted, and is tried again */
+} trial_state_t;
+
 static void start_request(forward_t *forward, h1_conn_t *conn,
 			  const route_t *route, const request_head_t *head,
-			  uint64_t fingerprint)
+			  const trial_state_t *trial)
 {
 	const caller_timing_t timing = caller_timing(forward, conn, route,
 						     head);
@@ -283,7 +291,8 @@
 	if (forward->stop_at)
 		exchange_limit_deadline(&request->exchange, forward->stop_at,
 					now);
-	request->exchange.fingerprint = fingerprint;
+	request->exchange.fingerprint = trial->fingerprint;
+	request->is_trial = trial->is_trial;
 	request->exchange.owner = request;
 	conn->handler_data = request;
 	exchange_start(&request->exchange, now);
@@ -303,72 +312,142 @@
 	       forward->loop->now + time_max > forward->stop_at;
 }
 
-/* Whether a request must be refused as it crashes replicas. */
-static bool is_convicted(forward_t *forward, uint64_t fingerprint)
+static void log_trial(forward_t *forward, uint64_t fingerprint)
 {
-	suspect_t *suspect = suspects_find_convicted(&forward->suspects,
-						     fingerprint);
-	bool is_owner;
-
-	if (!suspect)
-		return false;
-	is_owner = !peers_owner_of(forward->peers, fingerprint);
-	if (!suspect_may_try(suspect, is_owner, forward->loop->now))
-		return true;
+	const suspect_t *suspect = suspects_find_convicted(&forward->suspects,
+							   fingerprint);
+
 	LOG_LINE(forward->log, LOG_LEVEL_NOTICE, "trial",
 		 MEDLAR_HEX("request", fingerprint),
-		 MEDLAR_NUM("crashes", suspect->crashes),
-		 MEDLAR_NUM("age_ms", forward->loop->now - suspect->updated_at),
-		 MEDLAR_NUM("owner", is_owner));
-	return false;
+		 MEDLAR_NUM("crashes", suspect ? suspect->crashes : 0),
+		 MEDLAR_NUM("age_ms",
+			    suspect ? forward->loop->now - suspect->updated_at
+				    : -1),
+		 MEDLAR_NUM("owner",
+			    !peers_owner_of(forward->peers, fingerprint)));
 }
 
-static void on_request(h1_conn_t *conn, void *data)
+/* Admits a request that has passed all checks of itself, or refuses it. */
+static void admit_request(forward_t *forward, h1_conn_t *conn,
+			  const route_t *route, const request_head_t *head,
+			  const trial_state_t *trial)
+{
+	if (may_outlast_shutdown(forward, route, head->timeout)) {
+		refuse_request(forward, conn, &refusal_leaving, head);
+		return;
+	}
+	if (!admission_allows(&forward->admission, route,
+			      iteration_elapsed(forward), head->timeout)) {
+		refuse_request(forward, conn, &refusal_overload, head);
+		return;
+	}
+	if (trial->is_trial)
+		log_trial(forward, trial->fingerprint);
+	start_request(forward, conn, route, head, trial);
+}
+
+/*
+ * A request that was convicted is refused, tried, or waits until the instance that
+ * decides on it has replied.
+ */
+static void handle_convicted(forward_t *forward, h1_conn_t *conn,
+			     const route_t *route, const request_head_t *head,
+			     const suspect_t *suspect)
+{
+	const trial_state_t trial = { suspect->fingerprint, true };
+	medlar_time_t now = forward->loop->now;
+
+	if (suspect_is_refused(suspect, now)) {
+		refuse_request(forward, conn, &refusal_convicted, head);
+		return;
+	}
+	if (peers_owner_of(forward->peers, trial.fingerprint)) {
+		if (trials_ask(&forward->trials, conn, trial.fingerprint))
+			refuse_request(forward, conn, &refusal_convicted, head);
+		return;
+	}
+	if (suspects_grant_trial(&forward->suspects, trial.fingerprint, now))
+		admit_request(forward, conn, route, head, &trial);
+	else
+		refuse_request(forward, conn, &refusal_convicted, head);
+}
+
+/* Return: the route of a request; NULL if it was refused. */
+static const route_t *find_route(forward_t *forward, h1_conn_t *conn,
+				 request_head_t *head)
 {
-	forward_t *forward = data;
 	const h1_message_t *message = &conn->parser.message;
-	medlar_str_t target = h1_message_target(message);
 	const route_t *route;
-	uint64_t fingerprint;
-	request_head_t head;
 
-	forward->stats->counts[STAT_REQUESTS]++;
-	headers_parse_request(message, &head);
-	if (head.malformed) {
+	headers_parse_request(message, head);
+	if (head->malformed) {
 		conn->closing = true;
-		refuse_request(forward, conn, &refusal_malformed, &head);
-		return;
+		refuse_request(forward, conn, &refusal_malformed, head);
+		return NULL;
 	}
 	if (!forward->routes) {
-		refuse_request(forward, conn, &refusal_not_ready, &head);
-		return;
+		refuse_request(forward, conn, &refusal_not_ready, head);
+		return NULL;
 	}
-	route = routes_find(forward->routes, head.host, target);
+	route = routes_find(forward->routes, head->host,
+			    h1_message_target(message));
 	if (!route) {
 		bool is_current = forward->routes_are_current(forward->data);
 
 		refuse_request(forward, conn,
 			       is_current ? &refusal_no_route
 					  : &refusal_not_current,
-			       &head);
-		return;
-	}
-	fingerprint = fingerprint_request(message, head.host);
-	if (is_convicted(forward, fingerprint)) {
-		refuse_request(forward, conn, &refusal_convicted, &head);
-		return;
+			       head);
+		return NULL;
 	}
-	head.timeout = head.timeout ? head.timeout : route->timeout;
-	if (may_outlast_shutdown(forward, route, head.timeout)) {
-		refuse_request(forward, conn, &refusal_leaving, &head);
+	head->timeout = head->timeout ? head->timeout : route->timeout;
+	return route;
+}
+
+static void on_request(h1_conn_t *conn, void *data)
+{
+	forward_t *forward = data;
+	request_head_t head;
+	const route_t *route;
+	const suspect_t *suspect;
+	trial_state_t trial = { 0 };
+
+	forward->stats->counts[STAT_REQUESTS]++;
+	route = find_route(forward, conn, &head);
+	if (!route)
 		return;
-	}
-	if (!admission_allows(&forward->admission, route,
-			      iteration_elapsed(forward), head.timeout)) {
-		refuse_request(forward, conn, &refusal_overload, &head);
+	trial.fingerprint = fingerprint_request(&conn->parser.message,
+						head.host);
+	suspect = suspects_find_convicted(&forward->suspects,
+					  trial.fingerprint);
+	if (suspect)
+		handle_convicted(forward, conn, route, &head, suspect);
+	else
+		admit_request(forward, conn, route, &head, &trial);
+}
+
+/* The route, or what is known of the request, may have changed while it waited. */
+static void on_trial_decided(h1_conn_t *conn, bool granted,
+			     medlar_time_t waited, void *data)
+{
+	forward_t *forward = data;
+	request_head_t head;
+	const route_t *route = find_route(forward, conn, &head);
+	trial_state_t trial = { .is_trial = true };
+	const suspect_t *suspect;
+
+	if (!route)
 		return;
-	}
-	start_request(forward, conn, route, &head, fingerprint);
+	trial.fingerprint = fingerprint_request(&conn->parser.message,
+						head.host);
+	head.timeout -= waited;
+	suspect = suspects_find_convicted(&forward->suspects,
+					  trial.fingerprint);
+	if (granted && head.timeout > 0 &&
+	    !(suspect && suspect_is_refused(suspect, forward->loop->now)))
+		admit_request(forward, conn, route, &head, &trial);
+	else
+		refuse_request(forward, conn, &refusal_convicted, &head);
 }
 
 static void on_caller_disconnected(h1_conn_t *conn, void *data)
@@ -376,6 +455,8 @@
 	forward_t *forward = data;
 	forward_request_t *request = conn->handler_data;
 
+	if (trials_forget(&forward->trials, conn))
+		forward->stats->counts[STAT_CALLERS_LEFT]++;
 	if (!request)
 		return;
 	forward->stats->counts[STAT_CALLERS_LEFT]++;
@@ -429,6 +510,8 @@
 					     .events = &exchange_events,
 					     .data = forward };
 	TAILQ_INIT(&forward->finished);
+	trials_init(&forward->trials, loop, &forward->suspects, peers,
+		    on_trial_decided, forward);
 	if (router_address_parse(medlar_str_from(settings->callers), &address))
 		return MEDLAR_ERR_SYNTAX;
 	return h1_server_init(&forward->server, loop,
@@ -511,6 +594,7 @@
 void forward_finish(forward_t *forward)
 {
 	h1_server_finish(&forward->server);
+	trials_finish(&forward->trials);
 	free_finished(forward);
 	routes_unref(forward->routes);
 }
--- a/router/forward.h
+++ b/router/forward.h
@@ -10,6 +10,7 @@
 #include "libroute/exchange.h"
 #include "medlard/h1_server.h"
 #include "router/peers.h"
+#include "router/trials.h"
 #include "router/upstream.h"
 
 TAILQ_HEAD(forward_list, forward_request);
@@ -26,6 +27,7 @@
  * @admission: measures how busy this process is
  * @timeouts: timeouts that callers state
  * @suspects: requests that are suspected of crashing replicas
+ * @trials: requests that wait until they may be tried
  * @routes: configuration version in force; NULL before the first one
  * @routes_are_current: checks whether @routes is known to be current
  * @data: passed to @routes_are_current
@@ -46,6 +48,7 @@
 	admission_t admission;
 	timeouts_t timeouts;
 	suspects_t suspects;
+	trials_t trials;
 	routes_t *routes;
 	bool (*routes_are_current)(void *data);
 	void *data;
--- a/router/forward_internal.h
+++ b/router/forward_internal.h
@@ -13,6 +13,7 @@
 	TAILQ_ENTRY(forward_request) link;
 	forward_t *forward;
 	h1_conn_t *conn;
+	bool is_trial; /* it was convicted, and is tried again */
 	exchange_t exchange;
 	medlar_buf_t id;
 } forward_request_t;
--- a/router/gossip.c
+++ b/router/gossip.c
@@ -313,6 +313,26 @@
 		send_datagram(peers, &observer->peer_address, bytes, len);
 }
 
+/**
+ * peers_send_trial() - tell an instance about the trial of a request
+ * @peers: the other instances
+ * @instance: &struct peer_instance.hash of the instance; ignored if it is unknown
+ * @fingerprint: fingerprint of the request
+ * @kind: what is asked or told
+ */
+void peers_send_trial(peers_t *peers, uint64_t instance, uint64_t fingerprint,
+		      gossip_trial_kind kind)
+{
+	const peer_instance_t *peer = peers_find_by_hash(peers, instance);
+	gossip_trial trial = { fingerprint, peers->own_hash, kind };
+	char bytes[DATAGRAM_BYTES_MAX];
+	size_t len = encode_call(peers, GOSSIP_TRIAL,
+				 (xdrproc_t)xdr_gossip_trial, &trial, bytes);
+
+	if (peer && len)
+		send_datagram(peers, &peer->peer_address, bytes, len);
+}
+
 static void send_announcements(peers_t *peers, const announcement_t *list,
 			       size_t list_len)
 {
--- a/router/gossip_receive.c
+++ b/router/gossip_receive.c
@@ -243,6 +243,14 @@
 	xdr_free((xdrproc_t)xdr_gossip_observations, (char *)&observations);
 }
 
+static void decode_trial(peers_t *peers, XDR *xdr)
+{
+	gossip_trial trial;
+
+	if (xdr_gossip_trial(xdr, &trial) && trial.request)
+		peers->events->trial(&trial, peers->data);
+}
+
 static bool is_gossip_call(const struct rpc_msg *call)
 {
 	return call->rm_direction == CALL &&
@@ -268,6 +276,8 @@
 			decode_report(peers, &xdr, sender);
 		else if (call.rm_call.cb_proc == GOSSIP_ANNOUNCE)
 			decode_announcements(peers, &xdr);
+		else if (call.rm_call.cb_proc == GOSSIP_TRIAL)
+			decode_trial(peers, &xdr);
 	}
 	XDR_DESTROY(&xdr);
 }
--- a/router/peers.h
+++ b/router/peers.h
@@ -104,6 +104,7 @@
  * @list_limits: lists limits of replicas that others should know of, at most @max;
  *	returns their number
  * @limit: takes the limit of a replica that another instance knows of
+ * @trial: takes a message about the trial of a request that crashed replicas
  */
 typedef struct peers_events {
 	bool (*can_apply_changes)(void *data);
@@ -111,6 +112,7 @@
 	void (*announcement)(const announcement_t *announcement, void *data);
 	size_t (*list_limits)(limit_news_t *out, size_t max, void *data);
 	void (*limit)(const limit_news_t *news, void *data);
+	void (*trial)(const gossip_trial *trial, void *data);
 } peers_events_t;
 
 /**
@@ -216,6 +218,8 @@
 const peer_instance_t *peers_owner_of(const peers_t *peers, uint64_t hash);
 void peers_send_report(peers_t *peers, const peer_instance_t *observer,
 		       const replica_report_t *report);
+void peers_send_trial(peers_t *peers, uint64_t instance, uint64_t fingerprint,
+		      gossip_trial_kind kind);
 void peers_send_announcements(peers_t *peers,
 			      const announcements_t *announcements);
 void peers_spread_crashes(peers_t *peers);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -78,12 +78,21 @@
 	last_limit = *news;
 }
 
+static gossip_trial last_trial;
+
+static void keep_trial(const gossip_trial *trial, void *data)
+{
+	(void)data;
+	last_trial = *trial;
+}
+
 static const peers_events_t peers_events = {
 	.can_apply_changes = can_apply_changes,
 	.report = keep_report,
 	.announcement = keep_announcement,
 	.list_limits = list_no_limits,
 	.limit = keep_limit,
+	.trial = keep_trial,
 };
 
 static int init_peers(fixture_t *fixture, int port)
