--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 ROUTER_TESTS := $(patsubst %,$(BUILD)/tests/%,test_routes test_records \
 	test_retry_budget test_pause test_crash test_fleet test_exchange \
 	test_answer_time test_retry_after test_watchers test_rotation test_hash_index test_observer test_throttle test_limit test_entry_points test_admission test_peers test_mirror test_h1 test_h1_client test_h1_endless test_log_batch test_platform \
-	test_router_settings test_store test_availability test_removal test_uptime test_trials)
+	test_router_settings test_store test_availability test_removal test_uptime test_trials test_store_epoch)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c)) \
 	$(patsubst tests/%.cc,$(BUILD)/tests/%,$(wildcard tests/prop_*.cc))
 SOAK := $(BUILD)/tests/soak_proxy
@@ -96,7 +96,8 @@
 		$(ROUTE_LIB) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/fake-site: $(call obj,tests/fakes/fake-site.c) $(ROUTER_LIB) $(LIB)
+$(BUILD)/fake-site: $(call obj,tests/fakes/fake-site.c $(SITE_STORE_SRC)) \
+		$(ROUTER_LIB) $(LIB)
 	$(CC) $(SANFLAGS) -o $@ $^ $(ROUTER_LDLIBS)
 
 $(BUILD)/fake-%: $(BUILD)/obj/tests/fakes/fake-%.c.o $(call obj,$(FAKE_SRC)) $(LIB)
@@ -107,7 +108,8 @@
 	@mkdir -p $(@D)
 	$(CC) $(SANFLAGS) -o $@ $^ $(ROUTER_LDLIBS)
 
-$(BUILD)/tests/test_removal $(BUILD)/tests/test_trials: \
+$(BUILD)/tests/test_removal $(BUILD)/tests/test_trials \
+	$(BUILD)/tests/test_store_epoch: \
 	$(call obj,$(SITE_STORE_SRC))
 
 $(ROUTER_TESTS): $(BUILD)/tests/%: $(BUILD)/obj/tests/%.c.o $(ROUTER_LIB) \
--- a/libroute/suspects.c
+++ b/libroute/suspects.c
@@ -172,6 +172,20 @@
 		suspect->stored_at = now;
 }
 
+/**
+ * suspects_forget_stored() - forget which convictions the store holds
+ * @suspects: table
+ *
+ * To be called when the store has come back from an older copy.
+ */
+void suspects_forget_stored(suspects_t *suspects)
+{
+	for (size_t i = 0; i < SUSPECTS_MAX; i++) {
+		suspects->entries[i].stored_at = 0;
+		suspects->entries[i].written_at = 0;
+	}
+}
+
 /**
  * suspects_next_unstored() - find a conviction that the store should hold
  * @suspects: table
--- a/libroute/suspects.h
+++ b/libroute/suspects.h
@@ -99,6 +99,7 @@
 		      medlar_time_t now);
 void suspects_add_stored(suspects_t *suspects, uint64_t fingerprint,
 			 medlar_time_t now);
+void suspects_forget_stored(suspects_t *suspects);
 suspect_t *suspects_next_unstored(suspects_t *suspects, size_t *position,
 				  medlar_time_t now);
 void suspects_add_answer(suspects_t *suspects, uint64_t fingerprint,
--- a/proto/gossip.h
+++ b/proto/gossip.h
@@ -69,6 +69,12 @@
 };
 typedef struct gossip_answered gossip_answered;
 
+struct gossip_epoch {
+	u_quad_t epoch;
+	u_quad_t beyond_store;
+};
+typedef struct gossip_epoch gossip_epoch;
+
 struct gossip_live_peer {
 	u_quad_t name_hash;
 	u_int age;
@@ -211,6 +217,7 @@
 extern  bool_t xdr_gossip_watcher (XDR *, gossip_watcher*);
 extern  bool_t xdr_gossip_watchers (XDR *, gossip_watchers*);
 extern  bool_t xdr_gossip_answered (XDR *, gossip_answered*);
+extern  bool_t xdr_gossip_epoch (XDR *, gossip_epoch*);
 extern  bool_t xdr_gossip_live_peer (XDR *, gossip_live_peer*);
 extern  bool_t xdr_gossip_live_peers (XDR *, gossip_live_peers*);
 extern  bool_t xdr_gossip_crash (XDR *, gossip_crash*);
@@ -229,6 +236,7 @@
 extern bool_t xdr_gossip_watcher ();
 extern bool_t xdr_gossip_watchers ();
 extern bool_t xdr_gossip_answered ();
+extern bool_t xdr_gossip_epoch ();
 extern bool_t xdr_gossip_live_peer ();
 extern bool_t xdr_gossip_live_peers ();
 extern bool_t xdr_gossip_crash ();
--- a/proto/gossip.x
+++ b/proto/gossip.x
@@ -1,8 +1,9 @@
 /*
  * Messages between routers. The calls have no reply and are sent in datagrams; a
  * gossip_message may be followed by a gossip_watchers, a gossip_live_peers, a
- * gossip_crashes, a gossip_limits and a gossip_answered. A gossip_changes is the body
- * of the answer to GET /changes?after=REVISION on the same port over TCP.
+ * gossip_crashes, a gossip_limits, a gossip_answered and a gossip_epoch. A
+ * gossip_changes, followed by a gossip_epoch, is the body of the answer to
+ * GET /changes?after=REVISION&epoch=EPOCH on the same port over TCP.
  */
 
 const GOSSIP_NAME_MAX = 127;
@@ -57,6 +58,15 @@
 	unsigned int ages<GOSSIP_WATCHERS_MAX>;
 };
 
+/*
+ * Epoch of the store to which the revisions of a message belong, and a digest of the
+ * entries that the sender knows newer than the store lists them; 0 if there are none.
+ */
+struct gossip_epoch {
+	unsigned hyper epoch;
+	unsigned hyper beyond_store;
+};
+
 /* Instances that the sender knows to be live, and the time since then in ms. */
 struct gossip_live_peer {
 	unsigned hyper name_hash;
@@ -96,6 +106,10 @@
 	gossip_limit list<GOSSIP_LIMITS_MAX>;
 };
 
+/*
+ * @gone: the entry was deleted. If it has a value all the same, the store lists it as it
+ * was before, and the value is the last one.
+ */
 struct gossip_entry {
 	opaque key<GOSSIP_KEY_MAX>;
 	opaque value<GOSSIP_VALUE_MAX>;
--- a/proto/gossip_xdr.c
+++ b/proto/gossip_xdr.c
@@ -167,6 +167,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_gossip_epoch (XDR *xdrs, gossip_epoch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->beyond_store))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_gossip_live_peer (XDR *xdrs, gossip_live_peer *objp)
 {
--- a/router/changes.c
+++ b/router/changes.c
@@ -5,6 +5,7 @@
  * over HTTP, as a gossip_changes encoded with XDR.
  */
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -25,6 +26,9 @@
 #define CONNECTIONS_MAX 16
 
 static const char changes_path[] = "/changes?after=";
+static const char epoch_parameter[] = "&epoch=";
+/* Two numbers and a name. */
+#define REQUEST_TARGET_MAX 64
 
 static void append_change(const store_item_t *item, void *data)
 {
@@ -34,21 +38,33 @@
 		.entries_val[changes->entries.entries_len++] = (gossip_entry){
 		.key = { (u_int)item->key.len, (char *)item->key.ptr },
 		.value = { (u_int)item->value.len, (char *)item->value.ptr },
-		.revision = item->revision,
+		.revision = item->position.revision,
 		.gone = item->deleted,
 	};
 }
 
-static void send_changes(h1_conn_t *conn, gossip_changes *changes)
+/* What an instance serves to another one. */
+typedef struct changes_answer {
+	gossip_changes changes;
+	gossip_epoch epoch;
+} changes_answer_t;
+
+static bool_t xdr_answer(XDR *xdr, changes_answer_t *answer)
+{
+	return xdr_gossip_changes(xdr, &answer->changes) &&
+	       xdr_gossip_epoch(xdr, &answer->epoch);
+}
+
+static void send_changes(h1_conn_t *conn, changes_answer_t *answer)
 {
-	size_t size = xdr_sizeof((xdrproc_t)xdr_gossip_changes, changes);
+	size_t size = xdr_sizeof((xdrproc_t)xdr_answer, answer);
 	char *bytes = malloc(size);
 	bool ok = false;
 	XDR xdr;
 
 	if (bytes) {
 		xdrmem_create(&xdr, bytes, (unsigned)size, XDR_ENCODE);
-		ok = xdr_gossip_changes(&xdr, changes);
+		ok = xdr_answer(&xdr, answer);
 		XDR_DESTROY(&xdr);
 	}
 	h1_conn_answer(conn, ok ? 200 : 503, (medlar_str_t){ 0 },
@@ -57,23 +73,44 @@
 }
 
 static void answer_changes_request(h1_conn_t *conn, const mirror_t *mirror,
-				   uint64_t after)
+				   store_position_t after)
 {
-	gossip_changes changes = { .after = after,
-				   .revision = mirror->revision };
-
-	if (after < mirror->complete_after)
-		changes.after = 0;
-	changes.entries.entries_val = calloc(mirror->len + MIRROR_TOMBSTONES,
-					     sizeof(gossip_entry));
-	if (!changes.entries.entries_val) {
+	changes_answer_t answer = {
+		.changes = { .after = after.revision,
+			     .revision = mirror->position.revision },
+		.epoch = { .epoch = mirror->position.epoch },
+	};
+	gossip_changes *changes = &answer.changes;
+
+	if (after.revision < mirror->complete_after ||
+	    after.epoch != mirror->position.epoch)
+		changes->after = 0;
+	changes->entries.entries_val = calloc(mirror->len + MIRROR_TOMBSTONES,
+					      sizeof(gossip_entry));
+	if (!changes->entries.entries_val) {
 		h1_conn_answer_status(conn, 503);
 		return;
 	}
-	(void)mirror_visit_changes(mirror, changes.after, append_change,
-				   &changes);
-	send_changes(conn, &changes);
-	free(changes.entries.entries_val);
+	(void)mirror_visit_changes(mirror, changes->after, append_change,
+				   changes);
+	send_changes(conn, &answer);
+	free(changes->entries.entries_val);
+}
+
+/* An instance of an earlier version names no epoch: it knows that of the store. */
+static store_position_t parse_position(medlar_str_t text,
+				       const mirror_t *mirror)
+{
+	store_position_t position = { .epoch = mirror->position.epoch };
+	char copy[REQUEST_TARGET_MAX];
+	char *at;
+
+	(void)snprintf(copy, sizeof(copy), "%.*s", (int)text.len, text.ptr);
+	position.revision = strtoull(copy, &at, 10);
+	if (strncmp(at, epoch_parameter, strlen(epoch_parameter)) == 0)
+		position.epoch = strtoull(at + strlen(epoch_parameter), NULL,
+					  10);
+	return position;
 }
 
 static void on_request(h1_conn_t *conn, void *data)
@@ -86,7 +123,9 @@
 	    memcmp(target.ptr, changes_path, path_len) == 0)
 		answer_changes_request(
 			conn, peers->mirror,
-			strtoull(target.ptr + path_len, NULL, 10));
+			parse_position((medlar_str_t){ target.ptr + path_len,
+						       target.len - path_len },
+				       peers->mirror));
 	else
 		h1_conn_answer_status(conn, 404);
 }
@@ -107,37 +146,66 @@
 	peers->fetching = false;
 }
 
-static void apply_changes(peers_t *peers, const gossip_changes *changes)
+/* Whether changes of a position are of use to this instance. */
+static bool are_wanted(const peers_t *peers, const gossip_changes *changes,
+		       store_position_t position)
 {
-	mirror_t *mirror = peers->mirror;
-	bool is_full_copy = changes->after == 0;
+	const mirror_t *mirror = peers->mirror;
+	int order = position_compare(position, mirror->position);
+
+	if (!peers->events->can_apply_changes(peers->data))
+		return false;
+	if (changes->after == 0)
+		return order > 0 || (peers->merging &&
+				     position.epoch == mirror->position.epoch);
+	return order > 0 && position.epoch == mirror->position.epoch &&
+	       changes->after <= mirror->position.revision;
+}
 
-	if (changes->revision <= mirror->revision ||
-	    changes->after > mirror->revision ||
-	    !peers->events->can_apply_changes(peers->data))
-		return;
-	LOG_LINE(peers->log, LOG_LEVEL_INFO, "changes",
-		 MEDLAR_NUM("revision", changes->revision),
-		 MEDLAR_NUM("known", mirror->revision),
-		 MEDLAR_NUM("entries", changes->entries.entries_len));
-	peers->stats->counts[STAT_CHANGES_TAKEN]++;
-	if (is_full_copy)
-		mirror_list_begin(mirror);
+static void apply_entries(mirror_t *mirror, const gossip_changes *changes,
+			  uint64_t epoch)
+{
 	for (u_int i = 0; i < changes->entries.entries_len; i++) {
 		const gossip_entry *entry = &changes->entries.entries_val[i];
 		const store_item_t item = {
 			.key = { entry->key.key_val, entry->key.key_len },
 			.value = { entry->value.value_val,
 				   entry->value.value_len },
-			.revision = entry->revision,
+			.position = { epoch, entry->revision },
 			.deleted = entry->gone,
+			.withdrawn = entry->gone && entry->value.value_len,
 		};
 
 		mirror_apply(mirror, &item);
 	}
+}
+
+static void apply_changes(peers_t *peers, const gossip_changes *changes,
+			  uint64_t epoch)
+{
+	const store_position_t position = { epoch, changes->revision };
+	mirror_t *mirror = peers->mirror;
+	bool is_full_copy = changes->after == 0;
+	bool is_ahead;
+
+	peers->events->epoch(epoch, peers->data);
+	if (!are_wanted(peers, changes, position))
+		return;
+	is_ahead = position_compare(position, mirror->position) > 0;
+	LOG_LINE(peers->log, LOG_LEVEL_INFO, "changes",
+		 MEDLAR_NUM("revision", changes->revision),
+		 MEDLAR_NUM("known", mirror->position.revision),
+		 MEDLAR_NUM("epoch", epoch),
+		 MEDLAR_NUM("entries", changes->entries.entries_len));
+	peers->stats->counts[STAT_CHANGES_TAKEN]++;
 	if (is_full_copy)
-		mirror_list_end(mirror, changes->revision);
-	else
+		peers->merged_epoch = epoch;
+	if (is_full_copy && is_ahead)
+		mirror_list_begin(mirror);
+	apply_entries(mirror, changes, epoch);
+	if (is_full_copy && is_ahead)
+		mirror_list_end(mirror, position);
+	else if (is_ahead)
 		mirror_advance(mirror, changes->revision);
 	peers_spread_news(peers);
 }
@@ -145,13 +213,17 @@
 static void decode_changes(peers_t *peers, medlar_str_t body)
 {
 	gossip_changes changes = { 0 };
+	gossip_epoch epoch = { .epoch = peers->mirror->position.epoch };
 	XDR xdr;
 
 	if (body.len == 0)
 		return;
 	xdrmem_create(&xdr, (char *)body.ptr, (unsigned)body.len, XDR_DECODE);
-	if (xdr_gossip_changes(&xdr, &changes))
-		apply_changes(peers, &changes);
+	if (xdr_gossip_changes(&xdr, &changes)) {
+		/* Instances of earlier versions tell no epoch. */
+		(void)xdr_gossip_epoch(&xdr, &epoch);
+		apply_changes(peers, &changes, epoch.epoch);
+	}
 	xdr_free((xdrproc_t)xdr_gossip_changes, (char *)&changes);
 	XDR_DESTROY(&xdr);
 }
@@ -163,8 +235,11 @@
 
 	medlar_buf_init(&request);
 	medlar_buf_printf(&request,
-			  "GET %s%" PRIu64 " HTTP/1.1\r\nHost: peer\r\n\r\n",
-			  changes_path, peers->mirror->revision);
+			  "GET %s%" PRIu64 "%s%" PRIu64
+			  " HTTP/1.1\r\nHost: peer\r\n\r\n",
+			  changes_path,
+			  peers->merging ? 0 : peers->mirror->position.revision,
+			  epoch_parameter, peers->mirror->position.epoch);
 	h1_client_send(client, medlar_buf_str(&request), (medlar_str_t){ 0 },
 		       false);
 	medlar_buf_finish(&request);
@@ -210,18 +285,22 @@
 	end_fetch(data);
 }
 
+static bool is_ahead(const peers_t *peers, const peer_instance_t *peer)
+{
+	return position_compare(peer->position, peers->mirror->position) > 0;
+}
+
 /* An instance that is ahead, and has not just failed to send its changes. */
 static bool is_sound_source(const peers_t *peers, const peer_instance_t *peer)
 {
-	return peer->revision > peers->mirror->revision &&
+	return is_ahead(peers, peer) &&
 	       (!peer->fetch_failed_at ||
 		peers->loop->now - peer->fetch_failed_at > SOURCE_RETRY_MS);
 }
 
 static bool is_near_source(const peers_t *peers, const peer_instance_t *peer)
 {
-	return peer->revision > peers->mirror->revision &&
-	       peer_is_near(peers, peer);
+	return is_ahead(peers, peer) && peer_is_near(peers, peer);
 }
 
 /* Whether to fetch from @peer rather than from @best. */
@@ -232,8 +311,8 @@
 		return is_sound_source(peers, peer);
 	if (is_near_source(peers, peer) != is_near_source(peers, best))
 		return is_near_source(peers, peer);
-	if (peer->revision != best->revision)
-		return peer->revision > best->revision;
+	if (position_compare(peer->position, best->position))
+		return position_compare(peer->position, best->position) > 0;
 	return medlar_str_hash(medlar_str_from(peer->name), peers->own_hash) >
 	       medlar_str_hash(medlar_str_from(best->name), peers->own_hash);
 }
@@ -262,6 +341,27 @@
 	return best;
 }
 
+/*
+ * An instance that knows more than the store, which came back from an older copy, if
+ * this one has read the store only: it may have started since.
+ */
+static const peer_instance_t *merge_source(const peers_t *peers)
+{
+	const mirror_t *mirror = peers->mirror;
+	const peer_instance_t *peer;
+
+	if (mirror->position.revision == 0 ||
+	    peers->merged_epoch == mirror->position.epoch)
+		return NULL;
+	TAILQ_FOREACH(peer, &peers->list, link)
+		if (peer->beyond_store &&
+		    peer->beyond_store != mirror_beyond_store(mirror) &&
+		    peer->position.epoch == mirror->position.epoch &&
+		    peer_is_live(peers, peer))
+			return peer;
+	return NULL;
+}
+
 /**
  * changes_catch_up() - start to fetch changes if a peer has been ahead too long
  * @peers: the other instances
@@ -273,18 +373,25 @@
 {
 	static const h1_limits_t limits = { HEAD_BYTES_MAX, CHANGES_BYTES_MAX,
 					    NULL };
-	const peer_instance_t *source = changes_source(peers);
+	const peer_instance_t *source;
 	medlar_time_t now = peers->loop->now;
 	medlar_time_t behind_max = peers->leads_watchers ? BEHIND_MAX_LEADER_MS
 							 : BEHIND_MAX_MS;
 
-	if (!source || source->revision <= peers->mirror->revision) {
-		peers->behind_since = 0;
+	if (peers->fetching)
 		return;
+	source = changes_source(peers);
+	peers->merging = false;
+	if (!source || !is_ahead(peers, source)) {
+		peers->behind_since = 0;
+		source = merge_source(peers);
+		peers->merging = source != NULL;
 	}
+	if (!source)
+		return;
 	if (!peers->behind_since)
 		peers->behind_since = now;
-	if (peers->fetching || now - peers->behind_since < behind_max)
+	if (!peers->merging && now - peers->behind_since < behind_max)
 		return;
 	peers->source_hash = source->hash;
 	peers->fetching = true;
--- a/router/convictions.c
+++ b/router/convictions.c
@@ -35,7 +35,7 @@
 			 MEDLAR_HEX("request", fingerprint),
 			 MEDLAR_TEXT("source", MEDLAR_STR("store")),
 			 MEDLAR_TEXT("by", item->value),
-			 MEDLAR_NUM("revision", item->revision));
+			 MEDLAR_NUM("revision", item->position.revision));
 }
 
 /* Time after the last crash from which this instance writes the conviction, ms. */
@@ -64,6 +64,27 @@
 	medlar_buf_finish(&key);
 }
 
+/**
+ * convictions_store_lost() - write all convictions again that the store may lack
+ * @convictions: exchange
+ *
+ * The delays count from now on, so that not all instances write at once.
+ */
+void convictions_store_lost(convictions_t *convictions)
+{
+	convictions->store_lost_at = convictions->loop->now;
+	suspects_forget_stored(convictions->suspects);
+}
+
+/* When a conviction became one that the store lacks, ms. */
+static medlar_time_t lacking_since(const convictions_t *convictions,
+				   const suspect_t *suspect)
+{
+	return suspect->updated_at > convictions->store_lost_at
+		       ? suspect->updated_at
+		       : convictions->store_lost_at;
+}
+
 /**
  * convictions_tick() - write what the store lacks
  * @convictions: exchange
@@ -76,7 +97,7 @@
 
 	while ((suspect = suspects_next_unstored(convictions->suspects,
 						 &position, now)))
-		if (now - suspect->updated_at >=
+		if (now - lacking_since(convictions, suspect) >=
 		    write_delay(convictions, suspect->fingerprint))
 			write_conviction(convictions, suspect);
 }
--- a/router/convictions.h
+++ b/router/convictions.h
@@ -19,6 +19,7 @@
  * @peers: other instances, among them the owners of requests
  * @store: client of the store
  * @instance: name of this instance, told in the entries
+ * @store_lost_at: when the store came back from an older copy, ms; 0 if it never did
  */
 typedef struct convictions {
 	loop_t *loop;
@@ -27,10 +28,12 @@
 	const peers_t *peers;
 	store_t *store;
 	medlar_str_t instance;
+	medlar_time_t store_lost_at;
 } convictions_t;
 
 void convictions_apply(convictions_t *convictions, const store_item_t *item,
 		       medlar_str_t name);
+void convictions_store_lost(convictions_t *convictions);
 void convictions_tick(convictions_t *convictions);
 
 #endif /* ROUTER_CONVICTIONS_H */
--- a/router/daemon.c
+++ b/router/daemon.c
@@ -25,6 +25,8 @@
 #define ADDRESS_RETENTION_FACTOR 3
 /* How long before the end of the grace period the loop stops at the latest. */
 #define STOP_MARGIN_MS 500
+/* Time in which what a store of an older copy lacks is written again. */
+#define EPOCH_SETTLE_MS (5 * MEDLAR_SECOND)
 /* Time for the last answers to leave before the loop stops. */
 #define LAST_ANSWERS_MS 300
 
@@ -52,11 +54,41 @@
 	return state->forward.routes && !state->exit_earliest_at;
 }
 
+/* The store may lack for a while what was written before it came back. */
+static bool is_store_settled(const daemon_state_t *state)
+{
+	const store_t *store = &state->store;
+
+	return store->epoch == state->mirror.position.epoch &&
+	       (!store->epoch_rose_at ||
+		state->loop.now - store->epoch_rose_at >= EPOCH_SETTLE_MS);
+}
+
 static bool routes_are_current(void *data)
 {
 	const daemon_state_t *state = data;
 
-	return peers_mirror_is_current(&state->peers);
+	return is_store_settled(state) &&
+	       peers_mirror_is_current(&state->peers);
+}
+
+/* The store was away, and has come back from an older copy. */
+static void on_epoch(void *data)
+{
+	daemon_state_t *state = data;
+	medlar_time_t now = state->loop.now;
+
+	state->peers.store_uptime = (uptime_t){ now, now };
+	state->store.has_news = true;
+	convictions_store_lost(&state->convictions);
+	daemon_update_store_status(state);
+}
+
+static void on_epoch_told(uint64_t epoch, void *data)
+{
+	daemon_state_t *state = data;
+
+	store_hear_epoch(&state->store, epoch);
 }
 
 static bool can_apply_changes(void *data)
@@ -107,6 +139,7 @@
 	.announcement = on_announcement,
 	.list_limits = on_list_limits,
 	.limit = on_limit_news,
+	.epoch = on_epoch_told,
 	.trial = on_trial,
 };
 
@@ -135,6 +168,11 @@
 	forward_report_crash(&state->forward, fingerprint, replica);
 }
 
+static const mirror_events_t mirror_events = {
+	.change = daemon_apply_entry,
+	.is_newer = entries_is_newer,
+};
+
 static const upstream_events_t upstream_events = {
 	.crash = on_crash,
 	.bad_status = on_bad_status,
@@ -344,9 +382,11 @@
 	state->fleet.limit_data = state;
 	upstream_init(&state->upstream, &state->loop, &state->stats,
 		      REPLY_BODY_BYTES_MAX, &upstream_events, state);
-	mirror_init(&state->mirror, daemon_apply_entry, state);
+	mirror_init(&state->mirror, &mirror_events, state);
 	store_init(&state->store, &state->loop, &state->log, &state->stats,
 		   &platform_store_calls, &store_address, &state->mirror);
+	state->store.on_epoch = on_epoch;
+	state->store.epoch_data = state;
 	observations_init(&state->observations, &state->loop,
 			  &state->replica_log, &state->stats, &state->fleet,
 			  &state->peers);
--- a/router/daemon_entries.c
+++ b/router/daemon_entries.c
@@ -56,7 +56,7 @@
 			 MEDLAR_NUM("known", known_version),
 			 MEDLAR_NUM("routes", routes->routes_len),
 			 MEDLAR_NUM("services", routes->services_len),
-			 MEDLAR_NUM("revision", item->revision));
+			 MEDLAR_NUM("revision", item->position.revision));
 	}
 	routes_unref(routes);
 }
--- a/router/gossip.c
+++ b/router/gossip.c
@@ -55,6 +55,7 @@
 	gossip_crashes crashes;
 	gossip_limits limits;
 	gossip_answered answered;
+	gossip_epoch epoch;
 } status_t;
 
 static bool_t xdr_status(XDR *xdr, status_t *status)
@@ -64,7 +65,8 @@
 	       xdr_gossip_live_peers(xdr, &status->live) &&
 	       xdr_gossip_crashes(xdr, &status->crashes) &&
 	       xdr_gossip_limits(xdr, &status->limits) &&
-	       xdr_gossip_answered(xdr, &status->answered);
+	       xdr_gossip_answered(xdr, &status->answered) &&
+	       xdr_gossip_epoch(xdr, &status->epoch);
 }
 
 /* This instance is left out, as the message tells the same of it. */
@@ -79,7 +81,7 @@
 			.name_hash = list[i]->hash,
 			.store_age = time_to_age(peers,
 						 list[i]->store_last_contact),
-			.revision = list[i]->contact_revision,
+			.revision = list[i]->contact.revision,
 		};
 		answered_ages[i] = time_to_age(peers, list[i]->answered_since);
 	}
@@ -174,7 +176,7 @@
 		.seq = ++peers->seq,
 		.ready = peers->ready,
 		.leaving = peers->leaving,
-		.revision = peers->mirror->revision,
+		.revision = peers->mirror->position.revision,
 		.near = peers->local_percent,
 		.watching = peers->store.watching,
 		.store_age = time_to_age(peers, peers->store.last_contact),
@@ -187,7 +189,9 @@
 				live_peers } },
 			    { { list_crashes(peers, crashes), crashes } },
 			    { { list_limits(peers, limits), limits } },
-			    { { watchers_len, answered_ages } } };
+			    { { watchers_len, answered_ages } },
+			    { peers->mirror->position.epoch,
+			      mirror_beyond_store(peers->mirror) } };
 
 	return encode_call(peers, GOSSIP_TELL, (xdrproc_t)xdr_status, &status,
 			   bytes);
--- a/router/gossip_receive.c
+++ b/router/gossip_receive.c
@@ -22,8 +22,10 @@
 	uptime_add(&peers->store_uptime, &seen);
 }
 
-static void apply_message(peers_t *peers, const gossip_message *message)
+static void apply_message(peers_t *peers, const gossip_message *message,
+			  const gossip_epoch *epoch)
 {
+	const store_position_t position = { epoch->epoch, message->revision };
 	medlar_time_t now = peers->loop->now;
 	struct sockaddr_in callers;
 	struct sockaddr_in address;
@@ -58,12 +60,13 @@
 	peer->last_seq = message->seq;
 	peer->ready = message->ready;
 	peer->leaving = message->leaving;
-	peer->revision = message->revision;
+	peer->position = position;
+	peer->beyond_store = epoch->beyond_store;
 	(void)snprintf(peer->zone, sizeof(peer->zone), "%s", message->zone);
 	peer->local_percent = message->near;
 	peer->watching = message->watching;
 	(void)contact_update(peer, age_to_time(peers, message->store_age),
-			     message->revision);
+			     position);
 	peer->answered_since = age_to_time(peers, message->answered_age);
 	note_answered(peers, peer);
 	peer->last_heard = now;
@@ -110,7 +113,7 @@
  * said itself; only newer contacts count.
  */
 static void apply_watchers(peers_t *peers, const gossip_watchers *watchers,
-			   const gossip_answered *answered)
+			   const gossip_answered *answered, uint64_t epoch)
 {
 	for (u_int i = 0; i < watchers->list.list_len; i++) {
 		const gossip_watcher *from = &watchers->list.list_val[i];
@@ -118,8 +121,9 @@
 							   from->name_hash);
 
 		if (!peer ||
-		    !contact_update(peer, age_to_time(peers, from->store_age),
-				    from->revision))
+		    !contact_update(
+			    peer, age_to_time(peers, from->store_age),
+			    (store_position_t){ epoch, from->revision }))
 			continue;
 		peer->watching = true;
 		if (!answered || i >= answered->ages.ages_len)
@@ -198,6 +202,7 @@
 	gossip_crashes crashes = { 0 };
 	gossip_limits limits = { 0 };
 	gossip_answered answered = { 0 };
+	gossip_epoch epoch = { 0 };
 
 	if (xdr_gossip_message(xdr, &message)) {
 		bool has_watchers = xdr_gossip_watchers(xdr, &watchers);
@@ -206,11 +211,19 @@
 		bool has_limits = xdr_gossip_limits(xdr, &limits);
 		bool has_answered = xdr_gossip_answered(xdr, &answered);
 
+		/* Who tells no epoch knows that of the store as it is. */
+		if (xdr_gossip_epoch(xdr, &epoch))
+			peers->events->epoch(epoch.epoch, peers->data);
+		else
+			epoch = (gossip_epoch){
+				.epoch = peers->mirror->position.epoch
+			};
 		peers->stats->counts[STAT_GOSSIP_RECEIVED]++;
-		apply_message(peers, &message);
+		apply_message(peers, &message, &epoch);
 		if (has_watchers)
 			apply_watchers(peers, &watchers,
-				       has_answered ? &answered : NULL);
+				       has_answered ? &answered : NULL,
+				       epoch.epoch);
 		if (has_live)
 			apply_live_peers(peers, &live);
 		if (has_crashes)
--- a/router/listeners.c
+++ b/router/listeners.c
@@ -82,7 +82,9 @@
 	if (state->forward.routes)
 		gauges[GAUGE_CONFIG_VERSION] =
 			(int64_t)state->forward.routes->version;
-	gauges[GAUGE_STORE_REVISION] = (int64_t)state->mirror.revision;
+	gauges[GAUGE_STORE_REVISION] = (int64_t)state->mirror.position.revision;
+	gauges[GAUGE_STORE_EPOCH] = (int64_t)state->store.epoch;
+	gauges[GAUGE_BEYOND_STORE] = (int64_t)state->mirror.beyond_store;
 	gauges[GAUGE_STORE_AGE_MS] = store_silence(&state->store);
 	gauges[GAUGE_REPLICAS] = (int64_t)state->fleet.replicas_len;
 	gauges[GAUGE_INSTANCES] = state->fleet.instances;
--- a/router/peers.h
+++ b/router/peers.h
@@ -43,11 +43,13 @@
  * @leaving: it is shutting down
  * @last_heard: time of its last message to this instance, or to one that passed
  *	this on, ms; 0 if there was none
- * @revision: store revision up to which its mirror is complete
+ * @position: position of the store up to which its mirror is complete
+ * @beyond_store: digest of the entries that it knows newer than the store lists them;
+ *	0 if there are none
  * @watching: it watches the store itself
  * @store_last_contact: time up to which its mirror is known current, see
  *	&struct store.last_contact, ms; 0 if not known
- * @contact_revision: store revision up to which its mirror was complete then
+ * @contact: position of the store up to which its mirror was complete then
  * @answered_since: since when the store has answered all its watches, ms; 0 if it
  *	does not
  * @registered: the store holds its entry
@@ -67,10 +69,11 @@
 	bool ready;
 	bool leaving;
 	medlar_time_t last_heard;
-	uint64_t revision;
+	store_position_t position;
+	uint64_t beyond_store;
 	bool watching;
 	medlar_time_t store_last_contact;
-	uint64_t contact_revision;
+	store_position_t contact;
 	medlar_time_t answered_since;
 	bool registered;
 	medlar_time_t fetch_failed_at;
@@ -104,6 +107,7 @@
  * @list_limits: lists limits of replicas that others should know of, at most @max;
  *	returns their number
  * @limit: takes the limit of a replica that another instance knows of
+ * @epoch: takes the epoch of the store that another instance knows
  * @trial: takes a message about the trial of a request that crashed replicas
  */
 typedef struct peers_events {
@@ -112,6 +116,7 @@
 	void (*announcement)(const announcement_t *announcement, void *data);
 	size_t (*list_limits)(limit_news_t *out, size_t max, void *data);
 	void (*limit)(const limit_news_t *news, void *data);
+	void (*epoch)(uint64_t epoch, void *data);
 	void (*trial)(const gossip_trial *trial, void *data);
 } peers_events_t;
 
@@ -153,6 +158,8 @@
  *	wait for changes of peers
  * @behind_since: time since which a peer has been ahead of @mirror, ms; 0 if
  *	none is
+ * @merged_epoch: epoch in which a copy of another instance was merged into @mirror
+ * @merging: the fetch in progress is for that
  * @source_hash: &struct peer_instance.hash of the instance that is being asked for
  *	changes; 0 if it has answered, or none is asked
  * @crashes_told: &struct suspects.recent_added less the own crashes not yet told
@@ -197,6 +204,8 @@
 	uptime_t store_uptime;
 	bool leads_watchers;
 	medlar_time_t behind_since;
+	uint64_t merged_epoch;
+	bool merging;
 	uint64_t source_hash;
 	size_t crashes_told;
 	medlar_time_t crashes_told_at;
--- a/router/peers_internal.h
+++ b/router/peers_internal.h
@@ -23,7 +23,8 @@
 /* store_contact.c */
 size_t contact_list_watchers(const peers_t *peers,
 			     const peer_instance_t **list);
-bool contact_update(peer_instance_t *peer, medlar_time_t at, uint64_t revision);
+bool contact_update(peer_instance_t *peer, medlar_time_t at,
+		    store_position_t position);
 
 /* gossip_receive.c */
 int gossip_open(peers_t *peers, const struct sockaddr_in *own);
--- a/router/stats.h
+++ b/router/stats.h
@@ -42,6 +42,7 @@
  *	one left no room
  * @STAT_STORE_CALLS: calls to the store
  * @STAT_STORE_FAILURES: failed calls to the store
+ * @STAT_STORE_EPOCHS: times at which the store came back from an older copy
  * @STAT_BAD_ENTRIES: entries of the store that could not be parsed
  * @STAT_GOSSIP_SENT: gossip messages sent
  * @STAT_GOSSIP_RECEIVED: gossip messages received
@@ -76,6 +77,7 @@
 	STAT_MOVED_BY_LIMIT,
 	STAT_STORE_CALLS,
 	STAT_STORE_FAILURES,
+	STAT_STORE_EPOCHS,
 	STAT_BAD_ENTRIES,
 	STAT_GOSSIP_SENT,
 	STAT_GOSSIP_RECEIVED,
@@ -90,6 +92,8 @@
  * enum gauge - gauges
  * @GAUGE_CONFIG_VERSION: configuration version in force
  * @GAUGE_STORE_REVISION: store revision up to which the mirror is complete
+ * @GAUGE_STORE_EPOCH: epoch of the store; 0 if it names none
+ * @GAUGE_BEYOND_STORE: entries that are known newer than the store lists them
  * @GAUGE_STORE_AGE_MS: time since the last answer of the store, ms; -1 if there
  *	was none
  * @GAUGE_REPLICAS: known replicas
@@ -100,6 +104,8 @@
 typedef enum gauge {
 	GAUGE_CONFIG_VERSION,
 	GAUGE_STORE_REVISION,
+	GAUGE_STORE_EPOCH,
+	GAUGE_BEYOND_STORE,
 	GAUGE_STORE_AGE_MS,
 	GAUGE_REPLICAS,
 	GAUGE_INSTANCES,
--- a/router/store.c
+++ b/router/store.c
@@ -29,8 +29,24 @@
 static void apply_item(const store_item_t *item, void *data)
 {
 	store_t *store = data;
+	store_item_t positioned = *item;
 
-	mirror_apply(store->mirror, item);
+	positioned.position.epoch = store->epoch;
+	mirror_apply(store->mirror, &positioned);
+}
+
+/* Tells how far the first list of an epoch is behind what was known. */
+static void log_listed(const store_t *store)
+{
+	const mirror_t *mirror = store->mirror;
+
+	if (!store->epoch_rose_at || mirror->beyond_store == 0)
+		return;
+	LOG_LINE(store->log, LOG_LEVEL_NOTICE, "store_listed",
+		 MEDLAR_NUM("epoch", mirror->position.epoch),
+		 MEDLAR_NUM("revision", mirror->position.revision),
+		 MEDLAR_NUM("entries", mirror->len),
+		 MEDLAR_NUM("beyond_store", mirror->beyond_store));
 }
 
 static void apply_list_page(store_t *store, medlar_str_t body)
@@ -48,11 +64,15 @@
 	}
 	if (is_first_page) {
 		store->list_revision = page.revision;
+		store->list_epoch = store->epoch;
 		store->list_begun_at = store->loop->now;
 	}
 	store->page = page;
 	if (!page.more) {
-		mirror_list_end(store->mirror, store->list_revision);
+		mirror_list_end(store->mirror,
+				(store_position_t){ store->list_epoch,
+						    store->list_revision });
+		log_listed(store);
 		store->last_contact = store->list_begun_at;
 		store->list_complete = true;
 		store->list_revision = 0;
@@ -63,7 +83,7 @@
 
 static void apply_watch_reply(store_t *store, medlar_str_t body)
 {
-	uint64_t known_revision = store->mirror->revision;
+	uint64_t known_revision = store->mirror->position.revision;
 	store_page_t page;
 
 	if (store->calls->read_items(body, apply_item, store, &page)) {
@@ -89,11 +109,23 @@
 	store->page = (store_page_t){ 0 };
 }
 
+/* Whether the reply is of a list or watch that began in an older epoch. */
+static bool is_stale_read(const store_t *store)
+{
+	if (store_channel_is_stale(&store->reader))
+		return store->list_complete || store->list_revision != 0;
+	return store->list_revision != 0 && store->list_epoch != store->epoch;
+}
+
 static void reader_on_reply(store_t *store, unsigned status, medlar_str_t body)
 {
-	if (status == STATUS_GONE && store->list_complete) {
+	if (is_stale_read(store)) {
+		relist(store);
+		reader_send_next(store);
+	} else if (status == STATUS_GONE && store->list_complete) {
 		LOG_LINE(store->log, LOG_LEVEL_NOTICE, "relist",
-			 MEDLAR_NUM("revision", store->mirror->revision));
+			 MEDLAR_NUM("revision",
+				    store->mirror->position.revision));
 		relist(store);
 		reader_send_next(store);
 	} else if (status != STORE_STATUS_OK) {
@@ -113,14 +145,16 @@
 	store_channel_t *channel = &store->reader;
 	const watch_timing_t timing = watchers_time_call(channel->failures);
 
+	if (store->watching && store->mirror->position.epoch < store->epoch)
+		store->list_complete = false;
 	if (store->list_complete && !store->watching) {
 		store->answered.since = 0;
 		return;
 	}
 	medlar_buf_reset(&channel->request);
 	if (store->list_complete) {
-		store->calls->watch(store->mirror->revision, timing.wait,
-				    &channel->request);
+		store->calls->watch(store->mirror->position.revision,
+				    timing.wait, &channel->request);
 		store_channel_send(channel, timing.timeout);
 	} else {
 		store->calls->list(medlar_str_from(store->page.last_key),
@@ -135,6 +169,10 @@
 
 	if (store->entry_state == STORE_ENTRY_LEAVING)
 		return;
+	if (store_channel_is_stale(channel)) {
+		store_channel_set_timer(channel, STORE_BACKOFF_MIN_MS);
+		return;
+	}
 	if (status == STATUS_NOT_FOUND) {
 		store->entry_state = STORE_ENTRY_NO_LEASE;
 		store_channel_set_timer(channel, STORE_BACKOFF_MIN_MS);
--- a/router/store.h
+++ b/router/store.h
@@ -24,6 +24,7 @@
  * @client: HTTP connection
  * @open: @client is initialised
  * @call_in_flight: a call is in progress
+ * @epoch: epoch of the store that was known when it was sent
  * @request: request of the current call
  * @timer: timeout of the current call, or start of the next one
  * @failures: consecutive failed calls
@@ -35,6 +36,7 @@
 	h1_client_t client;
 	bool open;
 	bool call_in_flight;
+	uint64_t epoch;
 	medlar_buf_t request;
 	medlar_timer_t timer;
 	unsigned failures;
@@ -99,6 +101,7 @@
  * @page: last page received of the list being read
  * @list_revision: store revision at the begin of the list being read; 0 if no
  *	list is being read
+ * @list_epoch: epoch of the store of that page
  * @list_begun_at: when the first page of the last list was received, ms
  * @watching: this instance watches the store; otherwise it gets the changes
  *	from other instances
@@ -113,6 +116,11 @@
  *	calls succeed
  * @answered: time in which all lists and watches were answered; its start is 0 while
  *	they are not, or none is made
+ * @epoch: highest epoch of the store that was heard of; 0 if none
+ * @epoch_rose_at: when a higher one was, ms; 0 if never
+ * @epoch_malformed: the last reply that told an epoch told something else
+ * @on_epoch: called when a higher epoch is heard of; may be NULL
+ * @epoch_data: passed to @on_epoch
  * @last_contact: time up to which the store is known to hold nothing that
  *	@mirror lacks, ms; 0 if no list is complete. Replies that are no complete
  *	list or watch do not count.
@@ -130,6 +138,7 @@
 	bool list_complete;
 	store_page_t page;
 	uint64_t list_revision;
+	uint64_t list_epoch;
 	medlar_time_t list_begun_at;
 	bool watching;
 	medlar_time_t watch_pause;
@@ -140,6 +149,11 @@
 	medlar_buf_t value;
 	medlar_time_t down_since;
 	uptime_t answered;
+	uint64_t epoch;
+	medlar_time_t epoch_rose_at;
+	bool epoch_malformed;
+	void (*on_epoch)(void *data);
+	void *epoch_data;
 	medlar_time_t last_contact;
 };
 
@@ -148,6 +162,7 @@
 		mirror_t *mirror);
 void store_start(store_t *store, medlar_str_t key, medlar_str_t value);
 void store_set_watching(store_t *store, bool watching, medlar_time_t pause);
+void store_hear_epoch(store_t *store, uint64_t epoch);
 void store_entry_lost(store_t *store);
 medlar_time_t store_silence(const store_t *store);
 void store_withdraw_entry(store_t *store);
--- a/router/store_calls.h
+++ b/router/store_calls.h
@@ -5,19 +5,23 @@
 #define ROUTER_STORE_CALLS_H
 
 #include "medlard/h1.h"
+#include "router/position.h"
 
 /**
  * struct store_item - an entry of the store, or its deletion
  * @key: key
- * @value: value; empty for a deletion
- * @revision: store revision of the last change
+ * @value: value; empty for a deletion, but for one that is @withdrawn
+ * @position: position of the last change; its epoch is set by who reads the item
  * @deleted: the entry was deleted
+ * @withdrawn: the entry was deleted, and the store lists it all the same as it was
+ *	before; @value is its last one
  */
 typedef struct store_item {
 	medlar_str_t key;
 	medlar_str_t value;
-	uint64_t revision;
+	store_position_t position;
 	bool deleted;
+	bool withdrawn;
 } store_item_t;
 
 /** Called for each item that was read; @data is that of the registration. */
@@ -47,6 +51,9 @@
  *	entries
  * @read_items: parse the reply to @list or @watch and call @fn for each item
  * @read_lease: parse the reply to @grant_lease
+ * @read_epoch: read the epoch of the store from the head of any reply: sets it and
+ *	returns %MEDLAR_OK, or %MEDLAR_ERR_NOT_FOUND if none is told, or
+ *	%MEDLAR_ERR_SYNTAX
  *
  * The operations that write a request append a whole HTTP request to @out; the
  * others return %MEDLAR_OK or an error.
@@ -62,6 +69,7 @@
 	int (*read_items)(medlar_str_t body, store_item_fn_t fn, void *data,
 			  store_page_t *page);
 	int (*read_lease)(medlar_str_t body, uint64_t *lease);
+	int (*read_epoch)(const h1_message_t *reply, uint64_t *epoch);
 } store_calls_t;
 
 #endif /* ROUTER_STORE_CALLS_H */
--- a/router/store_channel.c
+++ b/router/store_channel.c
@@ -89,6 +89,18 @@
 	return status >= STORE_STATUS_OK && status < 500 && status != 429;
 }
 
+/**
+ * store_channel_is_stale() - check whether a call was sent in an older epoch
+ * @channel: channel whose call has ended
+ *
+ * Return: whether the store has come back from an older copy since.
+ */
+bool store_channel_is_stale(const store_channel_t *channel)
+{
+	return channel->epoch != channel->store->epoch &&
+	       channel->store->epoch_rose_at;
+}
+
 static void channel_end_call(store_channel_t *channel, unsigned status,
 			     medlar_str_t body)
 {
@@ -134,11 +146,15 @@
 	const h1_message_t *reply = &client->parser.message;
 
 	log_bad_status(channel);
-	if (end == H1_END_REPLY)
+	if (end != H1_END_REPLY) {
+		channel_end_call(channel, 0, (medlar_str_t){ 0 });
+	} else if (!store_read_epoch(channel->store, reply)) {
+		h1_client_close(client);
+		channel_end_call(channel, 0, (medlar_str_t){ 0 });
+	} else {
 		channel_end_call(channel, reply->status,
 				 medlar_buf_str(&reply->body));
-	else
-		channel_end_call(channel, 0, (medlar_str_t){ 0 });
+	}
 }
 
 static const h1_client_events_t channel_events = {
@@ -161,6 +177,7 @@
 
 	store->stats->counts[STAT_STORE_CALLS]++;
 	channel->call_in_flight = true;
+	channel->epoch = store->epoch;
 	store_channel_set_timer(channel, timeout);
 	if (channel->open && channel->client.state == H1_IDLE) {
 		channel_on_ready(&channel->client, channel);
--- a/router/store_contact.c
+++ b/router/store_contact.c
@@ -92,7 +92,9 @@
 
 	TAILQ_FOREACH(peer, &peers->list, link)
 		if (peer_is_live(peers, peer) &&
-		    peer->contact_revision <= peers->mirror->revision &&
+		    peer->contact.epoch == peers->mirror->position.epoch &&
+		    position_compare(peer->contact, peers->mirror->position) <=
+			    0 &&
 		    peer->store_last_contact > last_contact)
 			last_contact = peer->store_last_contact;
 	return last_contact;
@@ -141,6 +143,8 @@
  * @peers: the other instances
  * @list: %GOSSIP_WATCHERS_MAX places for those with the lowest names
  *
+ * Those whose contact was in another epoch than that of the mirror are left out.
+ *
  * Return: number of watchers listed.
  */
 size_t contact_list_watchers(const peers_t *peers, const peer_instance_t **list)
@@ -149,7 +153,8 @@
 	size_t len = 0;
 
 	TAILQ_FOREACH(peer, &peers->list, link)
-		if (is_fresh_watcher(peers, peer))
+		if (is_fresh_watcher(peers, peer) &&
+		    peer->contact.epoch == peers->mirror->position.epoch)
 			len = insert_watcher(list, len, peer);
 	return len;
 }
@@ -158,16 +163,17 @@
  * contact_update() - record that the store answered an instance
  * @peer: instance; it was live at that time
  * @at: when the store answered, ms
- * @revision: revision up to which its mirror was complete then
+ * @position: position up to which its mirror was complete then
  *
  * Return: whether this was not known.
  */
-bool contact_update(peer_instance_t *peer, medlar_time_t at, uint64_t revision)
+bool contact_update(peer_instance_t *peer, medlar_time_t at,
+		    store_position_t position)
 {
 	if (at <= peer->store_last_contact)
 		return false;
 	peer->store_last_contact = at;
-	peer->contact_revision = revision;
+	peer->contact = position;
 	if (at > peer->last_heard)
 		peer->last_heard = at;
 	return true;
--- a/router/store_internal.h
+++ b/router/store_internal.h
@@ -21,8 +21,12 @@
 medlar_time_t store_channel_backoff(const store_channel_t *channel);
 void store_channel_send(store_channel_t *channel, medlar_time_t timeout);
 void store_channel_finish(store_channel_t *channel);
+bool store_channel_is_stale(const store_channel_t *channel);
 void store_record_failure(store_t *store, unsigned status);
 
+/* store_epoch.c */
+bool store_read_epoch(store_t *store, const h1_message_t *reply);
+
 /* store_writer.c */
 void store_writer_init(store_t *store);
 void store_writer_finish(store_t *store);
--- a/router/store_writer.c
+++ b/router/store_writer.c
@@ -33,6 +33,10 @@
 	uint64_t lease;
 
 	medlar_timer_clear(store->loop->client, &writer->channel.timer);
+	if (store_channel_is_stale(&writer->channel)) {
+		end_write(store);
+		return;
+	}
 	if (status == STORE_STATUS_OK && writer->state == STORE_WRITER_LEASE &&
 	    store->calls->read_lease(body, &lease) == MEDLAR_OK) {
 		writer->state = STORE_WRITER_PUT;
--- a/router/trials.c
+++ b/router/trials.c
@@ -26,10 +26,8 @@
 	trials->resume(conn, granted, waited, trials->data);
 }
 
-static void set_timer(trials_t *trials)
+static void set_timer(trials_t *trials, const trial_wait_t *oldest)
 {
-	const trial_wait_t *oldest = TAILQ_FIRST(&trials->waits);
-
 	if (oldest)
 		(void)medlar_timer_set(trials->loop->client, &trials->timer,
 				       oldest->asked_at + WAIT_MS);
@@ -39,14 +37,17 @@
 		     medlar_time_t now, void *data)
 {
 	trials_t *trials = data;
-	trial_wait_t *wait;
+	trial_wait_t *wait = TAILQ_FIRST(&trials->waits);
 
 	(void)client;
 	(void)timer;
-	while ((wait = TAILQ_FIRST(&trials->waits)) &&
-	       now - wait->asked_at >= WAIT_MS)
+	while (wait && now - wait->asked_at >= WAIT_MS) {
+		trial_wait_t *next = TAILQ_NEXT(wait, link);
+
 		end_wait(trials, wait, false);
-	set_timer(trials);
+		wait = next;
+	}
+	set_timer(trials, wait);
 }
 
 /**
@@ -78,9 +79,14 @@
  */
 void trials_finish(trials_t *trials)
 {
+	trial_wait_t *wait;
+	trial_wait_t *next;
+
 	medlar_timer_clear(trials->loop->client, &trials->timer);
-	while (!TAILQ_EMPTY(&trials->waits))
-		remove_wait(trials, TAILQ_FIRST(&trials->waits));
+	for (wait = TAILQ_FIRST(&trials->waits); wait; wait = next) {
+		next = TAILQ_NEXT(wait, link);
+		remove_wait(trials, wait);
+	}
 }
 
 /**
@@ -108,7 +114,7 @@
 	TAILQ_INSERT_TAIL(&trials->waits, wait, link);
 	trials->waits_len++;
 	if (trials->waits_len == 1)
-		set_timer(trials);
+		set_timer(trials, wait);
 	peers_send_trial(trials->peers, owner->hash, fingerprint,
 			 GOSSIP_TRIAL_ASK);
 	return MEDLAR_OK;
--- a/tests/fakes/fake-site.c
+++ b/tests/fakes/fake-site.c
@@ -18,11 +18,11 @@
 
 #include "platform/headers.h"
 #include "medlard/h1_server.h"
+#include "tests/fakes/site_store.h"
 
 #define REPLICAS 3
 #define SERVICES_MAX 64
-#define ITEMS_MAX 1024
-#define WATCHERS_MAX 64
+#define LATE_CALLS_MAX 64
 #define EXECUTIONS_MAX 65536
 #define ARRIVALS_MAX 65536
 /* Span over which a replica that names a limit counts what it gets. */
@@ -30,7 +30,6 @@
 /* Limit of the connections of all routers to the store and to each replica. */
 #define CONNECTIONS_MAX 1024
 #define TEXT_MAX 128
-#define VALUE_MAX 65536
 #define CRASH_DOWN_MS 1500
 #define RECORD_SIZE 16
 
@@ -75,6 +74,7 @@
 	medlar_time_t service_time;
 	char status
 		[TEXT_MAX]; /* status of its answers, if it answers with one */
+	unsigned reports; /* entries that it has written */
 	unsigned arrivals; /* requests, also refused ones */
 	char limit[TEXT_MAX]; /* value of Server-Limit; empty: none */
 	medlar_time_t limit_named_at;
@@ -85,22 +85,6 @@
 	bool down;
 } replica_stub_t;
 
-/* An item of the store. */
-typedef struct item {
-	char key[TEXT_MAX];
-	char *value; /* NULL if deleted, a tombstone */
-	uint64_t revision;
-	uint64_t lease;
-} item_t;
-
-/* A request that waits for a change of the store. */
-typedef struct watcher {
-	h1_conn_t *conn;
-	uint64_t after;
-	medlar_timer_t timer;
-	site_t *site;
-} watcher_t;
-
 /* A call to the store that is served late. */
 typedef struct late_call {
 	h1_conn_t *conn; /* NULL if unused */
@@ -131,17 +115,13 @@
 struct site {
 	medlar_client_t client;
 	loop_t loop;
-	h1_server_t store;
+	h1_server_t listener;
+	site_store_t store;
+	site_gate_t gate;
 	replica_stub_t replicas[SERVICES_MAX * REPLICAS];
 	size_t replicas_len;
-	item_t items[ITEMS_MAX];
-	size_t items_len;
-	watcher_t watchers[WATCHERS_MAX];
-	uint64_t revision;
-	uint64_t last_lease;
-	bool store_down;
 	medlar_time_t store_delay;
-	late_call_t late_calls[WATCHERS_MAX];
+	late_call_t late_calls[LATE_CALLS_MAX];
 	execution_t executions[EXECUTIONS_MAX];
 	size_t executions_len;
 	arrival_t arrivals[ARRIVALS_MAX];
@@ -163,219 +143,7 @@
 	h1_conn_answer(conn, 200, (medlar_str_t){ 0 }, medlar_buf_str(body));
 }
 
-/* Copies the decoded value of a query parameter; an empty string if absent. */
-static void get_query_arg(const h1_conn_t *conn, const char *name, char *out,
-			  size_t size)
-{
-	medlar_str_t target = h1_message_target(&conn->parser.message);
-	char text[TEXT_MAX * 4];
-	char key[TEXT_MAX];
-	const char *at;
-	size_t len = 0;
-
-	(void)snprintf(text, sizeof(text), "%.*s", (int)target.len, target.ptr);
-	(void)snprintf(key, sizeof(key), "%s=", name);
-	out[0] = '\0';
-	for (at = strchr(text, '?'); at; at = strchr(at, '&')) {
-		at++;
-		if (strncmp(at, key, strlen(key)) != 0)
-			continue;
-		for (at += strlen(key); *at && *at != '&' && len + 1 < size;
-		     at++) {
-			unsigned code;
-
-			if (*at == '%' && sscanf(at + 1, "%2x", &code) == 1) {
-				out[len++] = (char)code;
-				at += 2;
-			} else {
-				out[len++] = *at;
-			}
-		}
-		out[len] = '\0';
-		return;
-	}
-}
-
-static void write_item(const item_t *item, medlar_buf_t *out)
-{
-	char text[VALUE_MAX * 2];
-
-	medlar_buf_printf(out, "{\"key\":\"%s\",\"revision\":%" PRIu64,
-			  item->key, item->revision);
-	if (item->value) {
-		sodium_bin2base64(
-			text, sizeof(text), (const unsigned char *)item->value,
-			strlen(item->value), sodium_base64_VARIANT_ORIGINAL);
-		medlar_buf_printf(out, ",\"value\":\"%s\"}", text);
-	} else {
-		medlar_buf_add(out, MEDLAR_STR(",\"tombstone\":true}"));
-	}
-}
-
-/* Writes the items changed after a revision; returns how many. */
-static size_t write_items(const site_t *site, uint64_t after,
-			  bool with_tombstones, medlar_buf_t *out)
-{
-	size_t count = 0;
-
-	for (size_t i = 0; i < site->items_len; i++) {
-		const item_t *item = &site->items[i];
-
-		if (item->revision <= after ||
-		    (!item->value && !with_tombstones))
-			continue;
-		if (count++)
-			medlar_buf_add(out, MEDLAR_STR(","));
-		write_item(item, out);
-	}
-	return count;
-}
-
-static void answer_watch(watcher_t *watcher)
-{
-	const site_t *site = watcher->site;
-	h1_conn_t *conn = watcher->conn;
-	medlar_buf_t body;
-
-	medlar_buf_init(&body);
-	medlar_buf_add(&body, MEDLAR_STR("{\"events\":["));
-	(void)write_items(site, watcher->after, true, &body);
-	medlar_buf_printf(&body, "],\"storeRevision\":%" PRIu64 "}",
-			  site->revision);
-	watcher->conn = NULL;
-	medlar_timer_clear(site->loop.client, &watcher->timer);
-	conn->handler_data = NULL;
-	answer_json(conn, &body);
-	medlar_buf_finish(&body);
-}
-
-/* Sets an item, or deletes it with a NULL value, and ends all watches. */
-static void put_item(site_t *site, const char *key, const char *value,
-		     uint64_t lease)
-{
-	item_t *item = NULL;
-
-	for (size_t i = 0; i < site->items_len; i++)
-		if (strcmp(site->items[i].key, key) == 0)
-			item = &site->items[i];
-	if (!item && (!value || site->items_len == ITEMS_MAX))
-		return;
-	if (!item)
-		item = &site->items[site->items_len++];
-	(void)snprintf(item->key, sizeof(item->key), "%s", key);
-	free(item->value);
-	item->value = value ? strdup(value) : NULL;
-	item->revision = ++site->revision;
-	item->lease = lease;
-	for (size_t i = 0; i < WATCHERS_MAX; i++)
-		if (site->watchers[i].conn)
-			answer_watch(&site->watchers[i]);
-}
-
-static void on_watch_timeout(medlar_client_t *client, medlar_timer_t *timer,
-			     medlar_time_t now, void *data)
-{
-	(void)client;
-	(void)timer;
-	(void)now;
-	answer_watch(data);
-}
-
-static void start_watch(site_t *site, h1_conn_t *conn)
-{
-	char text[TEXT_MAX];
-
-	for (size_t i = 0; i < WATCHERS_MAX; i++) {
-		watcher_t *watcher = &site->watchers[i];
-
-		if (watcher->conn)
-			continue;
-		get_query_arg(conn, "after", text, sizeof(text));
-		*watcher = (watcher_t){ .conn = conn,
-					.after = strtoull(text, NULL, 10),
-					.site = site };
-		conn->handler_data = watcher;
-		medlar_timer_init(&watcher->timer, on_watch_timeout, watcher);
-		if (watcher->after < site->revision) {
-			answer_watch(watcher);
-			return;
-		}
-		get_query_arg(conn, "waitMs", text, sizeof(text));
-		(void)medlar_timer_set(site->loop.client, &watcher->timer,
-				       site->loop.now + atoi(text));
-		return;
-	}
-	h1_conn_answer_status(conn, 429);
-}
-
-static void answer_item_list(const site_t *site, h1_conn_t *conn)
-{
-	medlar_buf_t body;
-
-	medlar_buf_init(&body);
-	medlar_buf_add(&body, MEDLAR_STR("{\"items\":["));
-	(void)write_items(site, 0, false, &body);
-	medlar_buf_printf(
-		&body, "],\"morePages\":false,\"storeRevision\":%" PRIu64 "}",
-		site->revision);
-	answer_json(conn, &body);
-	medlar_buf_finish(&body);
-}
-
-/*
- * Copies the text that follows @name in @body, up to a quote, comma or brace.
- * Suffices for the flat JSON that the router sends.
- */
-static void get_json_field(medlar_str_t body, const char *name, char *out,
-			   size_t size)
-{
-	const char *at = memmem(body.ptr, body.len, name, strlen(name));
-	size_t len = 0;
-
-	if (at)
-		for (at += strlen(name); *at && *at != '"' && *at != ',' &&
-					 *at != '}' && len + 1 < size;
-		     at++)
-			out[len++] = *at;
-	out[len] = '\0';
-}
-
-static void handle_transaction(site_t *site, h1_conn_t *conn)
-{
-	medlar_str_t body = medlar_buf_str(&conn->parser.message.body);
-	char key[TEXT_MAX];
-	char text[TEXT_MAX * 2];
-	char value[TEXT_MAX * 2];
-	char lease[TEXT_MAX];
-	medlar_buf_t out;
-	size_t len = 0;
-
-	get_json_field(body, "\"key\":\"", key, sizeof(key));
-	get_json_field(body, "\"value\":\"", text, sizeof(text));
-	get_json_field(body, "\"lease\":", lease, sizeof(lease));
-	if (sodium_base642bin((unsigned char *)value, sizeof(value) - 1, text,
-			      strlen(text), NULL, &len, NULL,
-			      sodium_base64_VARIANT_ORIGINAL)) {
-		h1_conn_answer_status(conn, 400);
-		return;
-	}
-	value[len] = '\0';
-	put_item(site, key, value, strtoull(lease, NULL, 10));
-	medlar_buf_init(&out);
-	medlar_buf_printf(&out, "{\"revision\":%" PRIu64 "}", site->revision);
-	answer_json(conn, &out);
-	medlar_buf_finish(&out);
-}
-
-static void end_lease(site_t *site, uint64_t lease)
-{
-	for (size_t i = 0; i < site->items_len; i++)
-		if (site->items[i].value && site->items[i].lease == lease &&
-		    lease)
-			put_item(site, site->items[i].key, NULL, 0);
-}
-
-static void register_replica(site_t *site, const replica_stub_t *replica,
+static void register_replica(site_t *site, replica_stub_t *replica,
 			     const char *state)
 {
 	char key[TEXT_MAX * 2];
@@ -385,11 +153,11 @@
 	(void)snprintf(value, sizeof(value),
 		       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
 		       "\"zone\":\"a\",\"version\":\"v1\",\"slots\":2,"
-		       "\"state\":\"%s\",\"warmupLeftMs\":0,\"seq\":1,"
+		       "\"state\":\"%s\",\"warmupLeftMs\":0,\"seq\":%u,"
 		       "\"born\":1}",
 		       replica->service, ntohs(replica->address.sin_port),
-		       state);
-	put_item(site, key, value, 0);
+		       state, ++replica->reports);
+	site_store_put(&site->store, key, value, 0);
 }
 
 static int listen_replica(replica_stub_t *replica);
@@ -433,34 +201,34 @@
 	char text[TEXT_MAX];
 	replica_stub_t *replica;
 
-	get_query_arg(conn, "replica", text, sizeof(text));
+	site_query_arg(conn, "replica", text, sizeof(text));
 	for (size_t i = 0; i < site->replicas_len; i++) {
 		replica = &site->replicas[i];
 		if (strcmp(text, "all") != 0 &&
 		    strcmp(text, replica->id) != 0 &&
 		    strcmp(text, replica->service) != 0)
 			continue;
-		get_query_arg(conn, "state", text, sizeof(text));
+		site_query_arg(conn, "state", text, sizeof(text));
 		if (text[0])
 			register_replica(site, replica, text);
-		get_query_arg(conn, "work", text, sizeof(text));
+		site_query_arg(conn, "work", text, sizeof(text));
 		if (text[0])
 			replica->service_time = atoi(text);
-		get_query_arg(conn, "status", replica->status,
-			      sizeof(replica->status));
-		get_query_arg(conn, "limit", text, sizeof(text));
+		site_query_arg(conn, "status", replica->status,
+			       sizeof(replica->status));
+		site_query_arg(conn, "limit", text, sizeof(text));
 		if (text[0])
 			set_limit(replica, text);
-		get_query_arg(conn, "crash", text, sizeof(text));
+		site_query_arg(conn, "crash", text, sizeof(text));
 		if (text[0] && !replica->down)
 			crash_replica(replica);
-		get_query_arg(conn, "mode", text, sizeof(text));
+		site_query_arg(conn, "mode", text, sizeof(text));
 		for (size_t j = 0;
 		     j < sizeof(behaviour_names) / sizeof(behaviour_names[0]);
 		     j++)
 			if (strcmp(text, behaviour_names[j]) == 0)
 				replica->behaviour = (behaviour_t)j;
-		get_query_arg(conn, "replica", text, sizeof(text));
+		site_query_arg(conn, "replica", text, sizeof(text));
 	}
 	h1_conn_answer_status(conn, 200);
 }
@@ -472,8 +240,8 @@
 	medlar_buf_t body;
 	size_t count = 0;
 
-	get_query_arg(conn, "id", id, sizeof(id));
-	get_query_arg(conn, "replica", replica, sizeof(replica));
+	site_query_arg(conn, "id", id, sizeof(id));
+	site_query_arg(conn, "replica", replica, sizeof(replica));
 	for (size_t i = 0; i < site->executions_len; i++)
 		if ((!id[0] || strcmp(site->executions[i].id, id) == 0) &&
 		    (!replica[0] ||
@@ -492,7 +260,7 @@
 	medlar_buf_t body;
 	unsigned count = 0;
 
-	get_query_arg(conn, "replica", id, sizeof(id));
+	site_query_arg(conn, "replica", id, sizeof(id));
 	for (size_t i = 0; i < site->replicas_len; i++)
 		if (!id[0] || strcmp(site->replicas[i].id, id) == 0)
 			count += site->replicas[i].arrivals;
@@ -538,8 +306,8 @@
 	medlar_buf_t body;
 
 	medlar_buf_init(&body);
-	get_query_arg(conn, "replica", id, sizeof(id));
-	get_query_arg(conn, "after", after, sizeof(after));
+	site_query_arg(conn, "replica", id, sizeof(id));
+	site_query_arg(conn, "after", after, sizeof(after));
 	for (size_t i = 0; i < site->replicas_len; i++)
 		if (strcmp(site->replicas[i].id, id) == 0)
 			medlar_buf_printf(
@@ -573,63 +341,17 @@
 	const medlar_buf_t *body = &conn->parser.message.body;
 	char key[TEXT_MAX];
 
-	get_query_arg(conn, "key", key, sizeof(key));
-	put_item(site, key, body->len ? body->ptr : NULL, 0);
+	site_query_arg(conn, "key", key, sizeof(key));
+	site_store_put(&site->store, key, body->len ? body->ptr : NULL, 0);
 	h1_conn_answer_status(conn, 200);
 }
 
-/* A store that goes down answers no watch that waits. */
-static void cut_watches(site_t *site)
-{
-	for (size_t i = 0; i < WATCHERS_MAX; i++) {
-		watcher_t *watcher = &site->watchers[i];
-		h1_conn_t *conn = watcher->conn;
-
-		if (!conn)
-			continue;
-		watcher->conn = NULL;
-		medlar_timer_clear(site->loop.client, &watcher->timer);
-		conn->handler_data = NULL;
-		h1_conn_answer_status(conn, 503);
-	}
-}
-
 static bool has_path(medlar_str_t target, const char *path)
 {
 	return target.len >= strlen(path) &&
 	       memcmp(target.ptr, path, strlen(path)) == 0;
 }
 
-/* Serves a call of a router. */
-static void serve_store_call(site_t *site, h1_conn_t *conn)
-{
-	medlar_str_t target = h1_message_target(&conn->parser.message);
-	medlar_buf_t body;
-
-	medlar_buf_init(&body);
-	if (site->store_down) {
-		h1_conn_answer_status(conn, 503);
-	} else if (has_path(target, "/api/kv-range")) {
-		answer_item_list(site, conn);
-	} else if (has_path(target, "/api/kv-watch")) {
-		start_watch(site, conn);
-	} else if (has_path(target, "/api/kv-txn")) {
-		handle_transaction(site, conn);
-	} else if (has_path(target, "/api/kv-lease-end/")) {
-		end_lease(site, strtoull(target.ptr + 18, NULL, 10));
-		h1_conn_answer_status(conn, 200);
-	} else if (has_path(target, "/api/kv-lease") ||
-		   has_path(target, "/api/kv-keep")) {
-		medlar_buf_printf(&body,
-				  "{\"lease\":%" PRIu64 ",\"ttlMs\":20000}",
-				  ++site->last_lease);
-		answer_json(conn, &body);
-	} else {
-		h1_conn_answer_status(conn, 404);
-	}
-	medlar_buf_finish(&body);
-}
-
 static void on_late_call(medlar_client_t *client, medlar_timer_t *timer,
 			 medlar_time_t now, void *data)
 {
@@ -640,12 +362,12 @@
 	(void)timer;
 	(void)now;
 	call->conn = NULL;
-	serve_store_call(call->site, conn);
+	site_gate_serve(&call->site->gate, conn);
 }
 
 static void delay_store_call(site_t *site, h1_conn_t *conn)
 {
-	for (size_t i = 0; i < WATCHERS_MAX; i++) {
+	for (size_t i = 0; i < LATE_CALLS_MAX; i++) {
 		late_call_t *call = &site->late_calls[i];
 
 		if (call->conn)
@@ -659,18 +381,40 @@
 	h1_conn_answer_status(conn, 429);
 }
 
-/* usage: /control/store to take the store away or bring it back, ?delay=MS */
+/* Lets the store come back from a copy that is some time old. */
+static void drill_store(site_t *site, medlar_time_t age)
+{
+	site_gate_state_t before = site->gate.state;
+
+	site_gate_set(&site->gate, SITE_GATE_RESET);
+	site_store_come_back(&site->store, age);
+	site_gate_set(&site->gate, before);
+}
+
+/*
+ * usage: /control/store to take the store away or bring it back, ?delay=MS to slow it
+ * down, ?drill=MS to let it come back from a copy of that age, ?again=1 to write again
+ * what the operator and the replicas wrote since
+ */
 static void control_store(site_t *site, h1_conn_t *conn)
 {
 	char delay[TEXT_MAX];
+	char drill[TEXT_MAX];
+	char again[TEXT_MAX];
 
-	get_query_arg(conn, "delay", delay, sizeof(delay));
-	if (delay[0]) {
+	site_query_arg(conn, "delay", delay, sizeof(delay));
+	site_query_arg(conn, "drill", drill, sizeof(drill));
+	site_query_arg(conn, "again", again, sizeof(again));
+	if (delay[0])
 		site->store_delay = atoi(delay);
-	} else {
-		site->store_down = !site->store_down;
-		cut_watches(site);
-	}
+	else if (drill[0])
+		drill_store(site, atoi(drill));
+	else if (again[0])
+		site_store_write_again(&site->store, false);
+	else
+		site_gate_set(&site->gate, site->gate.state == SITE_GATE_OPEN
+						   ? SITE_GATE_BUSY
+						   : SITE_GATE_OPEN);
 	h1_conn_answer_status(conn, 200);
 }
 
@@ -693,27 +437,23 @@
 		control_item(site, conn);
 	else if (has_path(target, "/control/store"))
 		control_store(site, conn);
-	else if (site->store_delay && !site->store_down)
+	else if (site->store_delay && site->gate.state == SITE_GATE_OPEN)
 		delay_store_call(site, conn);
 	else
-		serve_store_call(site, conn);
+		site_gate_serve(&site->gate, conn);
 }
 
 static void on_store_disconnect(h1_conn_t *conn, void *data)
 {
 	site_t *site = data;
-	watcher_t *watcher = conn->handler_data;
 
-	for (size_t i = 0; i < WATCHERS_MAX; i++)
+	for (size_t i = 0; i < LATE_CALLS_MAX; i++)
 		if (site->late_calls[i].conn == conn) {
 			medlar_timer_clear(site->loop.client,
 					   &site->late_calls[i].timer);
 			site->late_calls[i].conn = NULL;
 		}
-	if (!watcher)
-		return;
-	medlar_timer_clear(watcher->site->loop.client, &watcher->timer);
-	watcher->conn = NULL;
+	site_gate_forget(&site->gate, conn);
 }
 
 static const h1_handler_t store_handler = { .request = on_store_request,
@@ -1049,7 +789,7 @@
 
 	medlar_buf_init(&config);
 	write_config(site, &config);
-	put_item(site, "op/config", config.ptr, 0);
+	site_store_put(&site->store, "op/config", config.ptr, 0);
 	medlar_buf_finish(&config);
 	for (unsigned i = 0; i <= site->shards; i++)
 		for (unsigned j = 0; j < REPLICAS && !error; j++) {
@@ -1098,8 +838,13 @@
 		.sin_port = htons(site->port),
 	};
 
-	if (loop_init(&site->loop, &site->client) || put_initial_items(site) ||
-	    h1_server_init(&site->store, &site->loop,
+	site->gate.store = &site->store;
+	if (loop_init(&site->loop, &site->client) ||
+	    site_store_init(&site->store, &site->loop))
+		return MEDLAR_ERR_IO;
+	site->store.epoch = 1;
+	if (put_initial_items(site) ||
+	    h1_server_init(&site->listener, &site->loop,
 			   (const struct sockaddr *)&address, &server_options,
 			   CONNECTIONS_MAX, &store_handler, site))
 		return MEDLAR_ERR_IO;
@@ -1108,12 +853,11 @@
 
 static void finish_site(site_t *site)
 {
-	h1_server_finish(&site->store);
+	h1_server_finish(&site->listener);
 	for (size_t i = 0; i < site->replicas_len; i++)
 		if (!site->replicas[i].down)
 			h1_server_finish(&site->replicas[i].server);
-	for (size_t i = 0; i < site->items_len; i++)
-		free(site->items[i].value);
+	site_store_finish(&site->store);
 	loop_finish(&site->loop);
 	medlar_client_finish(&site->client);
 }
--- a/tests/fakes/site_store.c
+++ b/tests/fakes/site_store.c
@@ -40,8 +40,15 @@
 	return item;
 }
 
-static void set_item(site_store_t *store, const char *key, const char *value,
-		     uint64_t lease)
+/**
+ * site_store_set() - set or delete an item without telling those who watch
+ * @store: store
+ * @key: key
+ * @value: value; NULL deletes the item
+ * @lease: lease that the item depends on; 0 for none
+ */
+void site_store_set(site_store_t *store, const char *key, const char *value,
+		    uint64_t lease)
 {
 	site_item_t *item = find_item(store, key);
 
@@ -65,7 +72,8 @@
 void site_store_put(site_store_t *store, const char *key, const char *value,
 		    uint64_t lease)
 {
-	set_item(store, key, value, lease);
+	site_store_set(store, key, value, lease);
+	site_store_keep_change(store, key, value, lease);
 	site_store_wake_watches(store);
 }
 
@@ -142,8 +150,7 @@
 	*lease = store->leases[--store->leases_len];
 	for (size_t i = 0; i < store->items_len; i++)
 		if (store->items[i].lease == id)
-			set_item(store, store->items[i].key, NULL, 0);
-	site_store_wake_watches(store);
+			site_store_put(store, store->items[i].key, NULL, 0);
 }
 
 static void on_lease_timer(medlar_client_t *client, medlar_timer_t *timer,
@@ -182,6 +189,7 @@
 	medlar_timer_clear(store->loop->client, &store->lease_timer);
 	for (size_t i = 0; i < store->items_len; i++)
 		free(store->items[i].value);
+	site_store_finish_changes(store);
 	free(store->items);
 	free(store->leases);
 }
--- a/tests/fakes/site_store.h
+++ b/tests/fakes/site_store.h
@@ -66,6 +66,22 @@
 	unsigned renewals;
 } site_counts_t;
 
+/**
+ * struct site_change - a change of the store, kept for the drill
+ * @at: when it was made, ms
+ * @key: key
+ * @value: value; NULL if the item was deleted
+ * @lease: lease of the item
+ * @last_lease: &struct site_store.last_lease then
+ */
+typedef struct site_change {
+	medlar_time_t at;
+	char key[SITE_KEY_MAX];
+	char *value;
+	uint64_t lease;
+	uint64_t last_lease;
+} site_change_t;
+
 typedef struct site_store site_store_t;
 
 /**
@@ -109,6 +125,14 @@
  * @revision: revision of the last change
  * @history_from: changes after this revision are known; watches from an older one are
  *	answered with status 410
+ * @epoch: number that all replies tell and each drill raises; 0 tells none
+ * @epoch_text: told in its place if it is not empty, as bad input
+ * @changes: all changes that the store knows
+ * @changes_len: number of @changes
+ * @changes_cap: allocated capacity of @changes
+ * @returned_at: number of changes when the store last came back
+ * @lost: changes that the last drill lost
+ * @lost_len: number of @lost
  * @watches: watches that wait
  * @lease_timer: next check for leases that have ended
  * @counts: calls served
@@ -124,6 +148,14 @@
 	uint64_t last_lease;
 	uint64_t revision;
 	uint64_t history_from;
+	uint64_t epoch;
+	char epoch_text[SITE_KEY_MAX];
+	site_change_t *changes;
+	size_t changes_len;
+	size_t changes_cap;
+	size_t returned_at;
+	site_change_t *lost;
+	size_t lost_len;
 	struct site_watch_list watches;
 	medlar_timer_t lease_timer;
 	site_counts_t counts;
@@ -133,12 +165,21 @@
 void site_store_finish(site_store_t *store);
 void site_store_put(site_store_t *store, const char *key, const char *value,
 		    uint64_t lease);
+void site_store_set(site_store_t *store, const char *key, const char *value,
+		    uint64_t lease);
 const site_item_t *site_store_find(const site_store_t *store, const char *key);
 void site_store_drop_history(site_store_t *store);
 uint64_t site_store_grant(site_store_t *store, medlar_time_t ttl);
 site_lease_t *site_store_find_lease(site_store_t *store, uint64_t id);
 void site_store_end_lease(site_store_t *store, uint64_t id);
 
+/* The drill. */
+void site_store_keep_change(site_store_t *store, const char *key,
+			    const char *value, uint64_t lease);
+void site_store_come_back(site_store_t *store, medlar_time_t age);
+void site_store_write_again(site_store_t *store, bool last_first);
+void site_store_finish_changes(site_store_t *store);
+
 /* Calls over HTTP. */
 void site_gate_serve(site_gate_t *gate, h1_conn_t *conn);
 void site_gate_forget(site_gate_t *gate, h1_conn_t *conn);
--- a/tests/fakes/site_store_http.c
+++ b/tests/fakes/site_store_http.c
@@ -53,9 +53,20 @@
 	}
 }
 
-static void answer(h1_conn_t *conn, unsigned status, const medlar_buf_t *body)
+/* @body may be NULL. */
+static void answer(const site_store_t *store, h1_conn_t *conn, unsigned status,
+		   const medlar_buf_t *body)
 {
-	h1_conn_answer(conn, status, (medlar_str_t){ 0 }, medlar_buf_str(body));
+	char header[SITE_KEY_MAX + 16] = "";
+
+	if (store->epoch_text[0])
+		(void)snprintf(header, sizeof(header), "Store-Era: %s\r\n",
+			       store->epoch_text);
+	else if (store->epoch)
+		(void)snprintf(header, sizeof(header),
+			       "Store-Era: %" PRIu64 "\r\n", store->epoch);
+	h1_conn_answer(conn, status, medlar_str_from(header),
+		       body ? medlar_buf_str(body) : (medlar_str_t){ 0 });
 }
 
 static void write_base64(const char *value, medlar_buf_t *out)
@@ -113,7 +124,8 @@
 
 static void answer_watch(site_store_t *store, site_watch_t *watch)
 {
-	bool is_known = watch->after >= store->history_from;
+	bool is_known = watch->after >= store->history_from &&
+			watch->after <= store->revision;
 	h1_conn_t *conn = watch->conn;
 	medlar_buf_t body;
 
@@ -124,7 +136,7 @@
 	medlar_buf_printf(&body, "],\"storeRevision\":%" PRIu64 "}",
 			  store->revision);
 	remove_watch(store, watch);
-	answer(conn, is_known ? 200 : STATUS_GONE, &body);
+	answer(store, conn, is_known ? 200 : STATUS_GONE, &body);
 	medlar_buf_finish(&body);
 }
 
@@ -174,7 +186,7 @@
 	conn->handler_data = watch;
 	medlar_timer_init(&watch->timer, on_watch_timer, watch);
 	TAILQ_INSERT_TAIL(&store->watches, watch, link);
-	if (watch->after < store->revision)
+	if (watch->after != store->revision)
 		answer_watch(store, watch);
 	else
 		(void)medlar_timer_set(store->loop->client, &watch->timer,
@@ -192,7 +204,7 @@
 	medlar_buf_printf(
 		&body, "],\"morePages\":false,\"storeRevision\":%" PRIu64 "}",
 		store->revision);
-	answer(conn, 200, &body);
+	answer(store, conn, 200, &body);
 	medlar_buf_finish(&body);
 }
 
@@ -237,26 +249,27 @@
 
 	store->counts.writes++;
 	if (!write || !write_is_valid(store, write, value, sizeof(value))) {
-		h1_conn_answer_status(conn, 404);
+		answer(store, conn, 404, NULL);
 	} else {
 		apply_write(store, write, value);
 		medlar_buf_init(&out);
 		medlar_buf_printf(&out, "{\"revision\":%" PRIu64 "}",
 				  store->revision);
-		answer(conn, 200, &out);
+		answer(store, conn, 200, &out);
 		medlar_buf_finish(&out);
 	}
 	json_object_put(body);
 }
 
-static void answer_lease(h1_conn_t *conn, const site_lease_t *lease)
+static void answer_lease(const site_store_t *store, h1_conn_t *conn,
+			 const site_lease_t *lease)
 {
 	medlar_buf_t out;
 
 	medlar_buf_init(&out);
 	medlar_buf_printf(&out, "{\"lease\":%" PRIu64 ",\"ttlMs\":%" PRId64 "}",
 			  lease->id, lease->ttl);
-	answer(conn, 200, &out);
+	answer(store, conn, 200, &out);
 	medlar_buf_finish(&out);
 }
 
@@ -269,13 +282,13 @@
 	store->counts.writes++;
 	if (ttl)
 		answer_lease(
-			conn,
+			store, conn,
 			site_store_find_lease(
 				store,
 				site_store_grant(store,
 						 json_object_get_int64(ttl))));
 	else
-		h1_conn_answer_status(conn, 400);
+		answer(store, conn, 400, NULL);
 	json_object_put(body);
 }
 
@@ -285,18 +298,18 @@
 
 	store->counts.renewals++;
 	if (!lease) {
-		h1_conn_answer_status(conn, 404);
+		answer(store, conn, 404, NULL);
 		return;
 	}
 	lease->expires_at = store->loop->now + lease->ttl;
-	answer_lease(conn, lease);
+	answer_lease(store, conn, lease);
 }
 
 static void serve_end(site_store_t *store, h1_conn_t *conn, uint64_t id)
 {
 	store->counts.writes++;
 	site_store_end_lease(store, id);
-	h1_conn_answer_status(conn, 200);
+	answer(store, conn, 200, NULL);
 }
 
 /* Gets what follows @path in the target of a request. */
@@ -329,7 +342,7 @@
 	else if (match_path(target, "/api/kv-lease", &rest))
 		serve_grant(store, conn);
 	else
-		h1_conn_answer_status(conn, 404);
+		answer(store, conn, 404, NULL);
 }
 
 /**
@@ -344,7 +357,7 @@
 		serve_call(gate, conn);
 		break;
 	case SITE_GATE_BUSY:
-		h1_conn_answer_status(conn, 503);
+		answer(gate->store, conn, 503, NULL);
 		break;
 	case SITE_GATE_RESET:
 		conn->busy = false;
--- a/tests/router_sim.h
+++ b/tests/router_sim.h
@@ -28,7 +28,10 @@
 #define SIM_PORTS_LEN 100
 #define SIM_CONNECTIONS_MAX 1024
 #define SIM_START_MS ((medlar_time_t)1000000)
+/* A large simulation moves on in longer steps, to save time. */
 #define SIM_STEP_MS 10
+#define SIM_STEP_LARGE_MS 25
+#define SIM_LARGE_LEN 100
 #define SIM_ZONES 3
 
 /*
@@ -237,7 +240,7 @@
 
 static inline void sim_step(router_sim_t *sim)
 {
-	sim->now += SIM_STEP_MS;
+	sim->now += sim->len < SIM_LARGE_LEN ? SIM_STEP_MS : SIM_STEP_LARGE_MS;
 	sim_settle(sim);
 }
 
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -26,13 +26,15 @@
 		       item->value.len);
 }
 
+static const mirror_events_t events = { .change = record_change };
+
 static void apply_entry(mirror_t *mirror, const char *key, const char *value,
 			uint64_t revision)
 {
 	const store_item_t item = {
 		.key = medlar_str_from(key),
 		.value = medlar_str_from(value ? value : ""),
-		.revision = revision,
+		.position.revision = revision,
 		.deleted = !value,
 	};
 
@@ -45,7 +47,7 @@
 	mirror_t mirror;
 
 	(void)state;
-	mirror_init(&mirror, record_change, &change_log);
+	mirror_init(&mirror, &events, &change_log);
 	apply_entry(&mirror, "k", "new", 5);
 	apply_entry(&mirror, "k", "old", 4);
 	apply_entry(&mirror, "k", NULL, 4);
@@ -62,16 +64,16 @@
 	mirror_t mirror;
 
 	(void)state;
-	mirror_init(&mirror, record_change, &change_log);
+	mirror_init(&mirror, &events, &change_log);
 	apply_entry(&mirror, "a", "1", 1);
 	apply_entry(&mirror, "b", "1", 2);
 	apply_entry(&mirror, "c", "1", 9);
 	mirror_list_begin(&mirror);
 	apply_entry(&mirror, "a", "1", 1);
-	mirror_list_end(&mirror, 8);
+	mirror_list_end(&mirror, (store_position_t){ 0, 8 });
 	assert_int_equal(mirror.len, 2);
 	assert_int_equal(change_log.deletions, 1);
-	assert_int_equal(mirror.revision, 8);
+	assert_int_equal(mirror.position.revision, 8);
 	mirror_finish(&mirror);
 }
 
@@ -93,10 +95,10 @@
 	uint64_t revision = 0;
 
 	(void)state;
-	mirror_init(&first, record_change, &change_log);
-	mirror_init(&second, record_change, &change_log);
+	mirror_init(&first, &events, &change_log);
+	mirror_init(&second, &events, &change_log);
 	for (int round = 0; round < 300; round++) {
-		uint64_t after = second.revision;
+		uint64_t after = second.position.revision;
 
 		for (uint64_t i = medlar_rand_below(&rand, 9); i > 0; i--) {
 			char key[2] = {
@@ -129,10 +131,10 @@
 	static mirror_t mirror;
 
 	(void)state;
-	mirror_init(&mirror, record_change, &change_log);
+	mirror_init(&mirror, &events, &change_log);
 	mirror_list_begin(&mirror);
 	apply_entry(&mirror, "a", "1", 300);
-	mirror_list_end(&mirror, 400);
+	mirror_list_end(&mirror, (store_position_t){ 0, 400 });
 	assert_int_equal(mirror.complete_after, 400);
 	apply_entry(&mirror, "a", NULL, 401);
 	assert_int_equal(mirror.complete_after, 400);
@@ -145,7 +147,7 @@
 	static mirror_t mirror;
 
 	(void)state;
-	mirror_init(&mirror, record_change, &change_log);
+	mirror_init(&mirror, &events, &change_log);
 	for (uint64_t i = 1; i < UINT64_C(4) * MIRROR_TOMBSTONES; i += 2) {
 		apply_entry(&mirror, "k", "v", i);
 		apply_entry(&mirror, "k", NULL, i + 1);
@@ -164,7 +166,7 @@
 	static mirror_t mirror;
 
 	(void)state;
-	mirror_init(&mirror, record_change, &change_log);
+	mirror_init(&mirror, &events, &change_log);
 	apply_entry(&mirror, "a", "ready", 5);
 	mirror_advance(&mirror, 5);
 	apply_entry(&mirror, "a", NULL, 8);
@@ -186,15 +188,15 @@
 	static mirror_t mirror;
 
 	(void)state;
-	mirror_init(&mirror, record_change, &change_log);
+	mirror_init(&mirror, &events, &change_log);
 	apply_entry(&mirror, "b", "1", 4);
 	mirror_advance(&mirror, 8);
 	mirror_list_begin(&mirror);
 	apply_entry(&mirror, "a", "held", 5);
 	apply_entry(&mirror, "b", "1", 4);
-	mirror_list_end(&mirror, 6);
+	mirror_list_end(&mirror, (store_position_t){ 0, 6 });
 	assert_int_equal(mirror.len, 1);
-	assert_int_equal(mirror.revision, 8);
+	assert_int_equal(mirror.position.revision, 8);
 	assert_int_equal(change_log.changes, 1);
 	mirror_finish(&mirror);
 }
@@ -209,8 +211,8 @@
 	static mirror_t second;
 
 	(void)state;
-	mirror_init(&first, record_change, &change_log);
-	mirror_init(&second, record_change, &change_log);
+	mirror_init(&first, &events, &change_log);
+	mirror_init(&second, &events, &change_log);
 	mirror_advance(&first, 5);
 	mirror_advance(&second, 5);
 	apply_entry(&second, "a", "ready", 6);
@@ -218,8 +220,8 @@
 	apply_entry(&first, "a", NULL, 8);
 	mirror_advance(&first, 8);
 	assert_true(first.complete_after <= 6);
-	(void)mirror_visit_changes(&first, second.revision, apply_to_mirror,
-				   &second);
+	(void)mirror_visit_changes(&first, second.position.revision,
+				   apply_to_mirror, &second);
 	assert_int_equal(second.len, 0);
 	mirror_finish(&first);
 	mirror_finish(&second);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -41,6 +41,8 @@
 	(void)data;
 }
 
+static const mirror_events_t mirror_events = { .change = ignore_change };
+
 static bool can_apply_changes(void *data)
 {
 	(void)data;
@@ -78,6 +80,14 @@
 	last_limit = *news;
 }
 
+static uint64_t last_epoch;
+
+static void keep_epoch(uint64_t epoch, void *data)
+{
+	(void)data;
+	last_epoch = epoch;
+}
+
 static gossip_trial last_trial;
 
 static void keep_trial(const gossip_trial *trial, void *data)
@@ -92,6 +102,7 @@
 	.announcement = keep_announcement,
 	.list_limits = list_no_limits,
 	.limit = keep_limit,
+	.epoch = keep_epoch,
 	.trial = keep_trial,
 };
 
@@ -127,7 +138,7 @@
 	assert_int_equal(loop_init(&fixture->loop, &fixture->client),
 			 MEDLAR_OK);
 	log_init(&fixture->log, STDERR_FILENO, 0, LOG_LEVEL_ERROR);
-	mirror_init(&fixture->mirror, ignore_change, NULL);
+	mirror_init(&fixture->mirror, &mirror_events, NULL);
 	for (int i = 0; error == MEDLAR_ERR_IO && i < PORTS_LEN; i++)
 		error = init_peers(fixture,
 				   PORT_BASE + ((int)getpid() + i) % PORTS_LEN);
@@ -437,7 +448,7 @@
 	first = TAILQ_FIRST(&fixture->peers.list);
 	deliver_watcher(fixture, &message, "first", 100, 5);
 	deliver_watcher(fixture, &message, "first", 60000, 9);
-	assert_int_equal(first->contact_revision, 5);
+	assert_int_equal(first->contact.revision, 5);
 	deliver_watcher(fixture, &message, "unknown", 100, 5);
 	assert_int_equal(fixture->peers.len, 2);
 }
@@ -591,7 +602,7 @@
 		       MEDLAR_STR("127.0.0.1:10 127.0.0.1:11"));
 	TAILQ_FOREACH(peer, &fixture->peers.list, link) {
 		peer->last_heard = now;
-		peer->revision = 50;
+		peer->position.revision = 50;
 	}
 	first = changes_source(&fixture->peers);
 	changes_catch_up(&fixture->peers);
@@ -599,9 +610,10 @@
 	medlar_client_run(&fixture->client, now + 1000);
 	assert_false(fixture->peers.fetching);
 	assert_ptr_not_equal(changes_source(&fixture->peers), first);
-	TAILQ_FIRST(&fixture->peers.list)->revision = 0;
-	TAILQ_NEXT(TAILQ_FIRST(&fixture->peers.list), link)->revision = 0;
-	((peer_instance_t *)(uintptr_t)first)->revision = 51;
+	TAILQ_FIRST(&fixture->peers.list)->position.revision = 0;
+	TAILQ_NEXT(TAILQ_FIRST(&fixture->peers.list), link)->position.revision =
+		0;
+	((peer_instance_t *)(uintptr_t)first)->position.revision = 51;
 	assert_ptr_equal(changes_source(&fixture->peers), first);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -639,6 +639,84 @@
 			 MEDLAR_ERR_PROTOCOL);
 }
 
+static int read_epoch_of(const char *headers, uint64_t *epoch)
+{
+	static const h1_limits_t limits = { 4096, 4096, NULL };
+	char text[512];
+	h1_parser_t parser;
+	size_t used;
+	int error;
+
+	(void)snprintf(text, sizeof(text),
+		       "HTTP/1.1 503 x\r\n%sContent-Length: 0\r\n\r\n",
+		       headers);
+	h1_parser_init(&parser, HTTP_RESPONSE, limits);
+	assert_int_equal(h1_parser_feed(&parser, medlar_str_from(text), &used),
+			 H1_COMPLETE);
+	error = platform_store_calls.read_epoch(&parser.message, epoch);
+	h1_parser_finish(&parser);
+	return error;
+}
+
+/* Whatever the header says, it has one stated outcome. */
+static void the_epoch_of_the_store_is_read(void **state)
+{
+	static const struct {
+		const char *headers;
+		int error;
+		uint64_t epoch;
+	} cases[] = {
+		{ "", MEDLAR_ERR_NOT_FOUND, 0 },
+		{ "Store-Era: 7\r\n", MEDLAR_OK, 7 },
+		{ "store-era:  0012 \r\n", MEDLAR_OK, 12 },
+		{ "Store-Era: 7\r\nStore-Era: 7\r\n", MEDLAR_OK, 7 },
+		{ "Store-Era: 7\r\nStore-Era: 8\r\n", MEDLAR_ERR_SYNTAX, 0 },
+		{ "Store-Era: 7, 7\r\n", MEDLAR_ERR_SYNTAX, 0 },
+		{ "Store-Era: \r\n", MEDLAR_ERR_SYNTAX, 0 },
+		{ "Store-Era: -7\r\n", MEDLAR_ERR_SYNTAX, 0 },
+		{ "Store-Era: +7\r\n", MEDLAR_ERR_SYNTAX, 0 },
+		{ "Store-Era: 7.0\r\n", MEDLAR_ERR_SYNTAX, 0 },
+		{ "Store-Era: 0x7\r\n", MEDLAR_ERR_SYNTAX, 0 },
+		{ "Store-Era: 99999999999999999999\r\n", MEDLAR_ERR_SYNTAX, 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		uint64_t epoch = 0;
+
+		if (read_epoch_of(cases[i].headers, &epoch) != cases[i].error ||
+		    (!cases[i].error && epoch != cases[i].epoch))
+			fail_msg("%s", cases[i].headers);
+	}
+}
+
+static bool is_newer(const char *key, const char *known, const char *offered)
+{
+	return entries_is_newer(medlar_str_from(key), medlar_str_from(known),
+				medlar_str_from(offered));
+}
+
+static void versions_of_an_entry_are_ordered_by_what_they_say(void **state)
+{
+	static const char first[] = "{\"born\":5,\"seq\":9}";
+	static const char second[] = "{\"born\":5,\"seq\":10}";
+	static const char restarted[] = "{\"born\":6,\"seq\":1}";
+
+	(void)state;
+	assert_true(is_newer("servers/a", first, second));
+	assert_false(is_newer("servers/a", second, first));
+	assert_false(is_newer("servers/a", first, first));
+	assert_true(is_newer("servers/a", second, restarted));
+	assert_false(is_newer("servers/a", restarted, second));
+	assert_true(
+		is_newer("op/config", "{\"version\":3}", "{\"version\":4}"));
+	assert_false(
+		is_newer("op/config", "{\"version\":4}", "{\"version\":3}"));
+	assert_true(is_newer("servers/a", "", first));
+	assert_true(is_newer("servers/a", first, "oops"));
+	assert_true(is_newer("medlar/instances/a", "x", "x"));
+}
+
 static void store_requests_are_written(void **state)
 {
 	const store_calls_t *calls = &platform_store_calls;
@@ -680,6 +758,9 @@
 			a_merged_answer_lists_parts_and_missing_shards),
 		cmocka_unit_test(entry_points_are_parsed_and_answered),
 		cmocka_unit_test(store_replies_are_parsed),
+		cmocka_unit_test(the_epoch_of_the_store_is_read),
+		cmocka_unit_test(
+			versions_of_an_entry_are_ordered_by_what_they_say),
 		cmocka_unit_test(store_requests_are_written),
 	};
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -95,10 +95,11 @@
 	const store_item_t item = {
 		.key = MEDLAR_STR("k"),
 		.value = body,
-		.revision = strtoull(body.ptr, NULL, 10),
+		.position.revision = strtoull(body.ptr, NULL, 10),
 	};
 
-	*page = (store_page_t){ .revision = item.revision, .last_key = "k" };
+	*page = (store_page_t){ .revision = item.position.revision,
+				.last_key = "k" };
 	fn(&item, data);
 	return MEDLAR_OK;
 }
@@ -110,6 +111,13 @@
 	return MEDLAR_OK;
 }
 
+static int read_no_epoch(const h1_message_t *reply, uint64_t *epoch)
+{
+	(void)reply;
+	(void)epoch;
+	return MEDLAR_ERR_NOT_FOUND;
+}
+
 static const store_calls_t calls = {
 	.list = write_list,
 	.watch = write_watch,
@@ -119,6 +127,7 @@
 	.revoke_lease = write_lease_call,
 	.read_items = read_items,
 	.read_lease = read_lease,
+	.read_epoch = read_no_epoch,
 };
 
 static void answer_revision(const fixture_t *fixture, h1_conn_t *conn)
@@ -200,6 +209,8 @@
 	(void)data;
 }
 
+static const mirror_events_t mirror_events = { .change = ignore_change };
+
 static int open_server(fixture_t *fixture, struct sockaddr_in *address)
 {
 	static const h1_server_options_t options = {
@@ -235,7 +246,7 @@
 	fixture->loop.now = START_MS;
 	fixture->revision = 1;
 	log_init(&fixture->log, STDERR_FILENO, 0, LOG_LEVEL_ERROR);
-	mirror_init(&fixture->mirror, ignore_change, NULL);
+	mirror_init(&fixture->mirror, &mirror_events, NULL);
 	assert_int_equal(open_server(fixture, &address), MEDLAR_OK);
 	store_init(&fixture->store, &fixture->loop, &fixture->log,
 		   &fixture->stats, &calls, &address, &fixture->mirror);
@@ -323,10 +334,10 @@
 	medlar_time_t end = fixture->loop.now + bound;
 
 	run_until(fixture, fixture->loop.now);
-	while (fixture->mirror.revision != fixture->revision &&
+	while (fixture->mirror.position.revision != fixture->revision &&
 	       next_event(fixture) <= end)
 		run_until(fixture, next_event(fixture));
-	return fixture->mirror.revision == fixture->revision;
+	return fixture->mirror.position.revision == fixture->revision;
 }
 
 static void changes_arrive_in_time_after_an_outage_of_any_length(void **state)
@@ -401,7 +412,7 @@
 	run_for(fixture, 12 * MEDLAR_SECOND);
 	assert_true(fixture->store.entry_state == STORE_ENTRY_WRITTEN);
 	assert_true(fixture->stats.counts[STAT_STORE_CALLS] > 0);
-	assert_true(fixture->mirror.revision < fixture->revision);
+	assert_true(fixture->mirror.position.revision < fixture->revision);
 	assert_true(fixture->store.last_contact <= silent_since);
 }
 
@@ -418,7 +429,7 @@
 	memset(fixture->watches, 0, sizeof(fixture->watches));
 	run_for(fixture, 6 * MEDLAR_SECOND);
 	assert_false(fixture->store.list_complete);
-	assert_true(fixture->mirror.revision < fixture->revision);
+	assert_true(fixture->mirror.position.revision < fixture->revision);
 	assert_true(fixture->store.last_contact <= changed_at);
 	fixture->history_lost = false;
 	assert_true(is_current_within(fixture, CHANGE_BOUND_MS));
