--- a/router/forward.c
+++ b/router/forward.c
@@ -4,41 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "libroute/retry_after.h"
-#include "medlard/clock.h"
 #include "platform/headers.h"
 #include "router/forward_internal.h"
 
 /* Assumed round trip time of connections for which the kernel has none. */
 #define ROUND_TRIP_DEFAULT_MS 8
 
-/* How a request is refused, and when its caller may return. */
-typedef struct refusal {
-	unsigned status;
-	stat_t stat;
-	bool may_return;
-	retry_reason_t reason;
-} refusal_t;
-
-static const refusal_t refusal_malformed = { 400, STAT_BAD_REQUESTS, false, 0 };
-static const refusal_t refusal_no_route = { 404, STAT_NO_ROUTE, false, 0 };
-static const refusal_t refusal_not_current = { 503, STAT_NO_ROUTE, true,
-					       RETRY_NOT_READY };
-static const refusal_t refusal_not_ready = { 503, STAT_NOT_READY, true,
-					     RETRY_NOT_READY };
-static const refusal_t refusal_leaving = { 503, STAT_LEAVING, true,
-					   RETRY_NOT_RUN };
-static const refusal_t refusal_convicted = { 503, STAT_CONVICTED, true,
-					     RETRY_OVERLOADED };
-static const refusal_t refusal_overload = { 503, STAT_OVERLOAD, true,
-					    RETRY_OVERLOADED };
-static const refusal_t refusal_busy = { 503, STAT_REPLICAS_BUSY, true,
-					RETRY_OVERLOADED };
-static const refusal_t refusal_limited = { 503, STAT_REPLICAS_LIMITED, true,
-					   RETRY_NOT_RUN };
-static const refusal_t refusal_memory = { 503, STAT_NO_MEMORY, true,
-					  RETRY_OVERLOADED };
-
 static void free_finished(forward_t *forward)
 {
 	forward_request_t *request;
@@ -53,12 +24,6 @@
 	}
 }
 
-/* Time since the start of the loop iteration, ms. */
-static medlar_time_t iteration_elapsed(const forward_t *forward)
-{
-	return clock_now() - forward->loop->now;
-}
-
 /**
  * forward_end_iteration() - finish an iteration of the event loop
  * @data: the service, a &struct forward; this is a loop hook
@@ -72,19 +37,7 @@
 
 	free_finished(forward);
 	admission_add_iteration(&forward->admission,
-				iteration_elapsed(forward));
-}
-
-/* Return: when the caller of an exchange that was not run should return, ms. */
-static medlar_time_t return_delay(forward_t *forward,
-				  const exchange_t *exchange)
-{
-	medlar_rand_t *rand = &forward->loop->client->rand;
-	medlar_time_t wait = exchange->available_at - forward->loop->now;
-
-	if (wait > 0)
-		return retry_after_wait(wait, rand);
-	return retry_after_delay(RETRY_NOT_RUN, exchange->timing.timeout, rand);
+				forward_iteration_elapsed(forward));
 }
 
 static void on_answer(exchange_t *exchange, answer_t how,
@@ -110,12 +63,14 @@
 		status = forward_answer_merged(conn, exchange);
 	} else {
 		status = statuses[how];
-		forward_answer_status(conn, status,
-				      how == ANSWER_NOT_RUN
-					      ? return_delay(forward, exchange)
-					      : 0);
+		forward_answer_status(
+			conn, status,
+			how == ANSWER_NOT_RUN
+				? forward_return_delay(forward, exchange)
+				: 0);
 	}
-	delay_add(&forward->setup.write_delay, iteration_elapsed(forward));
+	delay_add(&forward->setup.write_delay,
+		  forward_iteration_elapsed(forward));
 	if (request->is_trial && (how == ANSWER_RELAY || how == ANSWER_MERGED))
 		trials_report_answer(&forward->trials, exchange->fingerprint);
 	forward_log_answer(request, how, status);
@@ -152,45 +107,6 @@
 	return hash ? hash : 1;
 }
 
-/*
- * @lacks: name of the service that cannot be asked; empty if that is not the reason
- * @retry_after: when the caller may return, ms; 0 if it should not
- */
-static void refuse_until(forward_t *forward, h1_conn_t *conn,
-			 const refusal_t *refusal, const request_head_t *head,
-			 medlar_str_t lacks, medlar_time_t retry_after)
-{
-	forward->stats->counts[refusal->stat]++;
-	if (forward_take_log_token(forward))
-		LOG_LINE(forward->log, LOG_LEVEL_INFO, "refuse",
-			 MEDLAR_TEXT("id", head->request_id),
-			 MEDLAR_NUM("status", refusal->status),
-			 MEDLAR_TEXT("why", medlar_str_from(stats_counter_name(
-						    refusal->stat))),
-			 MEDLAR_TEXT("lacks", lacks),
-			 MEDLAR_NUM("retry_ms", retry_after),
-			 MEDLAR_NUM("config", forward->routes
-						      ? forward->routes->version
-						      : 0),
-			 MEDLAR_NUM(
-				 "delay_ms",
-				 admission_delay(&forward->admission,
-						 iteration_elapsed(forward))));
-	forward_answer_status(conn, refusal->status, retry_after);
-}
-
-static void refuse_request(forward_t *forward, h1_conn_t *conn,
-			   const refusal_t *refusal, const request_head_t *head)
-{
-	medlar_time_t retry_after = 0;
-
-	if (refusal->may_return)
-		retry_after = retry_after_delay(refusal->reason, head->timeout,
-						&forward->loop->client->rand);
-	refuse_until(forward, conn, refusal, head, (medlar_str_t){ 0 },
-		     retry_after);
-}
-
 static void copy_request(forward_request_t *request,
 			 const h1_message_t *message,
 			 const request_head_t *head)
@@ -212,30 +128,6 @@
 	upstream->method_is_head = strcmp(message->method, "HEAD") == 0;
 }
 
-/* Refuses a request that was initialised but not started. */
-static void refuse_prepared(forward_request_t *request,
-			    const refusal_t *refusal,
-			    const request_head_t *head)
-{
-	forward_t *forward = request->forward;
-
-	TAILQ_INSERT_TAIL(&forward->finished, request, link);
-	refuse_request(forward, request->conn, refusal, head);
-}
-
-/* Refuses a request that was initialised but not started, until replicas have room. */
-static void refuse_limited(forward_request_t *request,
-			   const request_head_t *head)
-{
-	forward_t *forward = request->forward;
-	const fleet_service_t *service = request->exchange.limited_service;
-
-	TAILQ_INSERT_TAIL(&forward->finished, request, link);
-	refuse_until(forward, request->conn, &refusal_limited, head,
-		     medlar_str_from(service->name),
-		     return_delay(forward, &request->exchange));
-}
-
 static caller_timing_t caller_timing(forward_t *forward, h1_conn_t *conn,
 				     const route_t *route,
 				     const request_head_t *head)
@@ -264,28 +156,28 @@
 	medlar_time_t now = forward->loop->now;
 
 	if (!request) {
-		refuse_request(forward, conn, &refusal_memory, head);
+		forward_refuse(forward, conn, &forward_refusal_memory, head);
 		return;
 	}
 	request->forward = forward;
 	request->conn = conn;
 	if (exchange_init(&request->exchange, &forward->setup, forward->routes,
 			  route, &timing, now)) {
-		refuse_prepared(request, &refusal_memory, head);
+		forward_refuse_prepared(request, &forward_refusal_memory, head);
 		return;
 	}
 	if (!admission_meets_target(&request->exchange, now) ||
 	    !admission_within_capacity(&request->exchange, now)) {
-		refuse_prepared(request, &refusal_busy, head);
+		forward_refuse_prepared(request, &forward_refusal_busy, head);
 		return;
 	}
 	if (!admission_fits_limits(&request->exchange, now)) {
-		refuse_limited(request, head);
+		forward_refuse_limited(request, head);
 		return;
 	}
 	copy_request(request, &conn->parser.message, head);
 	if (request->upstream.head.error || request->upstream.body.error) {
-		refuse_prepared(request, &refusal_memory, head);
+		forward_refuse_prepared(request, &forward_refusal_memory, head);
 		return;
 	}
 	if (forward->stop_at)
@@ -333,12 +225,13 @@
 			  const trial_state_t *trial)
 {
 	if (may_outlast_shutdown(forward, route, head->timeout)) {
-		refuse_request(forward, conn, &refusal_leaving, head);
+		forward_refuse(forward, conn, &forward_refusal_leaving, head);
 		return;
 	}
 	if (!admission_allows(&forward->admission, route,
-			      iteration_elapsed(forward), head->timeout)) {
-		refuse_request(forward, conn, &refusal_overload, head);
+			      forward_iteration_elapsed(forward),
+			      head->timeout)) {
+		forward_refuse(forward, conn, &forward_refusal_overload, head);
 		return;
 	}
 	if (trial->is_trial)
@@ -358,18 +251,19 @@
 	medlar_time_t now = forward->loop->now;
 
 	if (suspect_is_refused(suspect, now)) {
-		refuse_request(forward, conn, &refusal_convicted, head);
+		forward_refuse(forward, conn, &forward_refusal_convicted, head);
 		return;
 	}
 	if (peers_owner_of(forward->peers, trial.fingerprint)) {
 		if (trials_ask(&forward->trials, conn, trial.fingerprint))
-			refuse_request(forward, conn, &refusal_convicted, head);
+			forward_refuse(forward, conn,
+				       &forward_refusal_convicted, head);
 		return;
 	}
 	if (suspects_grant_trial(&forward->suspects, trial.fingerprint, now))
 		admit_request(forward, conn, route, head, &trial);
 	else
-		refuse_request(forward, conn, &refusal_convicted, head);
+		forward_refuse(forward, conn, &forward_refusal_convicted, head);
 }
 
 /* Return: the route of a request; NULL if it was refused. */
@@ -382,11 +276,11 @@
 	headers_parse_request(message, head);
 	if (head->malformed) {
 		conn->closing = true;
-		refuse_request(forward, conn, &refusal_malformed, head);
+		forward_refuse(forward, conn, &forward_refusal_malformed, head);
 		return NULL;
 	}
 	if (!forward->routes) {
-		refuse_request(forward, conn, &refusal_not_ready, head);
+		forward_refuse(forward, conn, &forward_refusal_not_ready, head);
 		return NULL;
 	}
 	route = routes_find(forward->routes, head->host,
@@ -394,9 +288,9 @@
 	if (!route) {
 		bool is_current = forward->routes_are_current(forward->data);
 
-		refuse_request(forward, conn,
-			       is_current ? &refusal_no_route
-					  : &refusal_not_current,
+		forward_refuse(forward, conn,
+			       is_current ? &forward_refusal_no_route
+					  : &forward_refusal_not_current,
 			       head);
 		return NULL;
 	}
@@ -447,7 +341,8 @@
 	    !(suspect && suspect_is_refused(suspect, forward->loop->now)))
 		admit_request(forward, conn, route, &head, &trial);
 	else
-		refuse_request(forward, conn, &refusal_convicted, &head);
+		forward_refuse(forward, conn, &forward_refusal_convicted,
+			       &head);
 }
 
 static void on_caller_disconnected(h1_conn_t *conn, void *data)
--- a/router/peers.c
+++ b/router/peers.c
@@ -219,8 +219,8 @@
  * peers_spread_crashes() - tell some instances of the crashes that this one saw
  * @peers: the other instances
  *
- * Each of them tells others in its next messages. To be called in each iteration of the loop; when many
- * replicas crash at once, one message tells of all of them.
+ * Each of them tells others in its next messages. To be called in each iteration of
+ * the loop; when many replicas crash at once, one message tells of all of them.
  */
 void peers_spread_crashes(peers_t *peers)
 {
