--- a/tests/router_sim.h
+++ b/tests/router_sim.h
@@ -31,7 +31,7 @@
 /* A large simulation moves on in longer steps, to save time. */
 #define SIM_STEP_MS 10
 #define SIM_STEP_LARGE_MS 25
-#define SIM_LARGE_LEN 100
+#define SIM_LARGE_LEN 30
 #define SIM_ZONES 3
 
 /*
