--- a/tests/router_sim.h
+++ b/tests/router_sim.h
@@ -294,7 +294,7 @@
 }
 
 static inline void sim_put_replica(router_sim_t *sim, unsigned number,
-				   const char *state)
+				   unsigned seq, const char *state)
 {
 	char key[64];
 	char value[512];
@@ -303,9 +303,9 @@
 	(void)snprintf(value, sizeof(value),
 		       "{\"service\":\"service\",\"address\":\"127.3.0.1:%u\","
 		       "\"zone\":\"z%u\",\"version\":\"v1\",\"slots\":2,"
-		       "\"state\":\"%s\",\"warmupLeftMs\":0,\"seq\":1,"
+		       "\"state\":\"%s\",\"warmupLeftMs\":0,\"seq\":%u,"
 		       "\"born\":1}",
-		       1000 + number, number % SIM_ZONES, state);
+		       1000 + number, number % SIM_ZONES, state, seq);
 	site_store_put(&sim->store, key, value, 0);
 }
 
--- a/tests/test_removal.c
+++ b/tests/test_removal.c
@@ -35,7 +35,7 @@
 	router_sim_t *sim = sim_begin(len, seed);
 
 	for (unsigned i = 0; i < REPLICAS; i++)
-		sim_put_replica(sim, i, "ready");
+		sim_put_replica(sim, i, 1, "ready");
 	sim_run_for(sim, SETTLE_MS);
 	for (size_t i = 0; i < len; i++)
 		assert_true(sim_uses_replica(sim, i, REPLICAS - 1));
@@ -84,7 +84,7 @@
 		router_sim_t *sim = begin(sizes[i], i + 1);
 
 		for (unsigned j = 0; j < 3; j++) {
-			sim_put_replica(sim, REPLICAS - 1, "ready");
+			sim_put_replica(sim, REPLICAS - 1, 1, "ready");
 			sim_run_for(sim, 50 + 400 * (medlar_time_t)j);
 			watch_removal(sim, j, calm, "calm");
 		}
@@ -113,7 +113,7 @@
 
 	set_gates(sim, first, len, how);
 	sim_run_for(sim, delay - 60);
-	sim_put_replica(sim, REPLICAS - 1, "ready");
+	sim_put_replica(sim, REPLICAS - 1, 1, "ready");
 	sim_run_for(sim, 60);
 	removed_at = sim->now;
 	sim_remove_replica(sim, replica);
@@ -177,15 +177,15 @@
 			assert_true(sim_uses_replica(sim, i, lapsed[0]) &&
 				    sim_uses_replica(sim, i, lapsed[1]));
 		if (sim->now == returned_at + 1200)
-			sim_put_replica(sim, lapsed[0], "ready");
+			sim_put_replica(sim, lapsed[0], 1, "ready");
 		if (sim->now == returned_at + 1900)
-			sim_put_replica(sim, lapsed[1], "ready");
+			sim_put_replica(sim, lapsed[1], 1, "ready");
 	}
 	watch_removal(sim, removed, calm, gate_names[how]);
 	for (size_t i = 0; i < sim->len; i++)
 		assert_false(sim_uses_replica(sim, i, gone));
 	for (unsigned i = 0; i <= removed; i++)
-		sim_put_replica(sim, i, "ready");
+		sim_put_replica(sim, i, 1, "ready");
 	sim_run_for(sim, SETTLE_MS);
 }
 
@@ -260,7 +260,7 @@
 		router_sim_t *sim = begin(sizes[i], i + 1);
 
 		for (unsigned j = 0; j < 6; j += stride(sizes[i])) {
-			sim_put_replica(sim, REPLICAS - 1, "ready");
+			sim_put_replica(sim, REPLICAS - 1, 1, "ready");
 			sim_run_for(sim, 20 + 300 * (medlar_time_t)j);
 			sim_remove_replica(sim, j);
 			site_store_drop_history(&sim->store);
--- a/tests/test_store_epoch.c
+++ b/tests/test_store_epoch.c
@@ -16,22 +16,6 @@
 static const size_t sizes[] = { 4, 31, 118 };
 #define SIZES_LEN (sizeof(sizes) / sizeof(sizes[0]))
 
-static void put_replica(router_sim_t *sim, unsigned number, unsigned seq,
-			const char *state)
-{
-	char key[64];
-	char value[512];
-
-	(void)snprintf(key, sizeof(key), "servers/s-%u", number);
-	(void)snprintf(value, sizeof(value),
-		       "{\"service\":\"service\",\"address\":\"127.3.0.1:%u\","
-		       "\"zone\":\"z0\",\"version\":\"v1\",\"slots\":2,"
-		       "\"state\":\"%s\",\"warmupLeftMs\":0,\"seq\":%u,"
-		       "\"born\":1}",
-		       1000 + number, state, seq);
-	site_store_put(&sim->store, key, value, 0);
-}
-
 static void put_config(router_sim_t *sim, unsigned version)
 {
 	char value[512];
@@ -56,7 +40,7 @@
 	sim->store.epoch = 7;
 	put_config(sim, 1);
 	for (unsigned i = 0; i < REPLICAS; i++)
-		put_replica(sim, i, 1, "ready");
+		sim_put_replica(sim, i, 1, "ready");
 	sim_run_for(sim, SETTLE_MS);
 	return sim;
 }
@@ -138,16 +122,16 @@
 			router_sim_t *sim = begin(4);
 
 			for (unsigned i = 0; i < 6; i++) {
-				put_replica(sim, i, 2, "ready");
+				sim_put_replica(sim, i, 2, "ready");
 				sim_run_for(sim, 900);
 			}
 			play_drill(sim, (site_gate_state_t)how, age);
 			/* More changes than were lost, before anybody looks. */
 			for (unsigned i = 0; i < 10; i++)
-				put_replica(sim, 20 + i, 1, "ready");
+				sim_put_replica(sim, 20 + i, 1, "ready");
 			site_store_write_again(&sim->store, age % 1000 != 0);
 			expect_converged(sim);
-			put_replica(sim, 40, 1, "ready");
+			sim_put_replica(sim, 40, 1, "ready");
 			expect_converged(sim);
 			sim_end(sim);
 		}
@@ -159,11 +143,11 @@
 
 	(void)state;
 	for (unsigned i = 0; i < 8; i++) {
-		put_replica(sim, i, 3, "ready");
+		sim_put_replica(sim, i, 3, "ready");
 		sim_run_for(sim, 150 + 400 * (medlar_time_t)(i % 3));
 		play_drill(sim, (site_gate_state_t)(1 + i % 3), 600 + 700 * i);
 		site_store_write_again(&sim->store, i % 2);
-		put_replica(sim, 20 + i, 1, "ready");
+		sim_put_replica(sim, 20 + i, 1, "ready");
 	}
 	expect_converged(sim);
 	sim_end(sim);
@@ -181,7 +165,7 @@
 		size_t starter = sim->len - 1;
 		medlar_time_t started_at;
 
-		put_replica(sim, draining, 2, "draining");
+		sim_put_replica(sim, draining, 2, "draining");
 		sim_remove_replica(sim, gone);
 		sim_run_for(sim, 1500);
 		play_drill(sim, SITE_GATE_RESET, AGE_MS);
@@ -203,7 +187,7 @@
 		}
 		site_store_write_again(&sim->store, false);
 		expect_converged(sim);
-		put_replica(sim, gone, 2, "ready");
+		sim_put_replica(sim, gone, 2, "ready");
 		expect_converged(sim);
 		for (size_t j = 0; j < sim->len; j++)
 			assert_true(sim_uses_replica(sim, j, gone));
@@ -222,15 +206,15 @@
 		router_sim_t *sim = begin(sizes[i]);
 		medlar_time_t returned_at;
 
-		put_replica(sim, back, 1, "ready");
-		put_replica(sim, away, 1, "ready");
+		sim_put_replica(sim, back, 1, "ready");
+		sim_put_replica(sim, away, 1, "ready");
 		sim_run_for(sim, 1500);
 		play_drill(sim, SITE_GATE_BUSY, AGE_MS);
 		returned_at = sim->now;
 		while (sim->now < returned_at + CONTACT_MS) {
 			sim_step(sim);
 			if (sim->now == returned_at + REWRITE_MS)
-				put_replica(sim, back, 1, "ready");
+				sim_put_replica(sim, back, 1, "ready");
 			for (size_t j = 0; j < sim->len; j++)
 				assert_true(sim_uses_replica(sim, j, back));
 		}
@@ -274,13 +258,13 @@
 		router_sim_t *sim = begin(sizes[i]);
 		size_t cut = sim->len / 3;
 
-		put_replica(sim, 0, 2, "ready");
+		sim_put_replica(sim, 0, 2, "ready");
 		sim_run_for(sim, 1000);
 		sim_cut_peers(sim, cut);
 		site_gate_set(&sim->routers[cut].gate, SITE_GATE_SILENT);
 		play_drill(sim, SITE_GATE_RESET, AGE_MS);
 		site_gate_set(&sim->routers[cut].gate, SITE_GATE_SILENT);
-		put_replica(sim, 0, 3, "draining");
+		sim_put_replica(sim, 0, 3, "draining");
 		sim_remove_replica(sim, 1);
 		sim_run_for(sim, 3000);
 		sim_join_peers(sim, cut);
@@ -347,7 +331,7 @@
 	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
 		(void)snprintf(sim->store.epoch_text,
 			       sizeof(sim->store.epoch_text), "%s", texts[i]);
-		put_replica(sim, 50 + (unsigned)i, 1, "ready");
+		sim_put_replica(sim, 50 + (unsigned)i, 1, "ready");
 		sim_run_for(sim, CONVERGE_MS);
 		for (size_t j = 0; j < sim->len; j++)
 			assert_int_equal(sim->routers[j].state->store.epoch, 7);
@@ -358,7 +342,7 @@
 	sim->store.epoch_text[0] = '\0';
 	expect_converged(sim);
 	sim->store.epoch += 5;
-	put_replica(sim, 70, 1, "ready");
+	sim_put_replica(sim, 70, 1, "ready");
 	expect_converged(sim);
 	sim_end(sim);
 }
@@ -372,10 +356,10 @@
 	sim_end(sim);
 	sim = sim_begin(4, 4);
 	put_config(sim, 1);
-	put_replica(sim, 0, 1, "ready");
+	sim_put_replica(sim, 0, 1, "ready");
 	expect_converged(sim);
 	sim->store.epoch = 1;
-	put_replica(sim, 1, 1, "ready");
+	sim_put_replica(sim, 1, 1, "ready");
 	expect_converged(sim);
 	sim_end(sim);
 }
@@ -421,7 +405,8 @@
 	if (day->left[replica])
 		sim_remove_replica(day->sim, replica);
 	else
-		put_replica(day->sim, replica, ++day->seqs[replica], "ready");
+		sim_put_replica(day->sim, replica, ++day->seqs[replica],
+				"ready");
 }
 
 static void play_event(day_t *day)
